--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Every target sets up what it needs.
+PYTHON ?= python3
+VENV := .venv
+PY := $(VENV)/bin/python
+PKGS := packages/core:packages/router:packages/operator:packages/platform:packages/standins
+export PYTHONPATH := $(PKGS)
+
+.PHONY: demo test measure slopes format
+
+$(VENV)/.ready: requirements.txt
+	$(PYTHON) -m venv $(VENV)
+	$(PY) -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	touch $@
+
+demo: $(VENV)/.ready
+	@$(PY) -m chervilwall_standins.demo
+
+test: $(VENV)/.ready
+	@$(PY) tools/check.py
+
+measure: $(VENV)/.ready
+	@$(PY) -m chervilwall_standins.measure
+
+slopes: $(VENV)/.ready
+	@$(PY) -m chervilwall_standins.slopes
+
+format: $(VENV)/.ready
+	@$(VENV)/bin/ruff format packages tools examples
+	@$(VENV)/bin/ruff check --fix packages tools examples
--- /dev/null
+++ b/packages/core/chervilwall/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the chervilwall router fleet, free of any input or output."""
--- /dev/null
+++ b/packages/core/chervilwall/cells.py
@@ -0,0 +1,40 @@
+"""Cells: sets of targets of one service with one scheduler."""
+
+import math
+from typing import NamedTuple
+
+from chervilwall.config import Config, Target
+
+TARGETS_PER_CELL = 12
+
+
+class Cell(NamedTuple):
+    """A set of targets that one router schedules.
+
+    Args:
+        name (str): "service#index".
+        service (str): The service that the targets serve.
+        targets (tuple): The targets, leaving ones included.
+    """
+
+    name: str
+    service: str
+    targets: tuple[Target, ...]
+
+
+def split_cells(config: Config) -> dict[str, Cell]:
+    """Returns the cells of a configuration by name."""
+    cells: dict[str, Cell] = {}
+    for service in config.services:
+        targets = sorted(config.targets_of(service.name))
+        count = max(1, math.ceil(len(targets) / TARGETS_PER_CELL))
+        for index in range(count):
+            name = f"{service.name}#{index}"
+            members = tuple(targets[index::count])
+            cells[name] = Cell(name, service.name, members)
+    return cells
+
+
+def cells_of(cells: dict[str, Cell], service: str) -> list[str]:
+    """Returns the names of a service's cells."""
+    return [c.name for c in cells.values() if c.service == service]
--- /dev/null
+++ b/packages/core/chervilwall/codec.py
@@ -0,0 +1,139 @@
+"""Frames between routers: msgpack behind a keyed digest."""
+
+import hashlib
+import hmac
+import zlib
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+import msgspec
+
+from chervilwall import message
+from chervilwall.config import Config, VersionedConfig
+from chervilwall.errors import CodecError
+
+MAC_BYTES = 16
+MAX_FRAME_BYTES = 1 << 20
+MAX_CONFIG_BYTES = 1 << 23
+
+# The order is part of the protocol: new types go to the end.
+_TYPES: tuple[type, ...] = (
+    message.Enqueue,
+    message.Cancel,
+    message.Grant,
+    message.Refuse,
+    message.Done,
+    message.Sync,
+    message.Missing,
+    message.Ping,
+    message.Ack,
+    message.PingRequest,
+    message.MembersPull,
+    message.MembersPush,
+    message.ConfigPull,
+    message.ConfigPush,
+    message.RowsPush,
+)
+_CODES = {cls: code for code, cls in enumerate(_TYPES)}
+_DECODERS: tuple[msgspec.msgpack.Decoder, ...] = tuple(
+    msgspec.msgpack.Decoder(cls) for cls in _TYPES
+)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+class Frame(NamedTuple):
+    """The decoded content of one frame.
+
+    Args:
+        sender (str): Name of the sending router.
+        incarnation (int): Its incarnation.
+        messages (tuple): The messages, in the order they were sent.
+    """
+
+    sender: str
+    incarnation: int
+    messages: tuple[message.Message, ...]
+
+
+class _Wire(NamedTuple):
+    sender: str
+    incarnation: int
+    items: tuple[tuple[int, msgspec.Raw], ...]
+
+
+_WIRE = msgspec.msgpack.Decoder(_Wire)
+
+
+class FrameCodec:
+    """Encode frames with the newest key and accept any current key.
+
+    Args:
+        keys (Sequence[bytes]): Shared secrets, newest first. Two at once let
+            keys rotate without a stop.
+    """
+
+    def __init__(self, keys: Sequence[bytes]) -> None:
+        if not keys:
+            raise CodecError("no key is set", step="make frame codec")
+        self._keys = tuple(keys)
+
+    def __repr__(self) -> str:
+        return f"FrameCodec(keys={len(self._keys)})"
+
+    def encode(
+        self,
+        sender: str,
+        incarnation: int,
+        messages: Iterable[message.Message],
+    ) -> bytes:
+        """Returns the frame that carries the messages."""
+        items = [(_CODES[type(msg)], msg) for msg in messages]
+        body = _ENCODER.encode((sender, incarnation, items))
+        return _mac(self._keys[0], body) + body
+
+    def decode(self, frame: bytes) -> Frame:
+        """Returns the content of a frame.
+
+        Raises:
+            CodecError: The frame is forged, too long or malformed.
+        """
+        if not MAC_BYTES < len(frame) <= MAX_FRAME_BYTES:
+            raise CodecError("bad frame length", step="decode frame")
+        mac, body = frame[:MAC_BYTES], frame[MAC_BYTES:]
+        if not any(hmac.compare_digest(mac, _mac(k, body)) for k in self._keys):
+            raise CodecError("wrong digest", step="decode frame")
+        try:
+            wire = _WIRE.decode(body)
+            messages = tuple(
+                _DECODERS[code].decode(raw) for code, raw in wire.items
+            )
+        except (msgspec.MsgspecError, IndexError, RecursionError) as exc:
+            raise CodecError(str(exc), step="decode frame") from exc
+        return Frame(wire.sender, wire.incarnation, messages)
+
+
+def _mac(key: bytes, body: bytes) -> bytes:
+    return hashlib.blake2b(body, key=key, digest_size=MAC_BYTES).digest()
+
+
+def pack_config(versioned: VersionedConfig) -> message.ConfigPush:
+    """Returns the message that spreads a configuration."""
+    blob = zlib.compress(_ENCODER.encode(versioned.config))
+    return message.ConfigPush(versioned.version, blob)
+
+
+def unpack_config(push: message.ConfigPush) -> VersionedConfig:
+    """Returns the configuration that a message carries.
+
+    Raises:
+        CodecError: The blob does not decode or is too large.
+    """
+    inflater = zlib.decompressobj()
+    try:
+        raw = inflater.decompress(push.blob, MAX_CONFIG_BYTES)
+        if inflater.unconsumed_tail:
+            raise CodecError("too large", step="unpack configuration")
+        config = msgspec.msgpack.decode(raw, type=Config)
+    except (zlib.error, msgspec.MsgspecError) as exc:
+        raise CodecError(str(exc), step="unpack configuration") from exc
+    return VersionedConfig(push.version, config)
--- /dev/null
+++ b/packages/core/chervilwall/errors.py
@@ -0,0 +1,92 @@
+"""Every exception that chervilwall raises."""
+
+
+class ChervilwallError(Exception):
+    """Base of all chervilwall errors.
+
+    Args:
+        reason (str): What went wrong, in one sentence.
+        step (str): The step of the work at which it arose. Defaults to "".
+        peer (str): The process or file on the other side. Defaults to "".
+    """
+
+    def __init__(self, reason: str, *, step: str = "", peer: str = "") -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        where = f"{self.step}: " if self.step else ""
+        whom = f" (peer {self.peer})" if self.peer else ""
+        return f"{where}{self.reason}{whom}"
+
+
+class SettingsError(ChervilwallError):
+    """A settings file cannot be read or breaks its schema."""
+
+
+class SheetError(ChervilwallError):
+    """A sheet is refused as a whole."""
+
+
+class CodecError(ChervilwallError):
+    """Bytes from another process do not decode or fail authentication."""
+
+
+class PlatformError(ChervilwallError):
+    """A call to the platform did not succeed."""
+
+
+class PlatformUnavailableError(PlatformError):
+    """The platform did not answer; a write may or may not have happened."""
+
+
+class RateLimitedError(PlatformError):
+    """The platform refused the call for its rate; nothing happened.
+
+    Args:
+        reason (str): What went wrong.
+        retry_after_s (float): Seconds until another call may succeed.
+        step (str): The step of the work. Defaults to "".
+        peer (str): The platform's address. Defaults to "".
+    """
+
+    def __init__(
+        self,
+        reason: str,
+        retry_after_s: float,
+        *,
+        step: str = "",
+        peer: str = "",
+    ) -> None:
+        super().__init__(reason, step=step, peer=peer)
+        self.retry_after_s = retry_after_s
+
+
+class VersionConflictError(PlatformError):
+    """A conditional write lost to another writer; nothing happened."""
+
+
+class TargetError(ChervilwallError):
+    """An attempt on a target did not give a whole answer."""
+
+
+class NotSentError(TargetError):
+    """No byte of the request left for the target."""
+
+
+class BrokenAnswerError(TargetError):
+    """The target broke off after bytes of the request may have left."""
+
+
+class TargetTimeoutError(TargetError):
+    """The target sent nothing for longer than the limit."""
+
+
+class OrderError(ChervilwallError):
+    """An order to a target was not carried out."""
+
+
+class BrokenRelayError(ChervilwallError):
+    """An answer broke off after a part of it went to the caller."""
--- /dev/null
+++ b/packages/core/chervilwall/events.py
@@ -0,0 +1,67 @@
+"""Numbered log events. docs/EVENTS.md is their catalogue."""
+
+import logging
+from typing import NamedTuple
+
+
+class Event(NamedTuple):
+    """A kind of log line.
+
+    Args:
+        number (int): Unique number.
+        level (int): Level of the logging library.
+        text (str): What happened.
+    """
+
+    number: int
+    level: int
+    text: str
+
+
+ROUTER_STARTED = Event(100, logging.INFO, "router started")
+ROUTER_LEAVING = Event(101, logging.INFO, "router leaves the fleet")
+ROUTER_STOPPED = Event(102, logging.INFO, "router stopped")
+SETTINGS_RELOADED = Event(103, logging.INFO, "settings read again")
+SETTINGS_REFUSED = Event(104, logging.ERROR, "settings refused")
+TASK_FAILED = Event(105, logging.ERROR, "background task failed")
+MEMBER_CHANGED = Event(200, logging.INFO, "member changed state")
+FRAME_REFUSED = Event(201, logging.WARNING, "frame from a peer refused")
+PEER_SEND_FAILED = Event(202, logging.WARNING, "message to a peer dropped")
+CONFIG_IN_FORCE = Event(300, logging.INFO, "configuration in force")
+CONFIG_REFUSED = Event(301, logging.ERROR, "configuration refused")
+PLATFORM_LOST = Event(400, logging.WARNING, "platform does not answer")
+PLATFORM_BACK = Event(401, logging.INFO, "platform answers again")
+CELL_TAKEN = Event(500, logging.INFO, "scheduling of a cell begins")
+CELL_LEFT = Event(501, logging.INFO, "scheduling of a cell ends")
+TARGET_EJECTED = Event(502, logging.WARNING, "target takes no work")
+ATTEMPT_FAILED = Event(600, logging.WARNING, "attempt on a target failed")
+REQUEST_REFUSED = Event(601, logging.INFO, "request refused")
+REQUEST_UNKNOWN = Event(602, logging.WARNING, "outcome of a request unknown")
+REQUEST_QUARANTINED = Event(603, logging.WARNING, "request quarantined")
+CLAIM_WRITE_FAILED = Event(604, logging.WARNING, "claim not written")
+COUNTERS_WRITE_FAILED = Event(700, logging.WARNING, "counters not written")
+SERVICE_UNCERTAIN = Event(701, logging.WARNING, "service of a lost router")
+LEASE_TAKEN = Event(800, logging.INFO, "lease on orders taken")
+LEASE_LOST = Event(801, logging.WARNING, "lease on orders lost")
+ORDER_SENT = Event(802, logging.INFO, "order sent to a target")
+ORDER_FAILED = Event(803, logging.WARNING, "order to a target failed")
+
+
+def catalogue() -> list[Event]:
+    """Returns all events in the order of their numbers."""
+    found = [e for e in globals().values() if isinstance(e, Event)]
+    return sorted(found)
+
+
+def log_event(logger: logging.Logger, event: Event, **fields: object) -> None:
+    """Writes one event with its fields.
+
+    Args:
+        logger (logging.Logger): Where it goes.
+        event (Event): What happened.
+        **fields (object): Details, such as step and peer.
+    """
+    if not logger.isEnabledFor(event.level):
+        return
+    extra = {"event": event.number, "fields": fields}
+    logger.log(event.level, event.text, extra=extra)
--- /dev/null
+++ b/packages/core/chervilwall/message.py
@@ -0,0 +1,266 @@
+"""Messages between routers, and the accounting rows that they carry."""
+
+from typing import NamedTuple
+
+OUTCOME_COMPLETED = "completed"
+OUTCOME_REFUSED = "refused"
+OUTCOME_UNKNOWN = "unknown"
+OUTCOME_CANCELLED = "cancelled"
+OUTCOME_BROKEN = "broken"
+OUTCOME_NOT_SENT = "not_sent"
+OUTCOME_TIMEOUT = "timeout"
+# Cost of an attempt that did not end: its team keeps paying the estimate.
+KEEP_CHARGE = -1.0
+
+
+class RowKey(NamedTuple):
+    """Identity of a grow-only row: who counted, and for what."""
+
+    incarnation: str
+    team: str
+    service: str
+    cls: str
+
+
+class Row(NamedTuple):
+    """Grow-only totals of one team's class on one router incarnation.
+
+    Args:
+        completed (int): Requests answered whole.
+        refused (int): Requests refused and not run.
+        unknown (int): Requests that may have run without a whole answer.
+        uncertain (int): Requests granted to a router that was then lost.
+        work (float): Work of completed requests, in work units.
+        worth (float): Worth of completed requests.
+    """
+
+    completed: int = 0
+    refused: int = 0
+    unknown: int = 0
+    uncertain: int = 0
+    work: float = 0.0
+    worth: float = 0.0
+
+
+class KeyedRow(NamedTuple):
+    """A row with its key, as sent and stored."""
+
+    key: RowKey
+    row: Row
+
+
+class Enqueue(NamedTuple):
+    """Asks a cell's scheduler for a grant.
+
+    Args:
+        req_id (int): Id that the holding router gave the request.
+        cell (str): The cell it should run in.
+        team (str): Team that pays.
+        cls (str): Request class.
+        deadline_left_s (float): Seconds until the answer must have started.
+        estimate (float): Expected cost in the service's measure.
+        fingerprint (bytes): Digest of the request, equal for a resend.
+        prefix (int): Hash of the prompt's head, 0 where there is none.
+        exclude (tuple): Targets on which it was tried already.
+    """
+
+    req_id: int
+    cell: str
+    team: str
+    cls: str
+    deadline_left_s: float
+    estimate: float
+    fingerprint: bytes
+    prefix: int = 0
+    exclude: tuple[str, ...] = ()
+
+
+class Cancel(NamedTuple):
+    """Withdraws a queued request."""
+
+    req_id: int
+    cell: str
+
+
+class Grant(NamedTuple):
+    """Lets the holding router send one attempt to one target."""
+
+    req_id: int
+    cell: str
+    target: str
+
+
+class Refuse(NamedTuple):
+    """Tells the holding router that a queued request will not be granted."""
+
+    req_id: int
+    cell: str
+    reason: str
+    retry_after_s: float
+
+
+class Done(NamedTuple):
+    """Reports the end of a granted attempt.
+
+    Args:
+        req_id (int): Id that the holding router gave the request.
+        cell (str): The cell in which it ran.
+        target (str): The target that ran it.
+        outcome (str): One of the OUTCOME constants.
+        cost (float): Actual cost in the service's measure, or KEEP_CHARGE.
+        first_byte_s (float): Seconds to the first byte, below 0 if none came.
+        total (KeyedRow): The router's running totals after this request.
+    """
+
+    req_id: int
+    cell: str
+    target: str
+    outcome: str
+    cost: float
+    first_byte_s: float
+    total: KeyedRow | None = None
+
+
+class RunningItem(NamedTuple):
+    """A running attempt in a Sync, enough to rebuild a scheduler's state."""
+
+    req_id: int
+    target: str
+    team: str
+    cls: str
+    charged: float
+    fingerprint: bytes
+
+
+class Sync(NamedTuple):
+    """Lists all that a router holds of a cell, to repair lost messages."""
+
+    cell: str
+    waiting: tuple[int, ...]
+    running: tuple[RunningItem, ...]
+
+
+class Missing(NamedTuple):
+    """Names requests of a Sync that the scheduler does not know."""
+
+    cell: str
+    req_ids: tuple[int, ...]
+
+
+class MemberUpdate(NamedTuple):
+    """What one router knows of another.
+
+    Args:
+        name (str): Host name, unique in the fleet.
+        incarnation (int): Start time in milliseconds; a restart raises it.
+        refutation (int): Raised by the member to overrule a suspicion.
+        state (str): "alive", "suspect", "leaving" or "dead".
+        peer_address (str): "IP:port" of the router protocol.
+        caller_address (str): "IP:port" for callers.
+        zone (str): Availability zone.
+    """
+
+    name: str
+    incarnation: int
+    refutation: int
+    state: str
+    peer_address: str
+    caller_address: str
+    zone: str
+
+
+class Suspicion(NamedTuple):
+    """A request that was in flight when targets crashed.
+
+    Args:
+        fingerprint (bytes): Digest of the request.
+        crashes (int): 1 for a suspect, 2 for a refused request.
+        age_s (float): Seconds since the last crash.
+    """
+
+    fingerprint: bytes
+    crashes: int
+    age_s: float
+
+
+class Ping(NamedTuple):
+    """Probes a member and carries gossip."""
+
+    seq: int
+    config_version: int
+    updates: tuple[MemberUpdate, ...] = ()
+    suspicions: tuple[Suspicion, ...] = ()
+
+
+class Ack(NamedTuple):
+    """Answers a Ping and carries gossip."""
+
+    seq: int
+    subject: str
+    config_version: int
+    updates: tuple[MemberUpdate, ...] = ()
+    suspicions: tuple[Suspicion, ...] = ()
+
+
+class PingRequest(NamedTuple):
+    """Asks a third member to probe a subject."""
+
+    seq: int
+    subject: str
+
+
+class MembersPull(NamedTuple):
+    """Asks for the whole member list."""
+
+    updates: tuple[MemberUpdate, ...] = ()
+
+
+class MembersPush(NamedTuple):
+    """Gives the whole member list."""
+
+    updates: tuple[MemberUpdate, ...]
+
+
+class ConfigPull(NamedTuple):
+    """Asks for the configuration if newer than the version given."""
+
+    version: int
+
+
+class ConfigPush(NamedTuple):
+    """Gives a configuration, packed and compressed."""
+
+    version: int
+    blob: bytes
+
+
+class RowsPush(NamedTuple):
+    """Copies grow-only rows to a peer."""
+
+    rows: tuple[KeyedRow, ...]
+
+
+Message = (
+    Enqueue
+    | Cancel
+    | Grant
+    | Refuse
+    | Done
+    | Sync
+    | Missing
+    | Ping
+    | Ack
+    | PingRequest
+    | MembersPull
+    | MembersPush
+    | ConfigPull
+    | ConfigPush
+    | RowsPush
+)
+
+
+class Envelope(NamedTuple):
+    """A message with the peer it goes to or comes from."""
+
+    peer: str
+    message: Message
--- /dev/null
+++ b/packages/core/tests/test_codec.py
@@ -0,0 +1,63 @@
+"""Tests of frames between routers."""
+
+import contextlib
+import hashlib
+import unittest
+
+from chervilwall import message
+from chervilwall.codec import FrameCodec, pack_config, unpack_config
+from chervilwall.config import Config, Team, VersionedConfig
+from chervilwall.errors import CodecError
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+OLD, NEW = b"old-key-of-16-byte", b"new-key-of-16-byte"
+
+
+class FrameCodecTest(unittest.TestCase):
+    def test_returns_what_was_sent(self):
+        sent = (
+            message.Enqueue(1, "c#0", "t", "chat", 2.5, 10.0, b"fp"),
+            message.Grant(1, "c#0", "e1"),
+            message.Ping(3, 7, suspicions=(message.Suspicion(b"x", 2, 1.0),)),
+        )
+        codec = FrameCodec([NEW])
+        frame = codec.decode(codec.encode("r1", 5, sent))
+        self.assertEqual(frame, ("r1", 5, sent))
+
+    def test_rotates_keys_without_a_stop(self):
+        both = FrameCodec([NEW, OLD])
+        both.decode(FrameCodec([OLD]).encode("r1", 1, []))
+        both.decode(FrameCodec([NEW]).encode("r1", 1, []))
+        with self.assertRaises(CodecError):
+            FrameCodec([OLD]).decode(both.encode("r1", 1, []))
+
+    def test_refuses_a_changed_byte(self):
+        codec = FrameCodec([NEW])
+        blob = bytearray(codec.encode("r1", 1, [message.Cancel(1, "c")]))
+        for at in range(len(blob)):
+            forged = bytes(blob[:at]) + bytes([blob[at] ^ 1]) + blob[at + 1 :]
+            with self.assertRaises(CodecError):
+                codec.decode(forged)
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(st.binary(max_size=300), st.booleans())
+    def test_any_bytes_decode_or_are_refused(self, blob, signed):
+        codec = FrameCodec([NEW])
+        if signed:
+            whole = codec.encode("r1", 1, [])
+            blob = _sign(blob) if blob else whole
+        with contextlib.suppress(CodecError):
+            codec.decode(blob)
+
+    def test_config_travels_compressed(self):
+        teams = tuple(Team(f"t{i}", 1.0, ("a" * 64,)) for i in range(600))
+        versioned = VersionedConfig(9, Config(teams=teams))
+        push = pack_config(versioned)
+        self.assertEqual(unpack_config(push), versioned)
+        with self.assertRaises(CodecError):
+            unpack_config(push._replace(blob=push.blob[:50]))
+
+
+def _sign(body):
+    return hashlib.blake2b(body, key=NEW, digest_size=16).digest() + body
--- /dev/null
+++ b/packages/operator/chervilwall_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' tool."""
--- /dev/null
+++ b/packages/operator/chervilwall_ctl/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the operators' tool as `python -m chervilwall_ctl`."""
+
+import sys
+
+from chervilwall_ctl.main import main
+
+sys.exit(main())
--- /dev/null
+++ b/packages/operator/chervilwall_ctl/client.py
@@ -0,0 +1,52 @@
+"""Calls to routers by operators."""
+
+from typing import Any
+
+import msgspec
+from chervilwall.errors import ChervilwallError
+from tornado.httpclient import AsyncHTTPClient, HTTPError
+
+
+class RouterError(ChervilwallError):
+    """A router did not answer an operator's call."""
+
+
+class RouterClient:
+    """Call the operators' interface of routers.
+
+    Args:
+        key (str): The operator's key.
+        timeout_s (float): Seconds to wait for a call. Defaults to 5.
+    """
+
+    def __init__(self, key: str, *, timeout_s: float = 5.0) -> None:
+        self._key = key
+        self._timeout_s = timeout_s
+        self._client = AsyncHTTPClient(force_instance=True)
+
+    def __repr__(self) -> str:
+        return "RouterClient()"
+
+    async def get(self, address: str, path: str) -> Any:
+        """Returns the JSON that a router answers with."""
+        return await self._call(address, path, "GET", None)
+
+    async def post(self, address: str, path: str) -> Any:
+        """Sends an order to a router."""
+        return await self._call(address, path, "POST", b"")
+
+    async def _call(
+        self, address: str, path: str, method: str, body: bytes | None
+    ) -> Any:
+        url = address if "://" in address else f"http://{address}"
+        try:
+            response = await self._client.fetch(
+                url + path,
+                method=method,
+                body=body,
+                headers={"Authorization": f"Bearer {self._key}"},
+                request_timeout=self._timeout_s,
+            )
+            return msgspec.json.decode(response.body)
+        except (HTTPError, OSError, msgspec.MsgspecError) as exc:
+            raise RouterError(str(exc), step=path, peer=address) from exc
--- /dev/null
+++ b/packages/operator/chervilwall_ctl/commands.py
@@ -0,0 +1,301 @@
+"""The commands of `chervilctl`."""
+
+import argparse
+import getpass
+import pathlib
+import secrets
+import sys
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+from chervilwall.config import (
+    TARGET_ACTIVE,
+    TARGET_LEAVING,
+    Config,
+    hash_key,
+)
+from chervilwall.errors import ChervilwallError, SheetError
+from chervilwall.report import report_lines
+from chervilwall.sheet import diff_configs, parse_sheet
+from chervilwall_platform.client import HttpPlatform
+
+from chervilwall_ctl import fleet_view
+from chervilwall_ctl.apply import apply_config, read_standing
+from chervilwall_ctl.client import RouterClient
+from chervilwall_ctl.table import Column, Table
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_REFUSED = 3
+EXIT_PARTIAL = 4
+
+
+class Session(NamedTuple):
+    """What a command works with.
+
+    Args:
+        args (argparse.Namespace): The command line.
+        platform (HttpPlatform): The platform.
+        routers (RouterClient): Calls to routers.
+    """
+
+    args: argparse.Namespace
+    platform: HttpPlatform
+    routers: RouterClient
+
+    def emit(self, data: object, text: str) -> None:
+        """Prints JSON where it was asked for, and text otherwise."""
+        if self.args.json:
+            print(msgspec.json.encode(data).decode())
+        elif text:
+            print(text)
+
+
+def read_sheet(path: pathlib.Path) -> Config:
+    """Returns the configuration in a sheet file.
+
+    Raises:
+        SheetError: It cannot be read or is refused.
+    """
+    try:
+        return parse_sheet(path.read_bytes())
+    except OSError as exc:
+        reason = exc.strerror or str(exc)
+        raise SheetError(reason, step="read sheet", peer=str(path)) from exc
+
+
+async def check(session: Session) -> int:
+    """Checks a sheet and shows what it would change."""
+    config = read_sheet(session.args.sheet)
+    standing = await read_standing(session.platform)
+    lines = diff_configs(standing.object.config, config)
+    data = {
+        "valid": True,
+        "digest": config.digest(),
+        "in_force": standing.version,
+        "changes": lines,
+    }
+    text = "\n".join(
+        [f"valid; {len(lines)} changes to version {standing.version}", *lines]
+    )
+    session.emit(data, text)
+    return EXIT_OK
+
+
+async def apply(session: Session) -> int:
+    """Accepts a sheet."""
+    config = read_sheet(session.args.sheet)
+    return await _change(session, lambda _: config)
+
+
+async def mark_target(session: Session) -> int:
+    """Marks a target as leaving or active."""
+    name = session.args.target
+    leaving = session.args.action == "leave"
+    state = TARGET_LEAVING if leaving else TARGET_ACTIVE
+
+    def change(config: Config) -> Config:
+        if not any(t.name == name for t in config.targets):
+            raise ChervilwallError(f"no target {name}", step="mark target")
+        targets = tuple(
+            t._replace(state=state) if t.name == name else t
+            for t in config.targets
+        )
+        return config._replace(targets=targets)
+
+    return await _change(session, change)
+
+
+async def _change(session: Session, change: Callable[[Config], Config]) -> int:
+    standing = await read_standing(session.platform)
+    operator = session.args.operator or getpass.getuser()
+    applied = await apply_config(
+        session.platform, standing, change, operator=operator
+    )
+    text = f"accepted as version {applied.version}, digest {applied.digest}"
+    session.emit(applied._asdict(), text)
+    return EXIT_OK
+
+
+async def history(session: Session) -> int:
+    """Shows past acceptances."""
+    standing = await read_standing(session.platform)
+    table = Table(
+        [Column("accepted"), Column("operator"), Column("digest"), Column("id")]
+    )
+    for entry in standing.object.history:
+        table.add(
+            entry.accepted_at, entry.operator, entry.digest, entry.apply_id
+        )
+    session.emit(
+        [e._asdict() for e in standing.object.history], table.to_text()
+    )
+    return EXIT_OK
+
+
+async def status(session: Session) -> int:
+    """Shows routers, targets and the configuration in force on each."""
+    client = session.routers
+    routers = await fleet_view.find_routers(client, session.args.router)
+    views = await fleet_view.view_routers(client, routers)
+    session.emit(
+        [
+            {"name": v.name, "address": v.address, "status": v.status}
+            for v in views
+        ],
+        f"{_routers_table(views).to_text()}\n\n{_targets_table(views).to_text()}",
+    )
+    silent = any(v.status is None for v in views)
+    return EXIT_PARTIAL if silent else EXIT_OK
+
+
+def _routers_table(views: list[fleet_view.RouterView]) -> Table:
+    table = Table(
+        [
+            Column("router"),
+            Column("zone"),
+            Column("address"),
+            Column("state"),
+            Column("config", True),
+            Column("held", True),
+        ]
+    )
+    for view in views:
+        info: dict[str, Any] = view.status or {"state": "no answer"}
+        table.add(
+            view.name,
+            info.get("zone", ""),
+            view.address,
+            info["state"],
+            info.get("config_version", ""),
+            info.get("held", ""),
+        )
+    return table
+
+
+def _targets_table(views: list[fleet_view.RouterView]) -> Table:
+    table = Table(
+        [
+            Column("target"),
+            Column("cell"),
+            Column("scheduler"),
+            Column("state"),
+            Column("running", True),
+            Column("slots", True),
+        ]
+    )
+    for view in views:
+        for cell in (view.status or {}).get("cells", ()):
+            for target in cell.get("target_states", ()):
+                state = "ejected" if target["ejected"] else target["state"]
+                table.add(
+                    target["name"],
+                    cell["name"],
+                    view.name,
+                    state,
+                    target["in_flight"] + target["foreign"],
+                    target["slots"],
+                )
+    return table
+
+
+async def report(session: Session) -> int:
+    """Shows service delivered per team, service and class."""
+    ledger, missing = await fleet_view.gather_ledger(
+        session.routers, session.platform, session.args.router
+    )
+    lines = report_lines(ledger)
+    titles = ("completed", "refused", "unknown", "uncertain", "work", "worth")
+    table = Table(
+        [
+            Column("team"),
+            Column("service"),
+            Column("class"),
+            *(Column(title, True) for title in titles),
+        ]
+    )
+    for line in lines:
+        table.add(line.team, line.service, line.cls, *line.row)
+    data = {
+        "lines": [
+            {
+                "team": line.team,
+                "service": line.service,
+                "class": line.cls,
+                **line.row._asdict(),
+            }
+            for line in lines
+        ],
+        "missing": missing,
+    }
+    session.emit(data, table.to_csv() if session.args.csv else table.to_text())
+    for source in missing:
+        print(f"chervilctl: no answer from {source}", file=sys.stderr)
+    return EXIT_PARTIAL if missing else EXIT_OK
+
+
+async def drain(session: Session) -> int:
+    """Begins a planned stop of a router."""
+    client = session.routers
+    routers = await fleet_view.find_routers(client, session.args.router)
+    name = session.args.name
+    if name not in routers:
+        raise ChervilwallError(f"no router {name}", step="drain")
+    await client.post(routers[name], "/v1/admin/drain")
+    session.emit({"router": name, "state": "leaving"}, f"{name} is leaving")
+    return EXIT_OK
+
+
+async def explain(session: Session) -> int:
+    """Shows why a team waits or a request was refused."""
+    client = session.routers
+    routers = await fleet_view.find_routers(client, session.args.router)
+    team, request = session.args.team or "", session.args.request or ""
+    path = f"/v1/admin/explain?team={team}&request={request}"
+    queues: list[dict[str, Any]] = []
+    refusals: list[dict[str, Any]] = []
+    for name in sorted(routers):
+        answer = await client.get(routers[name], path)
+        queues += [{"scheduler": name, **q} for q in answer["queues"]]
+        refusals += answer["refusals"]
+    lines = [_explain_queue(q) for q in queues] if team else []
+    lines += [_explain_refusal(r) for r in refusals]
+    text = "\n".join(lines) or "nothing is known of it"
+    session.emit({"queues": queues, "refusals": refusals}, text)
+    return EXIT_OK
+
+
+def _explain_queue(queue: dict[str, Any]) -> str:
+    head = f"{queue['cell']}: {queue['waiting']} waiting"
+    if not queue["waiting"]:
+        return head
+    if queue["counter"] > queue["least_counter"]:
+        why = "teams with less service per share go first"
+    elif not queue["free_slots"]:
+        why = "next in turn; every slot is taken"
+    else:
+        why = "next in turn"
+    wait_s = queue["expected_wait_s"]
+    return (
+        f"{head}; {why}; service per share {queue['counter']:.0f} "
+        f"(least {queue['least_counter']:.0f}, "
+        f"{queue['backlogged_teams']} teams wait); "
+        f"a new request would start in {wait_s:.1f} s"
+    )
+
+
+def _explain_refusal(refusal: dict[str, Any]) -> str:
+    return (
+        f"{refusal['request_id']}: {refusal['service']}/{refusal['cls']} "
+        f"refused for {refusal['reason']}, executed: {refusal['executed']}"
+    )
+
+
+async def make_key(session: Session) -> int:
+    """Makes a key and the digest that goes into a sheet or settings."""
+    key = secrets.token_urlsafe(24)
+    data = {"key": key, "digest": hash_key(key)}
+    session.emit(data, f"key    {key}\ndigest {data['digest']}")
+    return EXIT_OK
--- /dev/null
+++ b/packages/operator/chervilwall_ctl/fleet_view.py
@@ -0,0 +1,91 @@
+"""What all routers together tell of the fleet."""
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+import msgspec
+from chervilwall.errors import ChervilwallError
+from chervilwall.ledger import Ledger
+from chervilwall.message import KeyedRow
+from chervilwall.protocol import Platform
+from chervilwall.report import COUNTERS_PREFIX, merge_copies
+
+from chervilwall_ctl.client import RouterClient, RouterError
+
+_ROWS = msgspec.msgpack.Decoder(tuple[KeyedRow, ...])
+
+
+class RouterView(NamedTuple):
+    """A router, as seen by an operator.
+
+    Args:
+        name (str): Its name.
+        address (str): Its caller address.
+        status (dict | None): Its status, None where it did not answer.
+    """
+
+    name: str
+    address: str
+    status: dict[str, Any] | None
+
+
+async def find_routers(
+    client: RouterClient, addresses: Iterable[str]
+) -> dict[str, str]:
+    """Returns the addresses of all routers by name, asking any of them.
+
+    Raises:
+        RouterError: None of the given addresses answered.
+    """
+    last = RouterError("no router address is known", step="find routers")
+    for address in addresses:
+        try:
+            status = await client.get(address, "/v1/admin/status")
+        except RouterError as exc:
+            last = exc
+            continue
+        members = status["members"]
+        return {m[0]: m[5] for m in members if m[3] != "dead"}
+    raise last
+
+
+async def view_routers(
+    client: RouterClient, routers: dict[str, str]
+) -> list[RouterView]:
+    """Returns the status of each router."""
+    tasks = [_view(client, name, routers[name]) for name in sorted(routers)]
+    return list(await asyncio.gather(*tasks))
+
+
+async def _view(client: RouterClient, name: str, address: str) -> RouterView:
+    try:
+        status = await client.get(address, "/v1/admin/status")
+    except RouterError:
+        status = None
+    return RouterView(name, address, status)
+
+
+async def gather_ledger(
+    client: RouterClient, platform: Platform, addresses: Iterable[str]
+) -> tuple[Ledger, list[str]]:
+    """Returns the fleet's totals, and the sources that did not answer."""
+    copies: list[Iterable[KeyedRow]] = []
+    missing: list[str] = []
+    try:
+        for found in await platform.list(COUNTERS_PREFIX):
+            copies.append(_ROWS.decode(found.value))
+    except ChervilwallError as exc:
+        missing.append(f"platform ({exc.reason})")
+    try:
+        routers = await find_routers(client, addresses)
+    except RouterError as exc:
+        routers = {}
+        missing.append(f"routers ({exc.reason})")
+    for name, address in routers.items():
+        try:
+            raw = await client.get(address, "/v1/admin/rows")
+            copies.append(msgspec.convert(raw, list[KeyedRow]))
+        except RouterError as exc:
+            missing.append(f"router {name} ({exc.reason})")
+    return merge_copies(copies), missing
--- /dev/null
+++ b/packages/operator/chervilwall_ctl/table.py
@@ -0,0 +1,67 @@
+"""Tables and CSV for terminals and spreadsheets."""
+
+import csv
+import io
+from collections.abc import Sequence
+from typing import NamedTuple
+
+
+class Column(NamedTuple):
+    """A column of a table.
+
+    Args:
+        title (str): Heading.
+        is_number (bool): Whether cells are aligned to the right.
+    """
+
+    title: str
+    is_number: bool = False
+
+
+class Table:
+    """Render rows under a heading.
+
+    Args:
+        columns (Sequence[Column]): The columns.
+    """
+
+    def __init__(self, columns: Sequence[Column]) -> None:
+        self._columns = tuple(columns)
+        self._rows: list[tuple[str, ...]] = []
+
+    def __repr__(self) -> str:
+        return f"Table(columns={len(self._columns)}, rows={len(self._rows)})"
+
+    def add(self, *cells: object) -> None:
+        """Adds a row."""
+        self._rows.append(tuple(_text(cell) for cell in cells))
+
+    def to_text(self) -> str:
+        """Returns the table as aligned text."""
+        titles = tuple(c.title for c in self._columns)
+        widths = [
+            max(len(row[i]) for row in (titles, *self._rows))
+            for i in range(len(titles))
+        ]
+        lines = [
+            "  ".join(
+                cell.rjust(width) if col.is_number else cell.ljust(width)
+                for cell, width, col in zip(
+                    row, widths, self._columns, strict=True
+                )
+            ).rstrip()
+            for row in (titles, *self._rows)
+        ]
+        return "\n".join(lines)
+
+    def to_csv(self) -> str:
+        """Returns the table as CSV with a heading."""
+        out = io.StringIO()
+        writer = csv.writer(out, lineterminator="\n")
+        writer.writerow(c.title for c in self._columns)
+        writer.writerows(self._rows)
+        return out.getvalue().rstrip("\n")
+
+
+def _text(cell: object) -> str:
+    return f"{cell:.1f}" if isinstance(cell, float) else str(cell)
--- /dev/null
+++ b/packages/platform/chervilwall_platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object service, as routers and operators call it."""
--- /dev/null
+++ b/packages/router/chervilwall_router/__init__.py
@@ -0,0 +1,1 @@
+"""The router process: input and output around the decisions."""
--- /dev/null
+++ b/packages/router/chervilwall_router/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the router as `python -m chervilwall_router`."""
+
+import sys
+
+from chervilwall_router.main import main
+
+sys.exit(main())
--- /dev/null
+++ b/packages/router/chervilwall_router/admin.py
@@ -0,0 +1,153 @@
+"""HTTP towards operators."""
+
+import hmac
+import time
+from typing import Any, NamedTuple
+
+import msgspec
+from chervilwall.config import hash_key
+from chervilwall.membership import Membership
+
+from chervilwall_router.accounts import Accounts
+from chervilwall_router.callers import BaseHandler
+from chervilwall_router.cell_host import CellHost
+from chervilwall_router.config_keeper import ConfigKeeper
+from chervilwall_router.holder import Holder
+from chervilwall_router.mesh import Mesh
+from chervilwall_router.metrics import RouterMetrics
+from chervilwall_router.pipeline import Pipeline
+from chervilwall_router.problem import Problem
+from chervilwall_router.settings import RouterSettings
+
+
+class AdminContext(NamedTuple):
+    """What the handlers towards operators need."""
+
+    settings: RouterSettings
+    membership: Membership
+    keeper: ConfigKeeper
+    cells: CellHost
+    holder: Holder
+    accounts: Accounts
+    pipeline: Pipeline
+    metrics: RouterMetrics
+    mesh: Mesh
+    drain: Any
+
+
+class AdminHandler(BaseHandler):
+    """Answer operators who present a known key."""
+
+    def initialize(self, context: AdminContext) -> None:
+        """Takes what the handler needs."""
+        self._context = context
+
+    def prepare(self) -> None:
+        """Checks the operator's key."""
+        header = self.request.headers.get("Authorization", "")
+        digest = hash_key(header.removeprefix("Bearer ").strip())
+        known = self._context.settings.operator_key_hashes
+        if not any(hmac.compare_digest(digest, k) for k in known):
+            detail = "Send an operator's key as Authorization: Bearer."
+            self.send_problem(Problem(401, "not_an_operator", detail))
+
+    def send_json(self, body: object) -> None:
+        """Ends the request with a JSON body."""
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(body))
+
+
+class StatusHandler(AdminHandler):
+    """Show this router, its view of the others and of the targets."""
+
+    def get(self) -> None:
+        """Shows the status."""
+        ctx = self._context
+        self.send_json(
+            {
+                "name": ctx.settings.name,
+                "zone": ctx.settings.zone,
+                "incarnation": ctx.accounts.incarnation,
+                "state": ctx.membership.me.state,
+                "config_version": ctx.keeper.version,
+                "config_digest": ctx.keeper.current.config.digest(),
+                "held": len(ctx.holder),
+                "members": ctx.membership.members(),
+                "cells": [self._cell(name) for name in ctx.cells.cells],
+                "control": {
+                    "frames_sent": ctx.mesh.frames_sent,
+                    "frames_received": ctx.mesh.frames_received,
+                    "bytes_sent": ctx.mesh.bytes_sent,
+                    "bytes_received": ctx.mesh.bytes_received,
+                    "messages_sent": ctx.mesh.messages_sent,
+                },
+            }
+        )
+
+    def _cell(self, name: str) -> dict[str, object]:
+        ctx = self._context
+        cell = ctx.cells.cells[name]
+        scheduler = ctx.cells.scheduler(name)
+        view: dict[str, object] = {
+            "name": name,
+            "scheduler": ctx.cells.owners.get(name, ""),
+            "targets": [t.name for t in cell.targets],
+        }
+        if scheduler is not None:
+            view["waiting"] = scheduler.waiting()
+            view["running"] = len(scheduler.slots)
+            view["target_states"] = [
+                s._asdict() for s in scheduler.slots.states(time.monotonic())
+            ]
+        return view
+
+
+class RowsHandler(AdminHandler):
+    """Show the totals that this router knows."""
+
+    def get(self) -> None:
+        """Shows all rows."""
+        self.send_json(list(self._context.accounts.ledger))
+
+
+class MetricsHandler(AdminHandler):
+    """Show counters and histograms."""
+
+    def get(self) -> None:
+        """Shows all metrics."""
+        view = self._context.metrics.view()
+        histograms = [
+            {**h.key._asdict(), **h._replace(key=None)._asdict()}  # type: ignore[arg-type]
+            for h in view.histograms
+        ]
+        for item in histograms:
+            item.pop("key")
+        body = {"counters": view.counters, "histograms": histograms}
+        self.send_json(body)
+
+
+class ExplainHandler(AdminHandler):
+    """Show why a team waits or was refused."""
+
+    def get(self) -> None:
+        """Shows a team's place in each queue and its last refusals."""
+        team = self.get_query_argument("team", "")
+        request_id = self.get_query_argument("request", "")
+        now = time.monotonic()
+        schedulers = self._context.cells.schedulers()
+        refusals = [
+            r._asdict()
+            for r in self._context.pipeline.refusals
+            if r.team == team or r.request_id == request_id
+        ]
+        queues = [s.explain(team, now)._asdict() for s in schedulers]
+        self.send_json({"queues": queues, "refusals": refusals})
+
+
+class DrainHandler(AdminHandler):
+    """Begin a planned stop."""
+
+    def post(self) -> None:
+        """Begins the stop and answers at once."""
+        self._context.drain()
+        self.send_json({"state": "leaving"})
--- /dev/null
+++ b/packages/router/chervilwall_router/cell_host.py
@@ -0,0 +1,219 @@
+"""The cells that this router schedules."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable, Iterable
+
+import msgspec
+from chervilwall import events, message
+from chervilwall.cells import Cell, split_cells
+from chervilwall.config import TARGET_ACTIVE, TARGET_LEAVING, Config, Target
+from chervilwall.message import Envelope
+from chervilwall.quarantine import Quarantine
+from chervilwall.rendezvous import owner
+from chervilwall.scheduler import CellScheduler
+from chervilwall.slots import Running
+from tornado.httpclient import AsyncHTTPClient, HTTPError
+
+from chervilwall_router.settings import TimingSettings, split_address
+
+LOG = logging.getLogger(__name__)
+
+
+class TargetLoad(msgspec.Struct):
+    """A target's load report.
+
+    Args:
+        active (int): Requests that it runs.
+        leaving (bool): Whether it asks for no new work.
+        model (str): Model version that it has loaded.
+    """
+
+    active: int = 0
+    leaving: bool = False
+    model: str = ""
+
+
+class CellHost:
+    """Run the schedulers of the cells that fall to this router.
+
+    Args:
+        name (str): This router's name.
+        quarantine (Quarantine): Suspects, shared by all cells.
+        timing (TimingSettings): Periods.
+        send (Callable): Sends envelopes to routers.
+        on_lost (Callable): Takes the attempts of a lost router.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        quarantine: Quarantine,
+        timing: TimingSettings,
+        *,
+        send: Callable[[Iterable[Envelope]], None],
+        on_lost: Callable[[str, list[Running]], None],
+    ) -> None:
+        self._name = name
+        self._quarantine = quarantine
+        self._timing = timing
+        self._send = send
+        self._on_lost = on_lost
+        self._config = Config()
+        self._leaving_hosts: frozenset[str] = frozenset()
+        self._leaving_targets: set[str] = set()
+        self._schedulers: dict[str, CellScheduler] = {}
+        self._http = AsyncHTTPClient(force_instance=True, max_clients=64)
+        self.cells: dict[str, Cell] = {}
+        self.owners: dict[str, str] = {}
+        self.loads: dict[str, TargetLoad] = {}
+
+    def __repr__(self) -> str:
+        return f"CellHost({self._name!r}, schedulers={len(self._schedulers)})"
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._http.close()
+
+    def schedulers(self) -> tuple[CellScheduler, ...]:
+        """Returns the schedulers that run here."""
+        return tuple(self._schedulers.values())
+
+    def scheduler(self, cell: str) -> CellScheduler | None:
+        """Returns the scheduler of a cell, if it runs here."""
+        return self._schedulers.get(cell)
+
+    def target(self, name: str) -> Target | None:
+        """Returns a target of the configuration in force."""
+        for cell in self.cells.values():
+            for target in cell.targets:
+                if target.name == name:
+                    return target
+        return None
+
+    def configure(self, config: Config) -> None:
+        """Takes a new configuration in force."""
+        self._config = config
+        self.cells = split_cells(config)
+        self._leaving_targets &= {t.name for t in config.targets}
+        self._apply()
+
+    def set_leaving_hosts(self, addresses: frozenset[str]) -> None:
+        """Takes the hosts that the platform lists as leaving."""
+        if addresses != self._leaving_hosts:
+            self._leaving_hosts = addresses
+            self._apply()
+
+    def elect(self, members: list[str]) -> list[str]:
+        """Computes the scheduler of each cell.
+
+        Args:
+            members (list): Routers that may schedule.
+
+        Returns:
+            The cells whose scheduler changed.
+        """
+        owners = {name: owner(name, members) or "" for name in self.cells}
+        changed = [n for n in owners if owners[n] != self.owners.get(n)]
+        self.owners = owners
+        for name in [
+            n for n in self._schedulers if owners.get(n) != self._name
+        ]:
+            del self._schedulers[name]
+            events.log_event(LOG, events.CELL_LEFT, cell=name)
+        for name in owners:
+            if owners[name] == self._name and name not in self._schedulers:
+                self._take(self.cells[name])
+        return changed
+
+    def receive(self, peer: str, msg: message.Message) -> None:
+        """Hands a message to the scheduler of its cell."""
+        cell = getattr(msg, "cell", "")
+        scheduler = self._schedulers.get(cell)
+        if scheduler is None:
+            return
+        now = time.monotonic()
+        out: list[Envelope] = []
+        if isinstance(msg, message.Enqueue):
+            out = scheduler.enqueue(peer, msg, now)
+        elif isinstance(msg, message.Cancel):
+            scheduler.cancel(peer, msg.req_id)
+        elif isinstance(msg, message.Done):
+            out = scheduler.done(peer, msg, now)
+        elif isinstance(msg, message.Sync):
+            out = scheduler.sync(peer, msg, now)
+        self._send(out)
+
+    def drop_router(self, name: str) -> None:
+        """Gives back all that a lost router held."""
+        now = time.monotonic()
+        for scheduler in self._schedulers.values():
+            lost, out = scheduler.drop_router(name, now)
+            self._send(out)
+            if lost:
+                self._on_lost(scheduler.service, lost)
+
+    def tick(self) -> None:
+        """Advances the timers of all schedulers."""
+        now = time.monotonic()
+        for scheduler in self._schedulers.values():
+            self._send(scheduler.tick(now))
+
+    async def poll_loads(self) -> None:
+        """Asks the targets of all cells scheduled here for their load."""
+        targets = [
+            target
+            for name in self._schedulers
+            for target in self.cells[name].targets
+        ]
+        await asyncio.gather(*(self._poll(target) for target in targets))
+
+    async def _poll(self, target: Target) -> None:
+        url = f"http://{target.address}/load"
+        limit_s = self._timing.platform_timeout_s
+        try:
+            response = await self._http.fetch(url, request_timeout=limit_s)
+            load = msgspec.json.decode(response.body, type=TargetLoad)
+        except (HTTPError, OSError, msgspec.MsgspecError):
+            return
+        self._note_load(target, load)
+
+    def _note_load(self, target: Target, load: TargetLoad) -> None:
+        self.loads[target.name] = load
+        if load.leaving != (target.name in self._leaving_targets):
+            self._leaving_targets ^= {target.name}
+            self._apply()
+        now = time.monotonic()
+        for name, scheduler in self._schedulers.items():
+            if target in self.cells[name].targets:
+                out = scheduler.report_load(target.name, load.active, now)
+                self._send(out)
+
+    def _take(self, cell: Cell) -> None:
+        scheduler = CellScheduler(cell.name, cell.service, self._quarantine)
+        scheduler.configure(self._config, self._marked(cell))
+        self._schedulers[cell.name] = scheduler
+        events.log_event(LOG, events.CELL_TAKEN, cell=cell.name)
+
+    def _apply(self) -> None:
+        for name, scheduler in list(self._schedulers.items()):
+            if name in self.cells:
+                cell = self.cells[name]
+                scheduler.configure(self._config, self._marked(cell))
+
+    def _marked(self, cell: Cell) -> list[Target]:
+        return [
+            target._replace(state=TARGET_LEAVING)
+            if self._is_leaving(target)
+            else target
+            for target in cell.targets
+        ]
+
+    def _is_leaving(self, target: Target) -> bool:
+        host, _ = split_address(target.address)
+        return (
+            target.state != TARGET_ACTIVE
+            or host in self._leaving_hosts
+            or target.name in self._leaving_targets
+        )
--- /dev/null
+++ b/packages/router/chervilwall_router/mesh.py
@@ -0,0 +1,157 @@
+"""Frames to and from other routers over pynng sockets."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Sequence
+
+import pynng
+from chervilwall import events
+from chervilwall.codec import MAX_FRAME_BYTES, Frame, FrameCodec
+from chervilwall.errors import CodecError
+from chervilwall.message import Message
+
+LOG = logging.getLogger(__name__)
+SEND_BUFFER_FRAMES = 64
+RECEIVE_BUFFER_FRAMES = 256
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 1000
+FRAMES_PER_TURN = 32
+
+
+class Mesh:
+    """Exchange batches of messages with peers.
+
+    All messages to one peer within a turn of the loop share a frame. A frame
+    that cannot be buffered is dropped: every protocol above repairs losses.
+
+    Args:
+        address (str): "IP:port" to listen on.
+        name (str): This router's name.
+        incarnation (int): This router's incarnation.
+        codec (FrameCodec): Encodes and authenticates frames.
+        on_frame (Callable): Takes each decoded frame.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        name: str,
+        incarnation: int,
+        codec: FrameCodec,
+        on_frame: Callable[[Frame], None],
+    ) -> None:
+        self._address = address
+        self._name = name
+        self._incarnation = incarnation
+        self.codec = codec
+        self._on_frame = on_frame
+        self._inbox: pynng.Pull0 | None = None
+        self._peers: dict[str, pynng.Push0] = {}
+        self._outbox: dict[str, list[Message]] = {}
+        self._flush_set = False
+        self._reader: asyncio.Task[None] | None = None
+        self.frames_sent = 0
+        self.frames_received = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.messages_sent = 0
+
+    def __repr__(self) -> str:
+        return f"Mesh({self._address!r}, peers={len(self._peers)})"
+
+    def __enter__(self) -> "Mesh":
+        self._inbox = pynng.Pull0(
+            listen=f"tcp://{self._address}",
+            recv_buffer_size=RECEIVE_BUFFER_FRAMES,
+            recv_max_size=MAX_FRAME_BYTES,
+        )
+        self._reader = asyncio.get_running_loop().create_task(self._read())
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.flush()
+        if self._reader is not None:
+            self._reader.cancel()
+        for sock in self._peers.values():
+            sock.close()
+        if self._inbox is not None:
+            self._inbox.close()
+
+    def send(self, address: str, message: Message) -> None:
+        """Queues a message for the peer at an address."""
+        self._outbox.setdefault(address, []).append(message)
+        if not self._flush_set:
+            self._flush_set = True
+            asyncio.get_running_loop().call_soon(self.flush)
+
+    def flush(self) -> None:
+        """Sends all queued messages, one frame for each peer."""
+        self._flush_set = False
+        outbox, self._outbox = self._outbox, {}
+        for address, messages in outbox.items():
+            self._send_frame(address, messages)
+
+    def keep_only(self, addresses: Sequence[str]) -> None:
+        """Closes the sockets to all other peers."""
+        for address in set(self._peers) - set(addresses):
+            self._peers.pop(address).close()
+
+    def _send_frame(self, address: str, messages: list[Message]) -> None:
+        frame = self.codec.encode(self._name, self._incarnation, messages)
+        try:
+            self._peer(address).send(frame, block=False)
+        except pynng.NNGException as exc:
+            events.log_event(
+                LOG,
+                events.PEER_SEND_FAILED,
+                step="send frame",
+                peer=address,
+                reason=exc,
+            )
+            return
+        self.frames_sent += 1
+        self.bytes_sent += len(frame)
+        self.messages_sent += len(messages)
+
+    def _peer(self, address: str) -> pynng.Push0:
+        sock = self._peers.get(address)
+        if sock is None:
+            sock = pynng.Push0(
+                dial=f"tcp://{address}",
+                block_on_dial=False,
+                send_buffer_size=SEND_BUFFER_FRAMES,
+                reconnect_time_min=RECONNECT_MIN_MS,
+                reconnect_time_max=RECONNECT_MAX_MS,
+            )
+            self._peers[address] = sock
+        return sock
+
+    async def _read(self) -> None:
+        assert self._inbox is not None
+        while True:
+            try:
+                self._take(await self._inbox.arecv())
+            except pynng.Closed:
+                return
+            for _ in range(FRAMES_PER_TURN):
+                try:
+                    self._take(self._inbox.recv(block=False))
+                except pynng.TryAgain:
+                    break
+            await asyncio.sleep(0)
+
+    def _take(self, blob: bytes) -> None:
+        self.frames_received += 1
+        self.bytes_received += len(blob)
+        try:
+            frame = self.codec.decode(blob)
+        except CodecError as exc:
+            events.log_event(LOG, events.FRAME_REFUSED, reason=exc)
+            return
+        if frame.sender == self._name:
+            return
+        try:
+            self._on_frame(frame)
+        except Exception:
+            LOG.exception("frame failed", extra={"event": 105})
--- /dev/null
+++ b/packages/router/chervilwall_router/metrics.py
@@ -0,0 +1,76 @@
+"""Counters and histograms, kept here and sent by statsd."""
+
+from collections import Counter
+from typing import NamedTuple
+
+import statsd
+from chervilwall.histogram import (
+    HistogramKey,
+    HistogramSummary,
+    HistogramTable,
+)
+
+from chervilwall_router.settings import split_address
+
+PREFIX = "chervilwall"
+
+
+class MetricsView(NamedTuple):
+    """All metrics of a router, as shown to operators."""
+
+    counters: dict[str, float]
+    histograms: list[HistogramSummary]
+
+
+class RouterMetrics:
+    """Count events and durations, and send them once a second.
+
+    Args:
+        address (str | None): "IP:port" of a statsd server. Defaults to none.
+    """
+
+    def __init__(self, address: str | None = None) -> None:
+        self.counters: Counter[str] = Counter()
+        self.histograms = HistogramTable()
+        self._unsent: Counter[str] = Counter()
+        self._timings: list[tuple[str, float]] = []
+        self._client = None
+        if address is not None:
+            host, port = split_address(address)
+            self._client = statsd.StatsClient(host, port, prefix=PREFIX)
+
+    def __repr__(self) -> str:
+        return f"RouterMetrics(counters={len(self.counters)})"
+
+    def count(self, name: str, value: float = 1) -> None:
+        """Adds to a counter."""
+        self.counters[name] += value  # type: ignore[assignment]
+        if self._client is not None:
+            self._unsent[name] += value  # type: ignore[assignment]
+
+    def observe(self, kind: str, team: str, cls: str, seconds: float) -> None:
+        """Adds a duration to the histogram of a team's class."""
+        self.histograms.observe(HistogramKey(kind, team, cls), seconds)
+        if self._client is not None:
+            name = ".".join(_clean(part) for part in (kind, team, cls))
+            self._timings.append((name, seconds * 1000))
+
+    def flush(self) -> None:
+        """Sends what was gathered since the last call."""
+        if self._client is None:
+            return
+        with self._client.pipeline() as pipe:
+            for name, value in self._unsent.items():
+                pipe.incr(name, value)
+            for name, millis in self._timings:
+                pipe.timing(name, millis)
+        self._unsent.clear()
+        self._timings.clear()
+
+    def view(self) -> MetricsView:
+        """Returns all metrics."""
+        return MetricsView(dict(self.counters), self.histograms.summaries())
+
+
+def _clean(part: str) -> str:
+    return "".join(c if c.isalnum() else "_" for c in part)
--- /dev/null
+++ b/packages/router/chervilwall_router/orders.py
@@ -0,0 +1,139 @@
+"""Orders to targets: which model to load, under a lease with fencing."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+
+import msgspec
+from chervilwall import events
+from chervilwall.config import Config, Target
+from chervilwall.errors import VersionConflictError
+from chervilwall.lease import (
+    LEASE_KEY,
+    LONGEST_ORDER_S,
+    LeaseView,
+    decode_lease,
+    encode_lease,
+)
+from chervilwall.protocol import Platform
+from tornado.httpclient import AsyncHTTPClient, HTTPError
+
+from chervilwall_router.cell_host import TargetLoad
+
+LOG = logging.getLogger(__name__)
+WEIGHT_LOADS_PER_S = 0.5
+
+
+class OrderKeeper:
+    """Bring targets to the models that the configuration asks for.
+
+    Args:
+        incarnation (str): This router's incarnation.
+        platform (Platform): Where the lease is kept.
+        config (Callable): Returns the configuration in force.
+    """
+
+    def __init__(
+        self,
+        incarnation: str,
+        platform: Platform,
+        config: Callable[[], Config],
+    ) -> None:
+        self.lease = LeaseView(incarnation)
+        self._platform = platform
+        self._config = config
+        self._http = AsyncHTTPClient(force_instance=True, max_clients=32)
+        self._next_load_at = 0.0
+        self._held = False
+
+    def __repr__(self) -> str:
+        return f"OrderKeeper({self.lease!r})"
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._http.close()
+
+    async def step(self) -> None:
+        """Takes or renews the lease, then sends the orders that are due."""
+        if not any(t.model for t in self._config().targets):
+            return
+        await self._refresh_lease()
+        self._note_holding()
+        if not self._held:
+            return
+        wanted = [t for t in self._config().targets if t.model]
+        loads = await asyncio.gather(*(self._load(t) for t in wanted))
+        for target, load in zip(wanted, loads, strict=True):
+            if load is not None and load.model != target.model:
+                await self._order(target)
+
+    async def release(self) -> None:
+        """Gives the lease up at a planned stop."""
+        if self.lease.holds(time.monotonic()):
+            version = self.lease.version
+            await self._platform.delete(LEASE_KEY, if_version=version)
+
+    async def _refresh_lease(self) -> None:
+        found = await self._platform.get(LEASE_KEY)
+        now = time.monotonic()
+        if found is None:
+            self.lease.observe(None, 0, now)
+        else:
+            record = decode_lease(found.value)
+            self.lease.observe(record, found.version, now)
+        wanted = self.lease.wants(now)
+        if wanted is None:
+            return
+        started = time.monotonic()
+        try:
+            version = await self._platform.put(
+                LEASE_KEY, encode_lease(wanted), if_version=self.lease.version
+            )
+        except VersionConflictError:
+            return
+        self.lease.written(wanted, version, started)
+
+    def _note_holding(self) -> None:
+        holds = self.lease.holds(time.monotonic())
+        if holds != self._held:
+            event = events.LEASE_TAKEN if holds else events.LEASE_LOST
+            events.log_event(LOG, event, fencing=self.lease.fencing)
+        self._held = holds
+
+    async def _load(self, target: Target) -> TargetLoad | None:
+        url = f"http://{target.address}/load"
+        try:
+            response = await self._http.fetch(url, request_timeout=1.0)
+            return msgspec.json.decode(response.body, type=TargetLoad)
+        except (HTTPError, OSError, msgspec.MsgspecError):
+            return None
+
+    async def _order(self, target: Target) -> None:
+        now = time.monotonic()
+        checks = target.checks_fencing
+        if now < self._next_load_at:
+            return
+        if not self.lease.may_order(now, target_checks=checks):
+            return
+        self._next_load_at = now + 1.0 / WEIGHT_LOADS_PER_S
+        order = {"fencing": self.lease.fencing, "model": target.model}
+        try:
+            await self._http.fetch(
+                f"http://{target.address}/orders",
+                method="POST",
+                body=msgspec.json.encode(order),
+                request_timeout=LONGEST_ORDER_S,
+            )
+        except (HTTPError, OSError) as exc:
+            events.log_event(
+                LOG,
+                events.ORDER_FAILED,
+                step="order",
+                peer=target.name,
+                reason=exc,
+            )
+            return
+        events.log_event(
+            LOG, events.ORDER_SENT, peer=target.name, model=target.model
+        )
--- /dev/null
+++ b/packages/router/chervilwall_router/pipeline.py
@@ -0,0 +1,525 @@
+"""The path of a request: classify, admit, claim, schedule, relay, settle."""
+
+import logging
+import random
+import time
+from collections import deque
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from chervilwall import claim as claim_lib
+from chervilwall import events, message, scheduler
+from chervilwall.budget import RetryBudget
+from chervilwall.cells import cells_of
+from chervilwall.claim import ClaimView, StoredAnswer
+from chervilwall.classify import (
+    CallerRequest,
+    Classified,
+    Classifier,
+    ClassifyFault,
+)
+from chervilwall.config import MEASURE_WORTH, Config
+from chervilwall.errors import BrokenRelayError, PlatformError
+from chervilwall.message import (
+    KEEP_CHARGE,
+    Done,
+    Enqueue,
+    Grant,
+    KeyedRow,
+    Refuse,
+)
+from chervilwall.protocol import AnswerSink
+from chervilwall.quarantine import Quarantine
+from tornado.iostream import StreamClosedError
+
+from chervilwall_router.accounts import Accounts
+from chervilwall_router.cell_host import CellHost
+from chervilwall_router.claims import ClaimTable, HeldClaim
+from chervilwall_router.holder import Holder
+from chervilwall_router.metrics import RouterMetrics
+from chervilwall_router.problem import (
+    EXECUTED_NO,
+    EXECUTED_UNKNOWN,
+    Problem,
+)
+from chervilwall_router.settings import LimitSettings
+from chervilwall_router.target_client import Attempt, TargetClient
+
+LOG = logging.getLogger(__name__)
+PLATFORM_RETRY_S = 5.0
+RUNNING_RETRY_S = 2.0
+NO_CONFIG_RETRY_S = 2.0
+RECENT_REFUSALS = 256
+REPLAYED_HEADER = "Idempotency-Replayed"
+
+_REFUSAL_DETAILS = {
+    scheduler.REASON_DEADLINE: (
+        503,
+        "The answer could not start before the deadline of its class.",
+    ),
+    scheduler.REASON_QUEUE_FULL: (
+        429,
+        "The team has as many requests waiting as it may have.",
+    ),
+    scheduler.REASON_CRASHED_TARGETS: (
+        422,
+        "The request crashed two targets and is refused.",
+    ),
+}
+_RETRIABLE = (
+    message.OUTCOME_BROKEN,
+    message.OUTCOME_TIMEOUT,
+    message.OUTCOME_UNKNOWN,
+)
+
+
+class Refusal(NamedTuple):
+    """A refusal kept for operators who ask why."""
+
+    request_id: str
+    team: str
+    service: str
+    cls: str
+    reason: str
+    executed: str
+    at: float
+
+
+class _Ending(NamedTuple):
+    """How the attempts of a request ended.
+
+    Args:
+        outcome (str): Outcome to count.
+        attempt (Attempt | None): The last attempt, if any.
+        problem (Problem | None): What to tell the caller, if not relayed.
+        cut (bool): Whether the caller's answer broke off.
+    """
+
+    outcome: str
+    attempt: Attempt | None = None
+    problem: Problem | None = None
+    cut: bool = False
+
+
+class RecordingSink:
+    """Pass an answer on and keep a copy, also when the caller has gone.
+
+    Args:
+        sink (AnswerSink): The caller.
+    """
+
+    def __init__(self, sink: AnswerSink) -> None:
+        self._sink = sink
+        self._gone = False
+        self._status = 0
+        self._content_type = ""
+        self._body = bytearray()
+        self._whole = True
+
+    def begin(self, status: int, headers: Mapping[str, str]) -> None:
+        """Takes the status and the headers."""
+        self._status = status
+        self._content_type = headers.get("Content-Type", "")
+        self._sink.begin(status, headers)
+
+    async def write(self, chunk: bytes) -> None:
+        """Takes a piece of the body."""
+        room = claim_lib.MAX_STORED_BODY_BYTES - len(self._body)
+        self._whole = self._whole and len(chunk) <= room
+        if self._whole:
+            self._body += chunk
+        if self._gone:
+            return
+        try:
+            await self._sink.write(chunk)
+        except StreamClosedError:
+            self._gone = True
+
+    def answer(self) -> StoredAnswer:
+        """Returns the copy."""
+        body = bytes(self._body) if self._whole else b""
+        return StoredAnswer(self._status, self._content_type, body, self._whole)
+
+
+class Pipeline:
+    """Serve callers' requests, one filter after another.
+
+    Args:
+        limits (LimitSettings): Limits on callers.
+        holder (Holder): Asks for grants.
+        cells (CellHost): The cells of the configuration in force.
+        claims (ClaimTable): Claims on idempotency keys.
+        accounts (Accounts): Totals per team.
+        quarantine (Quarantine): Requests that crashed targets.
+        metrics (RouterMetrics): Counters and histograms.
+    """
+
+    def __init__(
+        self,
+        limits: LimitSettings,
+        *,
+        holder: Holder,
+        cells: CellHost,
+        claims: ClaimTable,
+        accounts: Accounts,
+        quarantine: Quarantine,
+        metrics: RouterMetrics,
+    ) -> None:
+        self._limits = limits
+        self._holder = holder
+        self._cells = cells
+        self._claims = claims
+        self._accounts = accounts
+        self._quarantine = quarantine
+        self._metrics = metrics
+        self._client = TargetClient(limits)
+        self._budget = RetryBudget()
+        self._config = Config()
+        self._classifier = Classifier(self._config)
+        self.refusals: deque[Refusal] = deque(maxlen=RECENT_REFUSALS)
+
+    def __repr__(self) -> str:
+        return f"Pipeline({self._holder!r})"
+
+    def configure(self, config: Config) -> None:
+        """Takes a new configuration in force."""
+        self._config = config
+        self._classifier = Classifier(config)
+
+    def new_request_id(self) -> str:
+        """Returns an id under which operators can ask about a request."""
+        return f"{self._accounts.incarnation}-{self._holder.next_id()}"
+
+    def is_idempotent(self, req: CallerRequest) -> bool:
+        """Tells whether a request may be dropped when its caller leaves."""
+        found = self._classifier.classify(req)
+        return isinstance(found, Classified) and found.cls.idempotent
+
+    async def run(
+        self, req: CallerRequest, sink: AnswerSink, request_id: str
+    ) -> Problem | None:
+        """Serves one request.
+
+        Args:
+            req (CallerRequest): The request.
+            sink (AnswerSink): Where its answer goes.
+            request_id (str): Its id.
+
+        Returns:
+            What to tell the caller, or None where the answer went to the
+            sink.
+
+        Raises:
+            BrokenRelayError: The answer broke off after its head was relayed.
+        """
+        self._metrics.count("requests")
+        found = self._classify(req)
+        if isinstance(found, Problem):
+            self._metrics.count(f"rejected.{found.reason}")
+            return found
+        problem = self._admit(found)
+        if problem is not None:
+            self._count(found, message.OUTCOME_REFUSED)
+        elif found.cls.idempotent:
+            ending = await self._attempts(req, found, sink, None)
+            problem = self._end(found, req, ending)
+        else:
+            problem = await self._run_once(req, found, sink)
+        if problem is not None:
+            self._note_refusal(found, problem, request_id)
+        return problem
+
+    def _classify(self, req: CallerRequest) -> Classified | Problem:
+        if not self._config.teams:
+            return Problem(
+                503,
+                "no_configuration",
+                "No configuration is in force yet.",
+                retry_after_s=NO_CONFIG_RETRY_S,
+            )
+        found = self._classifier.classify(req)
+        if isinstance(found, ClassifyFault):
+            return Problem(*found)
+        return found
+
+    def _admit(self, found: Classified) -> Problem | None:
+        if self._quarantine.is_refused(found.fingerprint, time.monotonic()):
+            return _refused(scheduler.REASON_CRASHED_TARGETS, 0.0, False)
+        held = self._holder.held_by(found.team.name)
+        if held >= self._limits.max_held_per_team:
+            return _refused(scheduler.REASON_QUEUE_FULL, 1.0, False)
+        return None
+
+    async def _run_once(
+        self, req: CallerRequest, found: Classified, sink: AnswerSink
+    ) -> Problem | None:
+        try:
+            held = await self._claims.take(found)
+        except PlatformError:
+            self._count(found, message.OUTCOME_REFUSED)
+            return Problem(
+                503,
+                "cannot_claim",
+                "The key could not be claimed; the request was not run.",
+                retry_after_s=PLATFORM_RETRY_S,
+            )
+        if isinstance(held, ClaimView):
+            return await self._answer_again(found, held, sink)
+        copy = RecordingSink(sink)
+        try:
+            ending = await self._attempts(req, found, copy, held)
+        except BaseException:
+            self._claims.settle(held, None)
+            raise
+        if ending.outcome == message.OUTCOME_REFUSED:
+            await self._claims.release(held)
+        else:
+            done = ending.attempt is not None and ending.attempt.relayed
+            whole = done and not ending.cut
+            self._claims.settle(held, copy.answer() if whole else None)
+        return self._end(found, req, ending)
+
+    async def _answer_again(
+        self, found: Classified, view: ClaimView, sink: AnswerSink
+    ) -> Problem | None:
+        self._metrics.count(f"resent.{view.verdict}")
+        if view.verdict == claim_lib.VERDICT_MISMATCH:
+            detail = "The idempotency key belongs to another request."
+            return Problem(422, "key_reused", detail)
+        if view.answer is not None and view.answer.whole:
+            headers = {
+                "Content-Type": view.answer.content_type,
+                REPLAYED_HEADER: "true",
+            }
+            sink.begin(view.answer.status, headers)
+            await sink.write(view.answer.body)
+            return None
+        running = view.verdict == claim_lib.VERDICT_RUNNING
+        return Problem(
+            409,
+            "already_claimed",
+            "The request was sent before and may have run.",
+            EXECUTED_UNKNOWN,
+            RUNNING_RETRY_S if running else 0.0,
+        )
+
+    async def _attempts(
+        self,
+        req: CallerRequest,
+        found: Classified,
+        sink: AnswerSink,
+        held: HeldClaim | None,
+    ) -> _Ending:
+        deadline = req.received_at + found.cls.deadline_s
+        may_have_run = False
+        exclude: tuple[str, ...] = ()
+        for number in range(1, self._limits.max_attempts + 1):
+            grant = await self._schedule(found, deadline, exclude)
+            if isinstance(grant, Refuse):
+                return _refused_ending(grant, may_have_run)
+            attempt = await self._dispatch(req, found, sink, grant, held)
+            may_have_run |= attempt.outcome != message.OUTCOME_NOT_SENT
+            last = number == self._limits.max_attempts
+            if last or not self._may_retry(found, attempt):
+                return self._close(found, grant, attempt, may_have_run)
+            self._report(found, grant, attempt, None)
+            self._metrics.count("retries")
+            exclude += (grant.target,)
+        raise AssertionError("unreachable")
+
+    async def _schedule(
+        self, found: Classified, deadline: float, exclude: tuple[str, ...]
+    ) -> Grant | Refuse:
+        started = time.monotonic()
+        cells = cells_of(self._cells.cells, found.cls.service)
+        cell = random.choice(cells)
+        enqueue = Enqueue(
+            req_id=self._holder.next_id(),
+            cell=cell,
+            team=found.team.name,
+            cls=found.cls.name,
+            deadline_left_s=deadline - started,
+            estimate=self._estimate(found),
+            fingerprint=found.fingerprint,
+            prefix=found.prefix,
+            exclude=exclude,
+        )
+        grant = await self._holder.ask(enqueue)
+        wait_s = time.monotonic() - started
+        self._metrics.observe("wait", found.team.name, found.cls.name, wait_s)
+        return grant
+
+    async def _dispatch(
+        self,
+        req: CallerRequest,
+        found: Classified,
+        sink: AnswerSink,
+        grant: Grant,
+        held: HeldClaim | None,
+    ) -> Attempt:
+        target = self._cells.target(grant.target)
+        now = time.monotonic()
+        if target is None:
+            return Attempt(message.OUTCOME_NOT_SENT, reason="target removed")
+        if held and not claim_lib.may_dispatch(held.claimed_at, now):
+            return Attempt(message.OUTCOME_NOT_SENT, reason="claim too old")
+        try:
+            attempt = await self._client.attempt(
+                target, req, sink, may_retry=found.cls.idempotent
+            )
+        except BaseException:
+            attempt = Attempt(message.OUTCOME_CANCELLED, reason="cancelled")
+            self._report(found, grant, attempt, self._count_end(found, attempt))
+            raise
+        if attempt.outcome != message.OUTCOME_COMPLETED:
+            events.log_event(
+                LOG,
+                events.ATTEMPT_FAILED,
+                step="relay",
+                peer=grant.target,
+                outcome=attempt.outcome,
+                reason=attempt.reason,
+            )
+        return attempt
+
+    def _may_retry(self, found: Classified, attempt: Attempt) -> bool:
+        if attempt.outcome == message.OUTCOME_NOT_SENT:
+            return True
+        if not found.cls.idempotent or attempt.relayed:
+            return False
+        return attempt.outcome in _RETRIABLE and self._budget.spend()
+
+    def _close(
+        self,
+        found: Classified,
+        grant: Grant,
+        attempt: Attempt,
+        may_have_run: bool,
+    ) -> _Ending:
+        row = self._count_end(found, attempt, may_have_run)
+        self._report(found, grant, attempt, row)
+        if attempt.outcome == message.OUTCOME_COMPLETED:
+            self._budget.succeed()
+            return _Ending(attempt.outcome, attempt)
+        if attempt.relayed:
+            whole = attempt.outcome == message.OUTCOME_UNKNOWN
+            return _Ending(message.OUTCOME_UNKNOWN, attempt, cut=not whole)
+        executed = EXECUTED_UNKNOWN if may_have_run else EXECUTED_NO
+        outcome = (
+            message.OUTCOME_UNKNOWN if may_have_run else message.OUTCOME_REFUSED
+        )
+        problem = Problem(
+            502,
+            "target_failed",
+            "No target gave a whole answer.",
+            executed,
+            RUNNING_RETRY_S,
+        )
+        return _Ending(outcome, attempt, problem)
+
+    def _end(
+        self, found: Classified, req: CallerRequest, ending: _Ending
+    ) -> Problem | None:
+        team, cls = found.team.name, found.cls.name
+        if ending.attempt is None:
+            self._count(found, ending.outcome)
+        elif ending.attempt.first_byte_s >= 0:
+            self._metrics.observe(
+                "first_byte", team, cls, ending.attempt.first_byte_s
+            )
+        total_s = time.monotonic() - req.received_at
+        self._metrics.observe("total", team, cls, total_s)
+        self._metrics.count(f"ended.{ending.outcome}")
+        if ending.cut:
+            raise BrokenRelayError(
+                ending.attempt.reason if ending.attempt else "",
+                step="relay",
+            )
+        return ending.problem
+
+    def _report(
+        self,
+        found: Classified,
+        grant: Grant,
+        attempt: Attempt,
+        row: KeyedRow | None,
+    ) -> None:
+        done = Done(
+            req_id=grant.req_id,
+            cell=grant.cell,
+            target=grant.target,
+            outcome=attempt.outcome,
+            cost=self._cost(found, attempt),
+            first_byte_s=attempt.first_byte_s,
+            total=row,
+        )
+        self._holder.done(done)
+
+    def _cost(self, found: Classified, attempt: Attempt) -> float:
+        if attempt.outcome == message.OUTCOME_NOT_SENT:
+            return 0.0
+        if attempt.outcome != message.OUTCOME_COMPLETED:
+            return KEEP_CHARGE
+        return found.cls.worth if self._by_worth(found) else attempt.work
+
+    def _estimate(self, found: Classified) -> float:
+        by_worth = self._by_worth(found)
+        return found.cls.worth if by_worth else found.cls.cost_hint
+
+    def _by_worth(self, found: Classified) -> bool:
+        service = self._config.service(found.cls.service)
+        return service is not None and service.measure == MEASURE_WORTH
+
+    def _count_end(
+        self, found: Classified, attempt: Attempt, may_have_run: bool = True
+    ) -> KeyedRow:
+        if attempt.outcome == message.OUTCOME_COMPLETED:
+            return self._count(found, attempt.outcome, attempt.work)
+        if may_have_run:
+            return self._count(found, message.OUTCOME_UNKNOWN)
+        return self._count(found, message.OUTCOME_REFUSED)
+
+    def _count(
+        self, found: Classified, outcome: str, work: float = 0.0
+    ) -> KeyedRow:
+        return self._accounts.settle(
+            found.team.name,
+            found.cls.service,
+            found.cls.name,
+            outcome,
+            work=work,
+            worth=found.cls.worth,
+        )
+
+    def _note_refusal(
+        self, found: Classified, problem: Problem, request_id: str
+    ) -> None:
+        refusal = Refusal(
+            request_id,
+            found.team.name,
+            found.cls.service,
+            found.cls.name,
+            problem.reason,
+            problem.executed,
+            time.time(),
+        )
+        self.refusals.append(refusal)
+        unknown = problem.executed == EXECUTED_UNKNOWN
+        event = events.REQUEST_UNKNOWN if unknown else events.REQUEST_REFUSED
+        events.log_event(
+            LOG, event, step=problem.reason, peer=found.team.name, id=request_id
+        )
+
+
+def _refused(reason: str, after_s: float, may_have_run: bool) -> Problem:
+    status, detail = _REFUSAL_DETAILS[reason]
+    executed = EXECUTED_UNKNOWN if may_have_run else EXECUTED_NO
+    return Problem(status, reason, detail, executed, after_s)
+
+
+def _refused_ending(refuse: Refuse, may_have_run: bool) -> _Ending:
+    problem = _refused(refuse.reason, refuse.retry_after_s, may_have_run)
+    outcome = (
+        message.OUTCOME_UNKNOWN if may_have_run else message.OUTCOME_REFUSED
+    )
+    return _Ending(outcome, None, problem)
--- /dev/null
+++ b/packages/standins/chervilwall_standins/sheets.py
@@ -0,0 +1,96 @@
+"""Sheets of the size that the users run today."""
+
+from typing import NamedTuple
+
+from chervilwall.config import hash_key
+from chervilwall.sheet import COLUMNS
+
+LARGE_SHARE = 8
+SMALL_SHARE = 1
+
+
+class Deployment(NamedTuple):
+    """A deployment to write a sheet for.
+
+    Args:
+        name (str): Its name, which begins the names of its teams.
+        engine (str): Its engine service.
+        plain (str): Its plain service, with calls that may not be repeated.
+        measure (str): What fairness counts.
+        engines (tuple): Addresses of the engine service's targets.
+        plains (tuple): Addresses of the plain service's targets.
+        teams (int): How many teams. Defaults to 16.
+        slots (int): Slots of each target. Defaults to 8.
+    """
+
+    name: str
+    engine: str
+    plain: str
+    measure: str
+    engines: tuple[str, ...]
+    plains: tuple[str, ...]
+    teams: int = 16
+    slots: int = 8
+
+
+def team_name(deployment: Deployment, index: int) -> str:
+    """Returns the name of a team."""
+    return f"{deployment.name}-team{index:02}"
+
+
+def team_key(deployment: Deployment, index: int) -> str:
+    """Returns the key of a team."""
+    return f"key-of-{team_name(deployment, index)}"
+
+
+def make_sheet(deployment: Deployment) -> bytes:
+    """Returns the sheet of a deployment as CSV."""
+    dep = deployment
+    rows: list[dict[str, object]] = []
+    for index in range(dep.teams):
+        share = LARGE_SHARE if index % 8 == 0 else SMALL_SHARE
+        key = hash_key(team_key(dep, index))
+        name = team_name(dep, index)
+        rows.append(
+            {"record": "team", "name": name, "share": share, "key": key}
+        )
+    for service, path in ((dep.engine, "/v1/chat"), (dep.plain, "/case")):
+        rows.append(
+            {"record": "service", "name": service, "measure": dep.measure}
+        )
+        rows += _classes(service, path, service == dep.plain)
+    for service, addresses in (
+        (dep.engine, dep.engines),
+        (dep.plain, dep.plains),
+    ):
+        for index, address in enumerate(addresses):
+            rows.append(
+                {
+                    "record": "target",
+                    "name": f"{service}-{index}",
+                    "service": service,
+                    "address": address,
+                    "zone": f"az{index % 3 + 1}",
+                    "slots": dep.slots,
+                }
+            )
+    lines = [";".join(COLUMNS)]
+    lines += [";".join(str(r.get(c, "")) for c in COLUMNS) for r in rows]
+    return "\r\n".join(lines).encode()
+
+
+def _classes(service: str, path: str, plain: bool) -> list[dict[str, object]]:
+    base = {"record": "class", "service": service}
+    if plain:
+        return [
+            {**base, "name": "filing", "path": path + "/filings"}
+            | {"worth": 5, "idempotent": "no", "deadline_s": 20},
+            {**base, "name": "status", "path": path + "/status"}
+            | {"worth": "0,5", "idempotent": "yes", "deadline_s": 5},
+        ]
+    return [
+        {**base, "name": "chat", "path": path}
+        | {"worth": 1, "deadline_s": 5, "cost_hint": 100},
+        {**base, "name": "review", "path": path}
+        | {"worth": 4, "deadline_s": 60, "cost_hint": 400},
+    ]
