--- a/packages/core/chervilwall/budget.py
+++ b/packages/core/chervilwall/budget.py
@@ -9,12 +9,12 @@
 
     Args:
         ratio (float): Retries earned by one success. Defaults to 0.1.
-        reserve (float): Retries allowed before any success. Defaults to 5.
+        reserve (float): Retries allowed before any success. Defaults to 20.
         limit (float): Most retries that can be saved up. Defaults to 50.
     """
 
     def __init__(
-        self, *, ratio: float = 0.1, reserve: float = 5.0, limit: float = 50.0
+        self, *, ratio: float = 0.1, reserve: float = 20.0, limit: float = 50.0
     ) -> None:
         self._ratio = ratio
         self._limit = limit
--- a/packages/core/chervilwall/fair_queue.py
+++ b/packages/core/chervilwall/fair_queue.py
@@ -98,8 +98,8 @@
     def push(self, item: Queued) -> None:
         """Adds a waiting request.
 
-        A team that comes back from idle starts no lower than the least served
-        active team, so that idleness earns no credit.
+        A team that had nothing waiting starts no lower than the least served
+        team that had, so that idleness earns no credit.
         """
         if item.team not in self._queues:
             self._lift(item.team)
@@ -157,11 +157,9 @@
         self._counters[team] = self.counter(team) + cost / self.share(team)
 
     def _lift(self, team: str) -> None:
-        active = self._queues.keys() | self._running.keys()
-        others = [self.counter(t) for t in active if t != team]
-        least = min(others, default=self._floor)
-        if team not in self._running:
-            self._counters[team] = max(self.counter(team), least)
+        waiting = (self.counter(t) for t in self._queues)
+        least = min(waiting, default=self._floor)
+        self._counters[team] = max(self.counter(team), least)
 
     def _take(self, item: Queued) -> None:
         queue = self._queues[item.team]
--- a/packages/core/chervilwall/quarantine.py
+++ b/packages/core/chervilwall/quarantine.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from chervilwall.message import Suspicion
 
@@ -11,11 +12,17 @@
 ENTRY_TTL_S = 3600.0
 
 
+class _Entry(NamedTuple):
+    crashes: int
+    at: float
+    zone: str
+
+
 class Quarantine:
     """Remember suspects and the requests refused after a second crash.
 
-    A request is only counted a second time when it ran alone, so a request
-    that merely ran beside the culprit is cleared by its own success.
+    All requests in flight at a crash are suspects. A suspect is the only one
+    on its next target, so a second crash names it; its success clears it.
 
     Args:
         ttl_s (float): Seconds after which an entry is forgotten.
@@ -24,18 +31,25 @@
 
     def __init__(self, *, ttl_s: float = ENTRY_TTL_S) -> None:
         self._ttl_s = ttl_s
-        self._entries: OrderedDict[bytes, tuple[int, float]] = OrderedDict()
+        self._entries: OrderedDict[bytes, _Entry] = OrderedDict()
 
     def __repr__(self) -> str:
         return f"Quarantine(entries={len(self._entries)})"
 
     def crashes(self, fingerprint: bytes, now: float) -> int:
         """Returns how many crashes are laid to a request."""
-        count, at = self._entries.get(fingerprint, (0, now))
-        return count if now - at <= self._ttl_s else 0
+        entry = self._entries.get(fingerprint)
+        if entry is None or now - entry.at > self._ttl_s:
+            return 0
+        return entry.crashes
+
+    def zone(self, fingerprint: bytes) -> str:
+        """Returns the availability zone of a request's last crash."""
+        entry = self._entries.get(fingerprint)
+        return entry.zone if entry else ""
 
     def is_suspect(self, fingerprint: bytes, now: float) -> bool:
-        """Tells whether a request must run alone."""
+        """Tells whether a request must run apart from other suspects."""
         return self.crashes(fingerprint, now) == SUSPECT_CRASHES
 
     def is_refused(self, fingerprint: bytes, now: float) -> bool:
@@ -43,20 +57,30 @@
         return self.crashes(fingerprint, now) >= REFUSED_CRASHES
 
     def record_crash(
-        self, fingerprint: bytes, *, alone: bool, now: float
+        self, fingerprint: bytes, *, zone: str, suspect: bool, now: float
     ) -> int:
-        """Records a crash with the request in flight; returns its count."""
-        count = (
-            REFUSED_CRASHES if alone and self.crashes(fingerprint, now) else 1
-        )
-        count = max(count, self.crashes(fingerprint, now))
-        self._put(fingerprint, count, now)
+        """Records a crash with the request in flight.
+
+        Args:
+            fingerprint (bytes): Digest of the request.
+            zone (str): Availability zone of the target.
+            suspect (bool): Whether it ran as a suspect, the only one there.
+            now (float): Monotonic time.
+
+        Returns:
+            How many crashes are laid to it now.
+        """
+        known = self.crashes(fingerprint, now)
+        count = REFUSED_CRASHES if suspect and known else SUSPECT_CRASHES
+        count = max(count, known)
+        self._put(fingerprint, _Entry(count, now, zone))
         return count
 
     def clear(self, fingerprint: bytes) -> None:
         """Clears a suspect that ran to its end."""
-        if self._entries.get(fingerprint, (0, 0.0))[0] < REFUSED_CRASHES:
-            self._entries.pop(fingerprint, None)
+        entry = self._entries.get(fingerprint)
+        if entry is not None and entry.crashes < REFUSED_CRASHES:
+            del self._entries[fingerprint]
 
     def merge(self, suspicions: Iterable[Suspicion], now: float) -> bool:
         """Takes in what a peer knows; returns whether anything was new."""
@@ -65,22 +89,24 @@
             known = entry.crashes <= self.crashes(entry.fingerprint, now)
             if known or entry.age_s > self._ttl_s:
                 continue
-            self._put(entry.fingerprint, entry.crashes, now - entry.age_s)
+            kept = _Entry(entry.crashes, now - entry.age_s, "")
+            self._put(entry.fingerprint, kept)
             changed = True
         return changed
 
     def refused(self, now: float, limit: int = 8) -> tuple[Suspicion, ...]:
         """Returns the newest refused requests, to be gossiped."""
         found = []
-        for fingerprint, (count, at) in reversed(self._entries.items()):
-            if count >= REFUSED_CRASHES and now - at <= self._ttl_s:
-                found.append(Suspicion(fingerprint, count, now - at))
+        for fingerprint, entry in reversed(self._entries.items()):
+            age_s = now - entry.at
+            if entry.crashes >= REFUSED_CRASHES and age_s <= self._ttl_s:
+                found.append(Suspicion(fingerprint, entry.crashes, age_s))
             if len(found) >= limit:
                 break
         return tuple(found)
 
-    def _put(self, fingerprint: bytes, count: int, at: float) -> None:
-        self._entries[fingerprint] = (count, at)
+    def _put(self, fingerprint: bytes, entry: _Entry) -> None:
+        self._entries[fingerprint] = entry
         self._entries.move_to_end(fingerprint)
         while len(self._entries) > MAX_ENTRIES:
             self._entries.popitem(last=False)
--- a/packages/core/chervilwall/scheduler.py
+++ b/packages/core/chervilwall/scheduler.py
@@ -18,6 +18,7 @@
 REASON_QUEUE_FULL = "queue_full"
 REASON_NO_TARGET = "no_target"
 SYNC_GRACE_S = 2.0
+PROGRESS_INTERVAL_S = 0.25
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 60.0
 QUARANTINE_RETRY_AFTER_S = 3600.0
@@ -104,7 +105,7 @@
         self._lost: OrderedDict[tuple[str, int], Running] = OrderedDict()
         self._by_worth = False
         self._seq = 0
-        self._suspects = 0
+        self._progress_at = 0.0
 
     def __repr__(self) -> str:
         return (
@@ -247,27 +248,19 @@
                 item.req_id, self.cell, REASON_DEADLINE, after_s
             )
             out.append(Envelope(item.router, refusal))
+        if now >= self._progress_at and not self._by_worth:
+            self._progress_at = now + PROGRESS_INTERVAL_S
+            self._charge_progress(now)
         return out + self.dispatch(now)
 
     def dispatch(self, now: float) -> list[Envelope]:
         """Grants slots until no waiting request fits."""
         out: list[Envelope] = []
-        suspects_waiting = False
-
-        def place(item: Queued) -> str | None:
-            nonlocal suspects_waiting
-            if self._quarantine.is_suspect(item.fingerprint, now):
-                suspects_waiting = True
-                return self.slots.choose_alone(now)
-            return self.slots.choose(item, now)
-
         while self._queued and self.slots.has_room(now):
-            found = self.queue.pop(place)
+            found = self.queue.pop(lambda item: self._place(item, now))
             if found is None:
                 break
             out.append(self._grant(*found, now=now))
-        if not suspects_waiting:
-            self.slots.end_isolation()
         return out
 
     def expected_wait_s(self, team: str, deadline: float, now: float) -> float:
@@ -279,6 +272,21 @@
         ahead = self.queue.ahead_of(team, deadline) + 1
         return ahead * self._estimator.duration_s() / rate
 
+    def _place(self, item: Queued, now: float) -> str | None:
+        if self._quarantine.is_suspect(item.fingerprint, now):
+            zone = self._quarantine.zone(item.fingerprint)
+            return self.slots.choose_for_suspect(item, zone, now)
+        return self.slots.choose(item, now)
+
+    def _charge_progress(self, now: float) -> None:
+        """Charges running requests that have outgrown their estimate."""
+        for run in self.slots:
+            elapsed_s = now - run.granted_at
+            so_far = self._estimator.cost_so_far(run.cls, elapsed_s)
+            if so_far > run.charged:
+                self.queue.charge(run.team, so_far - run.charged)
+                self.slots.update(run._replace(charged=so_far))
+
     def _refusal(
         self, msg: message.Enqueue, now: float
     ) -> message.Refuse | None:
@@ -321,6 +329,7 @@
             queued_at=now,
         )
         self._queued[router, msg.req_id] = item
+        self._estimator.note_hint(msg.cls, msg.estimate)
         self.queue.push(item)
 
     def _grant(self, item: Queued, target: str, *, now: float) -> Envelope:
@@ -336,7 +345,7 @@
             charged=charge,
             fingerprint=item.fingerprint,
             granted_at=now,
-            alone=self._quarantine.is_suspect(item.fingerprint, now),
+            suspect=self._quarantine.is_suspect(item.fingerprint, now),
         )
         self.slots.add(run)
         grant = message.Grant(item.req_id, self.cell, target)
@@ -366,7 +375,10 @@
             self._quarantine.clear(run.fingerprint)
         elif msg.outcome == message.OUTCOME_BROKEN:
             self._quarantine.record_crash(
-                run.fingerprint, alone=run.alone, now=now
+                run.fingerprint,
+                zone=self.slots.zone(run.target),
+                suspect=run.suspect,
+                now=now,
             )
 
     def _resend_grants(
--- a/packages/core/chervilwall/slots.py
+++ b/packages/core/chervilwall/slots.py
@@ -9,7 +9,6 @@
 from chervilwall.health import CellHealth, LoadReport
 
 MAX_PREFIXES = 4096
-ISOLATED_FRACTION = 3
 LOAD_REPORT_TTL_S = 10.0
 
 
@@ -25,7 +24,7 @@
         charged (float): Cost charged so far.
         fingerprint (bytes): Digest of the request.
         granted_at (float): Monotonic time of the grant.
-        alone (bool): Whether it runs apart from all others.
+        suspect (bool): Whether it was in flight when a target crashed.
     """
 
     router: str
@@ -36,7 +35,7 @@
     charged: float
     fingerprint: bytes
     granted_at: float
-    alone: bool = False
+    suspect: bool = False
 
 
 class TargetView(NamedTuple):
@@ -49,7 +48,7 @@
         in_flight (int): Requests that this scheduler has on it.
         foreign (int): Requests of others that it reports.
         ejected (bool): Whether it takes no work for its failures.
-        isolated (bool): Whether it is kept for a suspect request.
+        has_suspect (bool): Whether a suspect request runs on it.
     """
 
     name: str
@@ -58,7 +57,7 @@
     in_flight: int
     foreign: int
     ejected: bool
-    isolated: bool
+    has_suspect: bool
 
 
 class SlotTable:
@@ -71,7 +70,7 @@
         self._in_flight: dict[str, int] = {}
         self._reports: dict[str, tuple[LoadReport, float]] = {}
         self._prefixes: OrderedDict[int, str] = OrderedDict()
-        self._isolated: set[str] = set()
+        self._suspects: set[str] = set()
 
     def __repr__(self) -> str:
         return f"SlotTable(targets={len(self._targets)}, running={len(self)})"
@@ -86,7 +85,6 @@
         """Replaces the targets; what runs on a removed one keeps running."""
         self._targets = {t.name: t for t in targets}
         self.health.set_targets(set(self._targets))
-        self._isolated &= set(self._targets)
 
     def get(self, router: str, req_id: int) -> Running | None:
         """Returns a running attempt, if known."""
@@ -94,6 +92,8 @@
 
     def add(self, run: Running) -> None:
         """Takes a slot."""
+        if run.suspect:
+            self._suspects.add(run.target)
         self._running[run.router, run.req_id] = run
         self._in_flight[run.target] = self.in_flight(run.target) + 1
 
@@ -105,10 +105,19 @@
         self._in_flight[run.target] -= 1
         if not self._in_flight[run.target]:
             del self._in_flight[run.target]
-        if run.alone:
-            self._isolated.discard(run.target)
+        if run.suspect:
+            self._suspects.discard(run.target)
         return run
 
+    def update(self, run: Running) -> None:
+        """Replaces the record of a running attempt."""
+        self._running[run.router, run.req_id] = run
+
+    def zone(self, target: str) -> str:
+        """Returns the availability zone of a target."""
+        found = self._targets.get(target)
+        return found.zone if found else ""
+
     def in_flight(self, target: str) -> int:
         """Returns how many attempts this scheduler has on a target."""
         return self._in_flight.get(target, 0)
@@ -139,37 +148,41 @@
 
     def choose(self, item: Queued, now: float) -> str | None:
         """Returns the target for a request, or None where none has room."""
-        candidates = [
-            t
-            for t in self._takers(now)
-            if t.name not in item.exclude
-            and t.name not in self._isolated
-            and self.room(t, now) > 0
-        ]
-        if not candidates:
+        names = [t.name for t in self._candidates(item, now)]
+        if not names:
             return None
         cached = self._prefixes.get(item.prefix) if item.prefix else None
-        names = [t.name for t in candidates]
         if cached in names:
             return cached
-        best = min(candidates, key=lambda t: self._load(t, now))
-        self._remember(item.prefix, best.name)
-        return best.name
-
-    def choose_alone(self, now: float) -> str | None:
-        """Returns an empty target for a suspect, draining one if need be."""
-        takers = {t.name: t for t in self._takers(now)}
-        for name in self._isolated & takers.keys():
-            if self.in_flight(name) == 0 and self.foreign(name, now) == 0:
-                return name
-        if len(self._isolated) < max(1, len(takers) // ISOLATED_FRACTION):
-            free = [t for n, t in takers.items() if n not in self._isolated]
-            if free:
-                drained = min(free, key=lambda t: self.in_flight(t.name))
-                self._isolated.add(drained.name)
-                if self.in_flight(drained.name) == 0:
-                    return drained.name
-        return None
+        best = min(names, key=lambda n: self._load(self._targets[n], now))
+        self._remember(item.prefix, best)
+        return best
+
+    def choose_for_suspect(
+        self, item: Queued, zone: str, now: float
+    ) -> str | None:
+        """Returns the target for a suspect request.
+
+        No target runs two suspects, so that a second crash names one request.
+        Another availability zone than that of the first crash is preferred,
+        so that the loss of a zone is not laid to a request.
+
+        Args:
+            item (Queued): The request.
+            zone (str): Zone of the target that crashed first.
+            now (float): Monotonic time.
+        """
+        free = [
+            t
+            for t in self._candidates(item, now)
+            if t.name not in self._suspects
+        ]
+        best = min(
+            free,
+            key=lambda t: (bool(zone) and t.zone == zone, self._load(t, now)),
+            default=None,
+        )
+        return best.name if best else None
 
     def states(self, now: float) -> list[TargetView]:
         """Returns how each target stands."""
@@ -181,15 +194,17 @@
                 self.in_flight(t.name),
                 self.foreign(t.name, now),
                 self.health.of(t.name).is_ejected(now),
-                t.name in self._isolated,
+                t.name in self._suspects,
             )
             for t in self._targets.values()
         ]
 
-    def end_isolation(self) -> None:
-        """Returns drained targets to general use where no suspect waits."""
-        busy = {run.target for run in self._running.values() if run.alone}
-        self._isolated &= busy
+    def _candidates(self, item: Queued, now: float) -> list[Target]:
+        return [
+            t
+            for t in self._takers(now)
+            if t.name not in item.exclude and self.room(t, now) > 0
+        ]
 
     def _takers(self, now: float) -> list[Target]:
         return [
