Prove whole answers, truthful refusals and at-most-once with real processes

Found by the new tests: a Content-Length that is no number was answered 500, as the handler's int() failed before any check; it is a 400 problem now.

--- a/packages/router/chervilwall_router/callers.py
+++ b/packages/router/chervilwall_router/callers.py
@@ -25,6 +25,7 @@
 REQUEST_ID_HEADER = "Chervilwall-Request-Id"
 DRAINED_BODIES = 4
 UNLIMITED_BYTES = 1 << 34
+_MALFORMED = Problem(400, "malformed_request", "The request is malformed.")
 _BARE_REFUSAL = b"HTTP/1.1 400 Bad Request\r\n\r\n"
 
 
@@ -109,7 +110,10 @@
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(limits.body_timeout_s, self._too_slow)
         length = self.request.headers.get("Content-Length", "0")
-        if int(length) > limits.max_body_bytes:
+        if not length.isdecimal():
+            self._refused = _MALFORMED
+            self._refuse_now()
+        elif int(length) > limits.max_body_bytes:
             self._refused = _too_large(limits.max_body_bytes)
             if int(length) > DRAINED_BODIES * limits.max_body_bytes:
                 self._refuse_now()
@@ -250,8 +254,7 @@
 def _explain(data: bytes | memoryview) -> bytes | memoryview:
     if data != _BARE_REFUSAL:
         return data
-    problem = Problem(400, "malformed_request", "The request is malformed.")
-    body = problem.body()
+    body = _MALFORMED.body()
     head = (
         "HTTP/1.1 400 Bad Request\r\n"
         "Content-Type: application/problem+json\r\n"
--- a/packages/router/chervilwall_router/mesh.py
+++ b/packages/router/chervilwall_router/mesh.py
@@ -42,6 +42,7 @@
         on_frame: Callable[[Frame], None],
     ) -> None:
         self._address = address
+        self._source, _, _ = address.rpartition(":")
         self._name = name
         self._incarnation = incarnation
         self.codec = codec
@@ -117,8 +118,9 @@
     def _peer(self, address: str) -> pynng.Push0:
         sock = self._peers.get(address)
         if sock is None:
+            # The source address lets firewalls tell routers apart.
             sock = pynng.Push0(
-                dial=f"tcp://{address}",
+                dial=f"tcp://{self._source};{address}",
                 block_on_dial=False,
                 send_buffer_size=SEND_BUFFER_FRAMES,
                 reconnect_time_min=RECONNECT_MIN_MS,
--- a/packages/router/chervilwall_router/router.py
+++ b/packages/router/chervilwall_router/router.py
@@ -175,7 +175,7 @@
             incarnation=self._started_ms,
             refutation=0,
             state=STATE_ALIVE,
-            peer_address=cfg.listen.peers,
+            peer_address=cfg.listen.peers_advertised or cfg.listen.peers,
             caller_address=cfg.listen.callers,
             zone=cfg.zone,
         )
--- a/packages/router/chervilwall_router/settings.py
+++ b/packages/router/chervilwall_router/settings.py
@@ -34,11 +34,14 @@
     Args:
         callers (str): "IP:port" for callers and operators.
         peers (str): "IP:port" for other routers.
+        peers_advertised (str): "IP:port" at which other routers reach this
+            one, where that is another address. Defaults to peers.
         tls (TlsSettings | None): Certificate for callers. Defaults to none.
     """
 
     callers: Address
     peers: Address
+    peers_advertised: Address | None = None
     tls: TlsSettings | None = None
 
 
--- a/packages/standins/chervilwall_standins/demo.py
+++ b/packages/standins/chervilwall_standins/demo.py
@@ -61,7 +61,7 @@
     )
 
 
-def apply_sheet(fleet: Fleet, sheet: bytes) -> None:
+def apply_sheet(fleet: Fleet, sheet: bytes, *, quiet: bool = False) -> None:
     """Accepts a sheet and waits until it is in force everywhere."""
     with tempfile.NamedTemporaryFile(suffix=".csv") as file:
         pathlib.Path(file.name).write_bytes(sheet)
@@ -73,7 +73,9 @@
         limit_s=5.0,
         what="configuration in force on all routers",
     )
-    say(f"{done.stdout.strip()}; in force on all routers after {took_s:.2f} s")
+    if not quiet:
+        accepted = done.stdout.strip()
+        say(f"{accepted}; in force on all routers after {took_s:.2f} s")
 
 
 async def send_load(fleet: Fleet, dep: Deployment) -> int:
--- a/packages/standins/chervilwall_standins/fleet.py
+++ b/packages/standins/chervilwall_standins/fleet.py
@@ -17,6 +17,8 @@
 
 from chervilwall.config import hash_key
 
+from chervilwall_standins.relay import PeerRelays
+
 OPERATOR_KEY = "operator-key-of-the-stand-in-fleet"
 FLEET_KEY = "fleet-key-of-the-stand-in-fleet"
 ZONES = ("az1", "az2", "az3")
@@ -64,6 +66,8 @@
         routers (int): How many routers. Defaults to 3.
         settings (Mapping | None): Settings that override the usual ones.
         quiet (bool): Whether router logs are dropped. Defaults to True.
+        relayed (bool): Whether routers reach each other through relays that
+            tests can cut. Defaults to False.
     """
 
     def __init__(
@@ -72,6 +76,7 @@
         routers: int = 3,
         settings: Mapping[str, Any] | None = None,
         quiet: bool = True,
+        relayed: bool = False,
     ) -> None:
         self._count = routers
         self._overrides = settings or {}
@@ -81,12 +86,18 @@
         self.platform = f"127.0.0.1:{free_port()}"
         self.caller_port = free_port()
         self.peer_port = free_port()
+        self.relays = PeerRelays() if relayed else None
         self.names = [f"router{i}" for i in range(1, routers + 1)]
 
     def __repr__(self) -> str:
         return f"Fleet(processes={len(self._procs)})"
 
     def __enter__(self) -> "Fleet":
+        if self.relays is not None:
+            self.relays.start(
+                {self.host(n): self._relay_host(n) for n in self.names},
+                self.peer_port,
+            )
         try:
             self._start_platform()
             for name in self.names:
@@ -105,6 +116,8 @@
                 proc.kill()
         for proc in self._procs.values():
             proc.wait()
+        if self.relays is not None:
+            self.relays.stop()
         shutil.rmtree(self._dir, ignore_errors=True)
 
     @property
@@ -184,13 +197,14 @@
 
     def _settings(self, name: str, extra: Mapping[str, Any]) -> dict[str, Any]:
         index = self.names.index(name)
-        seeds = [f"{self.host(n)}:{self.peer_port}" for n in self.names]
+        seeds = [self._advertised(n) for n in self.names]
         settings: dict[str, Any] = {
             "name": name,
             "zone": ZONES[index % len(ZONES)],
             "listen": {
                 "callers": self.address(name),
                 "peers": f"{self.host(name)}:{self.peer_port}",
+                "peers_advertised": self._advertised(name),
             },
             "platform": self.platform_url,
             "fleet_keys": [FLEET_KEY],
@@ -202,6 +216,14 @@
         settings.update(extra)
         return settings
 
+    def _relay_host(self, name: str) -> str:
+        return f"127.0.4.{self.names.index(name) + 1}"
+
+    def _advertised(self, name: str) -> str:
+        relayed = self.relays is not None
+        host = self._relay_host(name) if relayed else self.host(name)
+        return f"{host}:{self.peer_port}"
+
     def _spawn(self, name: str, module: str, *args: str) -> None:
         command = [sys.executable, "-m", module, *args]
         out = subprocess.DEVNULL if self._quiet else None
