--- a/packages/core/chervilwall/health.py
+++ b/packages/core/chervilwall/health.py
@@ -31,7 +31,6 @@
         self.failures = 0
         self.ejections = 0
         self.ejected_until = 0.0
-        self.probing = False
         self.first_byte_s = 0.0
         self.samples = 0
 
@@ -41,7 +40,6 @@
     def succeed(self, first_byte_s: float) -> None:
         """Records an attempt that was answered whole."""
         self.failures = 0
-        self.probing = False
         self.ejections = 0
         self.ejected_until = 0.0
         self.samples += 1
@@ -57,15 +55,14 @@
         pause_s = min(EJECTION_MAX_S, EJECTION_BASE_S * 2**self.ejections)
         self.ejections += 1
         self.ejected_until = now + pause_s
-        self.probing = False
 
     def is_ejected(self, now: float) -> bool:
         """Tells whether the target takes no work now."""
         return now < self.ejected_until
 
-    def needs_probe(self) -> bool:
-        """Tells whether only a single request may try the target."""
-        return self.ejections > 0
+    def is_proven(self) -> bool:
+        """Tells whether the target answered since its last failure."""
+        return self.failures == 0 and self.ejections == 0
 
 
 class CellHealth:
@@ -104,15 +101,18 @@
         health.fail()
         if refused:
             health.eject(now)
-        elif health.failures >= FAILURES_TO_EJECT or health.needs_probe():
+        elif health.failures >= FAILURES_TO_EJECT or health.ejections:
             self._try_eject(name, now)
 
     def usable(self, name: str, now: float, in_flight: int) -> bool:
-        """Tells whether a target may be given a request now."""
+        """Tells whether a target may be given a request now.
+
+        A target that failed gets one request at a time until one is answered.
+        """
         health = self.of(name)
         if health.is_ejected(now):
             return False
-        return in_flight == 0 if health.needs_probe() else True
+        return health.is_proven() or in_flight == 0
 
     def ejected(self, now: float) -> list[str]:
         """Returns the targets that take no work now."""
--- a/packages/core/chervilwall/quarantine.py
+++ b/packages/core/chervilwall/quarantine.py
@@ -22,7 +22,8 @@
     """Remember suspects and the requests refused after a second crash.
 
     All requests in flight at a crash are suspects. A suspect is the only one
-    on its next target, so a second crash names it; its success clears it.
+    on its next target, which has answered since its own last failure, so a
+    second crash names the request; its success clears it.
 
     Args:
         ttl_s (float): Seconds after which an entry is forgotten.
@@ -64,7 +65,8 @@
         Args:
             fingerprint (bytes): Digest of the request.
             zone (str): Availability zone of the target.
-            suspect (bool): Whether it ran as a suspect, the only one there.
+            suspect (bool): Whether it ran as the only suspect on a target
+                that was known to work.
             now (float): Monotonic time.
 
         Returns:
--- a/packages/core/chervilwall/scheduler.py
+++ b/packages/core/chervilwall/scheduler.py
@@ -180,8 +180,8 @@
         if self._by_worth and msg.outcome in _REFUNDED:
             cost = 0.0
         self.queue.finish(run.team, cost - run.charged)
-        self._judge_target(run, msg, now)
         self._judge_request(run, msg, now)
+        self._judge_target(run, msg, now)
         if completed:
             self._estimator.learn(
                 run.team,
@@ -346,6 +346,7 @@
             fingerprint=item.fingerprint,
             granted_at=now,
             suspect=self._quarantine.is_suspect(item.fingerprint, now),
+            proven=self.slots.health.of(target).is_proven(),
         )
         self.slots.add(run)
         grant = message.Grant(item.req_id, self.cell, target)
@@ -377,7 +378,7 @@
             self._quarantine.record_crash(
                 run.fingerprint,
                 zone=self.slots.zone(run.target),
-                suspect=run.suspect,
+                suspect=run.suspect and run.proven,
                 now=now,
             )
 
--- a/packages/core/chervilwall/slots.py
+++ b/packages/core/chervilwall/slots.py
@@ -25,6 +25,7 @@
         fingerprint (bytes): Digest of the request.
         granted_at (float): Monotonic time of the grant.
         suspect (bool): Whether it was in flight when a target crashed.
+        proven (bool): Whether the target had answered since its last failure.
     """
 
     router: str
@@ -36,6 +37,7 @@
     fingerprint: bytes
     granted_at: float
     suspect: bool = False
+    proven: bool = True
 
 
 class TargetView(NamedTuple):
@@ -177,11 +179,13 @@
             for t in self._candidates(item, now)
             if t.name not in self._suspects
         ]
-        best = min(
-            free,
-            key=lambda t: (bool(zone) and t.zone == zone, self._load(t, now)),
-            default=None,
-        )
+
+        def rank(target: Target) -> tuple[bool, bool, float]:
+            same_zone = bool(zone) and target.zone == zone
+            unproven = not self.health.of(target.name).is_proven()
+            return unproven, same_zone, self._load(target, now)
+
+        best = min(free, key=rank, default=None)
         return best.name if best else None
 
     def states(self, now: float) -> list[TargetView]:
--- a/packages/router/chervilwall_router/callers.py
+++ b/packages/router/chervilwall_router/callers.py
@@ -29,6 +29,26 @@
 _BARE_REFUSAL = b"HTTP/1.1 400 Bad Request\r\n\r\n"
 
 
+class OpenRequests:
+    """Count requests until the last byte of their answer was written."""
+
+    def __init__(self) -> None:
+        self._count = 0
+
+    def __repr__(self) -> str:
+        return f"OpenRequests(count={self._count})"
+
+    def __len__(self) -> int:
+        return self._count
+
+    def __enter__(self) -> "OpenRequests":
+        self._count += 1
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._count -= 1
+
+
 class CallerContext(NamedTuple):
     """What the handlers towards callers need.
 
@@ -36,11 +56,13 @@
         settings (RouterSettings): Settings.
         pipeline (Pipeline): The path of a request.
         membership (Membership): The routers.
+        open_requests (OpenRequests): Requests in progress.
     """
 
     settings: RouterSettings
     pipeline: Pipeline
     membership: Membership
+    open_requests: OpenRequests
 
 
 class HandlerSink:
@@ -75,12 +97,12 @@
         """Sets headers common to all answers."""
         self.set_header("Server", "chervilwall")
 
-    def send_problem(self, problem: Problem) -> None:
-        """Ends the request with a refusal."""
+    def send_problem(self, problem: Problem) -> "asyncio.Future[None]":
+        """Ends the request with a refusal; the future ends with its write."""
         self.set_status(problem.status)
         for name, value in problem.headers().items():
             self.set_header(name, value)
-        self.finish(problem.body())
+        return self.finish(problem.body())
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Ends a request that failed inside the router."""
@@ -128,7 +150,10 @@
 
     async def get(self) -> None:
         """Serves the request, whatever its method."""
-        await self._serve()
+        with self._context.open_requests:
+            await self._serve()
+            if not self._finished and self._auto_finish:
+                await self.finish()
 
     head = post = put = patch = delete = get
 
@@ -178,7 +203,7 @@
                 self._cut()
             raise
         if problem is not None:
-            self.send_problem(problem)
+            await self.send_problem(problem)
 
     def _cut(self) -> None:
         """Breaks the connection, so that a part never looks whole."""
--- a/packages/router/chervilwall_router/orders.py
+++ b/packages/router/chervilwall_router/orders.py
@@ -22,7 +22,6 @@
 from chervilwall_router.cell_host import TargetLoad
 
 LOG = logging.getLogger(__name__)
-WEIGHT_LOADS_PER_S = 0.5
 
 
 class OrderKeeper:
@@ -32,6 +31,7 @@
         incarnation (str): This router's incarnation.
         platform (Platform): Where the lease is kept.
         config (Callable): Returns the configuration in force.
+        loads_per_s (float): Most orders a second, for the weight store.
     """
 
     def __init__(
@@ -39,10 +39,13 @@
         incarnation: str,
         platform: Platform,
         config: Callable[[], Config],
+        *,
+        loads_per_s: float,
     ) -> None:
         self.lease = LeaseView(incarnation)
         self._platform = platform
         self._config = config
+        self._loads_per_s = loads_per_s
         self._http = AsyncHTTPClient(force_instance=True, max_clients=32)
         self._next_load_at = 0.0
         self._held = False
@@ -116,7 +119,7 @@
             return
         if not self.lease.may_order(now, target_checks=checks):
             return
-        self._next_load_at = now + 1.0 / WEIGHT_LOADS_PER_S
+        self._next_load_at = now + 1.0 / self._loads_per_s
         order = {"fencing": self.lease.fencing, "model": target.model}
         try:
             await self._http.fetch(
--- a/packages/router/chervilwall_router/router.py
+++ b/packages/router/chervilwall_router/router.py
@@ -88,7 +88,10 @@
         self._holder = Holder(self._send_to_cell, self._fleet.send)
         self._claims = ClaimTable(self._platform, self._incarnation)
         self._orders = OrderKeeper(
-            self._incarnation, self._platform, self._config
+            self._incarnation,
+            self._platform,
+            self._config,
+            loads_per_s=settings.limits.weight_loads_per_s,
         )
         self._pipeline = Pipeline(
             settings.limits,
@@ -99,6 +102,7 @@
             quarantine=self._quarantine,
             metrics=self._metrics,
         )
+        self._open_requests = callers.OpenRequests()
         self._server = self._make_server()
 
     def __repr__(self) -> str:
@@ -152,10 +156,13 @@
         await asyncio.sleep(LINGER_S)
 
     async def _finish_held(self, limit: float) -> None:
-        while len(self._holder) and time.monotonic() < limit:
+        while self._is_busy() and time.monotonic() < limit:
             await asyncio.sleep(TICK_S)
         await self._server.close_all_connections()
 
+    def _is_busy(self) -> bool:
+        return len(self._holder) > 0 or len(self._open_requests) > 0
+
     async def _keep_state(self, limit: float) -> None:
         await self._claims.drain(max(0.0, limit - time.monotonic()))
         self._copy_rows()
@@ -208,7 +215,7 @@
 
     def _make_server(self) -> callers.CallerServer:
         caller = callers.CallerContext(
-            self._cfg, self._pipeline, self._membership
+            self._cfg, self._pipeline, self._membership, self._open_requests
         )
         operator = admin.AdminContext(
             settings=self._cfg,
--- a/packages/router/chervilwall_router/settings.py
+++ b/packages/router/chervilwall_router/settings.py
@@ -56,6 +56,7 @@
         target_idle_s (float): Seconds of silence after which an attempt fails.
         connect_timeout_s (float): Seconds to connect to a target.
         max_attempts (int): Most attempts for an idempotent request.
+        weight_loads_per_s (float): Most orders to load a model a second.
     """
 
     max_body_bytes: Count = 1_000_000
@@ -65,6 +66,7 @@
     target_idle_s: Seconds = 30.0
     connect_timeout_s: Seconds = 1.0
     max_attempts: Count = 3
+    weight_loads_per_s: Annotated[float, msgspec.Meta(gt=0, le=1000)] = 0.5
 
 
 class TimingSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/standins/chervilwall_standins/target.py
+++ b/packages/standins/chervilwall_standins/target.py
@@ -55,6 +55,7 @@
         self.down_until = 0.0
         self.orders: list[dict[str, Any]] = []
         self.runs: Counter[str] = Counter()
+        self.keys: Counter[str] = Counter()
         self.ended: Counter[str] = Counter()
         self.accepted_at: list[float] = []
         self.open: set[RequestHandler] = set()
@@ -113,6 +114,7 @@
         state = self.state
         label = self.request.headers.get(REQUEST_HEADER, "")
         state.runs[label] += 1
+        state.keys[self.request.headers.get("Idempotency-Key", "")] += 1
         state.accepted_at.append(time.time())
         state.open.add(self)
         try:
@@ -213,6 +215,7 @@
         state = self.state
         view = {
             "runs": state.runs,
+            "keys": state.keys,
             "ended": state.ended,
             "active": state.active,
             "most_active": state.most_active,
--- /dev/null
+++ b/packages/standins/tests/test_config_in_force.py
@@ -0,0 +1,112 @@
+"""Promise: an accepted configuration is in force soon and never reverts."""
+
+import asyncio
+import pathlib
+import signal
+import tempfile
+
+from chervilwall.errors import PlatformUnavailableError
+from chervilwall_ctl.apply import LostRaceError, apply_config, read_standing
+from chervilwall_platform.client import HttpPlatform
+from chervilwall_standins.case import FleetCase
+from chervilwall_standins.fleet import wait_for
+from chervilwall_standins.sheets import make_sheet
+
+LIMIT_S = 5.0
+
+
+class ConfigInForceTest(FleetCase):
+    relayed = True
+    routers = 4
+
+    def version(self, name):
+        return self.fleet.status(name)["config_version"]
+
+    def apply(self, teams):
+        """Applies a sheet with so many teams; returns its version."""
+        sheet = make_sheet(self.dep._replace(teams=teams))
+        with tempfile.NamedTemporaryFile(suffix=".csv") as file:
+            pathlib.Path(file.name).write_bytes(sheet)
+            done = self.ctl("apply", file.name)
+        self.assertEqual(done.returncode, 0, done.stderr)
+        return int(done.stdout.split("version ")[1].split(",")[0])
+
+    def wait_in_force(self, version, names=None):
+        wait_for(
+            lambda: all(
+                self.version(n) >= version for n in names or self.fleet.names
+            ),
+            limit_s=LIMIT_S,
+            what=f"version {version} in force",
+        )
+
+    def test_in_force_everywhere_within_the_limit(self):
+        self.wait_in_force(self.apply(17))
+
+    def test_spreads_by_peers_when_the_platform_goes_right_after(self):
+        version = self.apply(18)
+        self.fleet.switch(down=True)
+        self.addCleanup(self.fleet.switch, down=False)
+        wait_for(
+            lambda: any(self.version(n) >= version for n in self.fleet.names),
+            limit_s=LIMIT_S,
+            what="version on any router",
+        )
+        self.wait_in_force(version)
+
+    def test_an_empty_router_learns_it_from_a_peer(self):
+        version = self.apply(19)
+        self.wait_in_force(version)
+        self.fleet.switch(down=True)
+        self.addCleanup(self.fleet.switch, down=False)
+        self.fleet.send_signal("router2", signal.SIGKILL)
+        self.fleet.wait_exit("router2", 5)
+        self.fleet.start_router("router2")
+        self.fleet.wait_ready("router2")
+        self.wait_in_force(version)
+
+    def test_the_higher_version_wins_after_a_partition(self):
+        hosts = [self.fleet.host(name) for name in self.fleet.names]
+        self.wait_in_force(self.apply(20))
+        self.fleet.relays.isolate(hosts[0], hosts[1:])
+        self.addCleanup(self.fleet.relays.heal)
+        version = self.apply(21)
+        self.wait_in_force(version)
+        self.fleet.relays.heal()
+        newer = self.apply(22)
+        self.wait_in_force(newer)
+        for name in self.fleet.names:
+            self.assertEqual(self.version(name), newer)
+
+    def test_of_two_operators_exactly_one_wins(self):
+        async def work():
+            platform = HttpPlatform(self.fleet.platform_url)
+            standing = await read_standing(platform)
+            changes = [
+                apply_config(platform, standing, lambda c: c, operator=operator)
+                for operator in ("ana", "eero")
+            ]
+            return await asyncio.gather(*changes, return_exceptions=True)
+
+        results = self.run_async(work())
+        lost = [r for r in results if isinstance(r, LostRaceError)]
+        self.assertEqual(len(lost), 1)
+        self.assertIn(lost[0].winner.operator, ("ana", "eero"))
+        self.assertIn(lost[0].winner.operator, str(lost[0]))
+
+    def test_a_lost_reply_to_an_accepted_change_is_reported_accepted(self):
+        self.fleet.switch(lose_replies=1)
+        version = self.apply(23)
+        self.wait_in_force(version)
+
+    def test_without_the_platform_a_sheet_is_refused_with_a_clear_error(self):
+        async def work():
+            platform = HttpPlatform(self.fleet.platform_url, timeout_s=1.0)
+            with self.assertRaises(PlatformUnavailableError) as caught:
+                await read_standing(platform)
+            return str(caught.exception)
+
+        self.fleet.switch(down=True)
+        self.addCleanup(self.fleet.switch, down=False)
+        text = self.run_async(work())
+        self.assertIn(self.fleet.platform_url, text)
