Test the decisions by themselves; keep an ejected target out

Cause: a unit test of the slow target showed that an attempt begun before the ejection brought the target back at once, as each success reset the ejection. Before: slow target back after its next answer; after: out for its 2 s.

--- a/packages/core/chervilwall/health.py
+++ b/packages/core/chervilwall/health.py
@@ -37,11 +37,15 @@
     def __repr__(self) -> str:
         return f"TargetHealth(failures={self.failures})"
 
-    def succeed(self, first_byte_s: float) -> None:
-        """Records an attempt that was answered whole."""
-        self.failures = 0
-        self.ejections = 0
-        self.ejected_until = 0.0
+    def succeed(self, first_byte_s: float, now: float) -> None:
+        """Records an attempt that was answered whole.
+
+        An attempt that ends while the target is ejected began before, so it
+        does not bring the target back.
+        """
+        if not self.is_ejected(now):
+            self.failures = 0
+            self.ejections = 0
         self.samples += 1
         weight = max(EWMA_WEIGHT, 1.0 / self.samples)
         self.first_byte_s += weight * (first_byte_s - self.first_byte_s)
@@ -86,7 +90,7 @@
     def succeed(self, name: str, first_byte_s: float, now: float) -> None:
         """Records a whole answer and ejects the target if it is slow."""
         health = self.of(name)
-        health.succeed(first_byte_s)
+        health.succeed(first_byte_s, now)
         if self._is_slow(health):
             self._try_eject(name, now)
             health.samples = 0
--- /dev/null
+++ b/packages/core/tests/test_membership.py
@@ -0,0 +1,154 @@
+"""Tests of membership, driven through a network of plain function calls."""
+
+import random
+import unittest
+
+from chervilwall import message
+from chervilwall.membership import (
+    STATE_ALIVE,
+    STATE_DEAD,
+    STATE_LEAVING,
+    Membership,
+    MembershipSettings,
+)
+from chervilwall.message import Envelope, MemberUpdate
+
+TICK_S = 0.05
+# A round of probes over all peers, the probe and the suspicion time.
+SETTINGS = MembershipSettings()
+
+
+class Network:
+    """Deliver messages between members, except across cuts."""
+
+    def __init__(self, count, seed=1):
+        self.now = 0.0
+        self.cut = set()
+        self.down = set()
+        self.inbox = []
+        self.members = {}
+        for i in range(count):
+            self.add(f"r{i}", 1, seed + i)
+
+    def add(self, name, incarnation, seed):
+        me = MemberUpdate(name, incarnation, 0, STATE_ALIVE, "", "", "az1")
+        made = Membership(me, rng=random.Random(seed))
+        made.merge([m.me for m in self.members.values()], self.now)
+        self.members[name] = made
+        for other in self.members.values():
+            other.merge([me], self.now)
+
+    def run(self, seconds):
+        until = self.now + seconds
+        while self.now < until:
+            self.now += TICK_S
+            inbox, self.inbox = self.inbox, []
+            for source, envelope in inbox:
+                self.deliver(source, envelope)
+            for name, member in self.members.items():
+                if name not in self.down:
+                    _, out = member.tick(self.now)
+                    self.send(name, out)
+
+    def send(self, source, envelopes):
+        self.inbox += [(source, envelope) for envelope in envelopes]
+
+    def deliver(self, source, envelope):
+        peer, msg = envelope
+        if peer in self.down or (source, peer) in self.cut:
+            return
+        member = self.members[peer]
+        out: list[Envelope] = []
+        member.merge(getattr(msg, "updates", ()), self.now)
+        if isinstance(msg, message.Ping):
+            out = member.on_ping(source, msg)
+        elif isinstance(msg, message.Ack):
+            out = member.on_ack(msg)
+        elif isinstance(msg, message.PingRequest):
+            out = member.on_ping_request(source, msg, self.now)
+        elif isinstance(msg, message.MembersPull):
+            push = message.MembersPush(member.members())
+            out = [Envelope(source, push)]
+        self.send(peer, out)
+
+    def seen(self, subject):
+        return {
+            member.get(subject).state
+            for name, member in self.members.items()
+            if name not in self.down and name != subject
+        }
+
+
+def settle_s(count):
+    """Returns the stated time in which a fleet of that size settles."""
+    probes = 2 * count * SETTINGS.probe_interval_s
+    return probes + 3 * SETTINGS.probe_timeout_s + 2 * SETTINGS.suspicion_s
+
+
+class MembershipTest(unittest.TestCase):
+    def test_a_dead_member_is_found_by_all(self):
+        net = Network(8)
+        net.run(2)
+        net.down.add("r3")
+        net.run(settle_s(8))
+        self.assertEqual(net.seen("r3"), {STATE_DEAD})
+
+    def test_a_quiet_network_suspects_nobody(self):
+        net = Network(16)
+        net.run(60)
+        for name in net.members:
+            self.assertEqual(net.seen(name), {STATE_ALIVE})
+
+    def test_one_lossy_pair_is_bridged_by_others(self):
+        net = Network(5)
+        net.cut = {("r0", "r1"), ("r1", "r0")}
+        net.run(30)
+        self.assertEqual(net.seen("r0"), {STATE_ALIVE})
+        self.assertEqual(net.seen("r1"), {STATE_ALIVE})
+
+    def test_both_sides_of_a_partition_merge_again(self):
+        net = Network(6)
+        left, right = ("r0", "r1", "r2"), ("r3", "r4", "r5")
+        net.cut = {(a, b) for a in left for b in right}
+        net.cut |= {(b, a) for a, b in net.cut}
+        net.run(settle_s(6))
+        self.assertEqual(net.members["r0"].get("r4").state, STATE_DEAD)
+        net.cut = set()
+        net.run(settle_s(6))
+        for name in net.members:
+            self.assertEqual(net.seen(name), {STATE_ALIVE})
+
+    def test_a_false_death_is_refuted(self):
+        net = Network(4)
+        dead = net.members["r2"].me._replace(state=STATE_DEAD)
+        net.members["r0"].merge([dead], net.now)
+        net.run(settle_s(4))
+        self.assertEqual(net.seen("r2"), {STATE_ALIVE})
+
+    def test_a_restart_overrides_the_death_of_the_old_one(self):
+        net = Network(4)
+        net.down.add("r1")
+        net.run(settle_s(4))
+        net.down.discard("r1")
+        net.add("r1", 2, 99)
+        net.run(2)
+        self.assertEqual(net.seen("r1"), {STATE_ALIVE})
+
+    def test_a_leaving_member_schedules_nothing_and_is_not_named(self):
+        net = Network(4)
+        net.members["r1"].leave()
+        net.run(3)
+        self.assertEqual(net.seen("r1"), {STATE_LEAVING})
+        for name, member in net.members.items():
+            self.assertNotIn("r1", member.schedulers(), name)
+            named = {m.name for m in member.open_to_callers()}
+            self.assertNotIn("r1", named, name)
+
+    def test_settles_at_the_size_to_come_by_gossip(self):
+        net = Network(64, seed=7)
+        net.run(2)
+        net.down.add("r9")
+        # Some of 63 probers hits it within a second or two; gossip does the
+        # rest, so the time does not grow with the fleet as settle_s does.
+        net.run(settle_s(8))
+        self.assertEqual(net.seen("r9"), {STATE_DEAD})
--- /dev/null
+++ b/packages/core/tests/test_scheduler.py
@@ -0,0 +1,245 @@
+"""Tests of a cell's scheduler."""
+
+import unittest
+
+from chervilwall import message, scheduler
+from chervilwall.config import (
+    TARGET_LEAVING,
+    Config,
+    RequestClass,
+    Service,
+    Target,
+    Team,
+)
+from chervilwall.message import Done, Enqueue, Grant, Refuse, RunningItem, Sync
+from chervilwall.quarantine import Quarantine
+from chervilwall.scheduler import CellScheduler, SchedulerSettings
+
+CELL = "svc#0"
+
+
+def make_config(targets=2, slots=2, measure="work"):
+    return Config(
+        teams=tuple(Team(name, 1.0) for name in "ab"),
+        services=(Service("svc", measure),),
+        classes=(RequestClass("c", "svc", "/", worth=2.0),),
+        targets=tuple(
+            Target(f"t{i}", "svc", f"10.0.0.{i}:80", f"az{i}", slots)
+            for i in range(targets)
+        ),
+    )
+
+
+def make_scheduler(config=None, **limits):
+    config = config or make_config()
+    made = CellScheduler(CELL, "svc", Quarantine(), SchedulerSettings(**limits))
+    made.configure(config, config.targets)
+    return made
+
+
+def enqueue(req_id, team="a", left_s=100.0, fingerprint=None, exclude=()):
+    mark = fingerprint or req_id.to_bytes(8, "big")
+    return Enqueue(req_id, CELL, team, "c", left_s, 10.0, mark, 0, exclude)
+
+
+def done(req_id, target, outcome=message.OUTCOME_COMPLETED, cost=10.0):
+    return Done(req_id, CELL, target, outcome, cost, 0.1)
+
+
+def grants(envelopes):
+    found = [e.message for e in envelopes if isinstance(e.message, Grant)]
+    return {g.req_id: g.target for g in found}
+
+
+def refusals(envelopes):
+    found = [e.message for e in envelopes if isinstance(e.message, Refuse)]
+    return {r.req_id: r.reason for r in found}
+
+
+class SchedulerTest(unittest.TestCase):
+    def test_no_slot_idles_while_work_waits(self):
+        made = make_scheduler()
+        granted = {}
+        for req_id in range(1, 7):
+            granted |= grants(made.enqueue("r1", enqueue(req_id), 0.0))
+        self.assertEqual(len(granted), 4)
+        self.assertEqual(sorted(granted.values()), ["t0", "t0", "t1", "t1"])
+        out = made.done("r1", done(1, granted[1]), 1.0)
+        self.assertEqual(list(grants(out)), [5])
+
+    def test_a_repeated_enqueue_gets_the_same_grant(self):
+        made = make_scheduler()
+        first = grants(made.enqueue("r1", enqueue(1), 0.0))
+        again = grants(made.enqueue("r1", enqueue(1), 0.1))
+        self.assertEqual(first, again)
+        self.assertEqual(len(made.slots), 1)
+
+    def test_a_leaving_target_gets_nothing(self):
+        config = make_config()
+        made = make_scheduler(config)
+        marked = [
+            t._replace(state=TARGET_LEAVING) if t.name == "t0" else t
+            for t in config.targets
+        ]
+        made.configure(config, marked)
+        granted = {}
+        for req_id in range(1, 5):
+            granted |= grants(made.enqueue("r1", enqueue(req_id), 0.0))
+        self.assertEqual(set(granted.values()), {"t1"})
+
+    def test_what_cannot_make_its_deadline_is_refused_at_once(self):
+        made = make_scheduler(make_config(targets=1, slots=1))
+        made.enqueue("r1", enqueue(1), 0.0)
+        made.done("r1", done(1, "t0"), 10.0)
+        made.enqueue("r1", enqueue(2), 10.0)
+        made.enqueue("r1", enqueue(3), 10.0)
+        out = made.enqueue("r1", enqueue(4, left_s=5.0), 10.0)
+        self.assertEqual(refusals(out), {4: scheduler.REASON_DEADLINE})
+        self.assertGreaterEqual(out[0].message.retry_after_s, 1.0)
+
+    def test_queues_are_bounded_by_team(self):
+        made = make_scheduler(make_config(1, 1), max_depth=3)
+        for req_id in range(1, 5):
+            made.enqueue("r1", enqueue(req_id), 0.0)
+        out = made.enqueue("r1", enqueue(5), 0.0)
+        self.assertEqual(refusals(out), {5: scheduler.REASON_QUEUE_FULL})
+        self.assertFalse(refusals(made.enqueue("r2", enqueue(6, "b"), 0.0)))
+
+    def test_expired_requests_are_refused(self):
+        made = make_scheduler(make_config(1, 1))
+        made.enqueue("r1", enqueue(1), 0.0)
+        made.enqueue("r1", enqueue(2, left_s=3.0), 0.0)
+        self.assertFalse(refusals(made.tick(2.9)))
+        self.assertEqual(list(refusals(made.tick(3.1))), [2])
+
+    def test_a_lost_router_gives_its_slots_back(self):
+        made = make_scheduler(make_config(1, 2))
+        made.enqueue("r1", enqueue(1), 0.0)
+        made.enqueue("r1", enqueue(2), 0.0)
+        made.enqueue("r1", enqueue(3), 0.0)
+        made.enqueue("r2", enqueue(4), 0.0)
+        lost, out = made.drop_router("r1", 1.0)
+        self.assertEqual([run.req_id for run in lost], [1, 2])
+        self.assertEqual(list(grants(out)), [4])
+        self.assertIsNotNone(made.was_lost("r1", 1))
+
+    def test_a_new_scheduler_learns_what_runs_and_waits(self):
+        made = make_scheduler(make_config(1, 2))
+        running = RunningItem(1, "t0", "a", "c", 10.0, b"x")
+        out = made.sync("r1", Sync(CELL, (2, 3), (running,)), 0.0)
+        self.assertEqual(out[0].message, message.Missing(CELL, (2, 3)))
+        self.assertEqual(made.slots.in_flight("t0"), 1)
+        out = made.enqueue("r1", enqueue(2), 0.0)
+        out += made.enqueue("r1", enqueue(3), 0.0)
+        self.assertEqual(list(grants(out)), [2])
+
+    def test_a_lost_grant_is_sent_again_and_a_lost_end_is_noticed(self):
+        made = make_scheduler(make_config(1, 1), sync_grace_s=2.0)
+        made.enqueue("r1", enqueue(1), 0.0)
+        out = made.sync("r1", Sync(CELL, (1,), ()), 1.0)
+        self.assertEqual(grants(out), {1: "t0"})
+        made.enqueue("r1", enqueue(2), 1.0)
+        out = made.sync("r1", Sync(CELL, (2,), ()), 3.0)
+        self.assertEqual(grants(out), {2: "t0"})
+
+    def test_foreign_load_takes_room_until_it_is_old(self):
+        made = make_scheduler(make_config(1, 2))
+        made.report_load("t0", 2, 0.0)
+        self.assertFalse(grants(made.enqueue("r1", enqueue(1), 0.0)))
+        self.assertTrue(grants(made.tick(11.0)))
+
+    def test_long_requests_are_charged_while_they_run(self):
+        made = make_scheduler(make_config(1, 2))
+        made.enqueue("r1", enqueue(1), 0.0)
+        made.done("r1", done(1, "t0", cost=10.0), 1.0)
+        made.enqueue("r1", enqueue(2, "b"), 1.0)
+        before = made.queue.counter("b")
+        made.tick(11.0)
+        self.assertAlmostEqual(made.queue.counter("b") - before, 90.0)
+        made.done("r1", done(2, "t0", cost=100.0), 11.0)
+        self.assertAlmostEqual(made.queue.counter("b") - before, 90.0)
+
+    def test_worth_is_counted_for_completed_requests_only(self):
+        made = make_scheduler(make_config(measure="worth"))
+        made.enqueue("r1", enqueue(1), 0.0)
+        charged = made.queue.counter("a")
+        made.done("r1", done(1, "t0", message.OUTCOME_BROKEN, -1.0), 1.0)
+        self.assertLess(made.queue.counter("a"), charged)
+
+
+class QuarantineTest(unittest.TestCase):
+    def crash(self, made, req_id, target, at, router="r1"):
+        end = done(req_id, target, message.OUTCOME_BROKEN, -1.0)
+        return made.done(router, end, at)
+
+    def test_the_second_crash_refuses_a_request_through_any_router(self):
+        made = make_scheduler(make_config(4, 2))
+        first = grants(made.enqueue("r1", enqueue(1, fingerprint=b"k"), 0.0))
+        self.crash(made, 1, first[1], 1.0)
+        again = enqueue(2, fingerprint=b"k", exclude=(first[1],))
+        second = grants(made.enqueue("r2", again, 1.0))
+        self.assertNotEqual(second[2], first[1])
+        self.crash(made, 2, second[2], 2.0, "r2")
+        out = made.enqueue("r3", enqueue(3, fingerprint=b"k"), 3.0)
+        self.assertEqual(refusals(out), {3: scheduler.REASON_CRASHED_TARGETS})
+
+    def test_suspects_run_apart_and_a_success_clears_them(self):
+        made = make_scheduler(make_config(4, 2))
+        granted = {}
+        for req_id in range(1, 9):
+            granted |= grants(made.enqueue("r1", enqueue(req_id), 0.0))
+        crashed = [r for r, t in granted.items() if t == "t0"]
+        for req_id in granted:
+            if req_id not in crashed:
+                made.done("r1", done(req_id, granted[req_id]), 1.0)
+        for req_id in crashed:
+            self.crash(made, req_id, "t0", 2.0)
+        again = {}
+        for req_id in crashed:
+            again |= grants(made.enqueue("r1", enqueue(req_id), 2.0))
+        self.assertEqual(len(set(again.values())), len(crashed))
+        self.assertNotIn("t0", again.values())
+        for req_id, target in again.items():
+            made.done("r1", done(req_id, target), 3.0)
+        out = made.enqueue("r1", enqueue(99, fingerprint=bytes(8)), 3.0)
+        self.assertFalse(refusals(out))
+
+    def test_a_crash_on_a_failing_target_is_not_laid_to_a_suspect(self):
+        made = make_scheduler(make_config(1, 4))
+        for req_id in (1, 2):
+            made.enqueue("r1", enqueue(req_id), 0.0)
+        for req_id in (1, 2):
+            self.crash(made, req_id, "t0", 1.0)
+        made.enqueue("r1", enqueue(1), 1.0)
+        self.crash(made, 1, "t0", 1.1)
+        self.assertFalse(refusals(made.enqueue("r1", enqueue(1), 1.2)))
+
+
+class EjectionTest(unittest.TestCase):
+    def test_failing_targets_are_ejected_and_probed_back(self):
+        made = make_scheduler(make_config(4, 1))
+        now = 0.0
+        for _req_id in range(1, 4):
+            made.slots.health.fail("t0", now)
+        self.assertEqual(made.slots.health.ejected(now), ["t0"])
+        later = now + 2.1
+        self.assertTrue(made.slots.health.usable("t0", later, 0))
+        self.assertFalse(made.slots.health.usable("t0", later, 1))
+        made.slots.health.succeed("t0", 0.1, later)
+        self.assertTrue(made.slots.health.usable("t0", later, 1))
+
+    def test_never_more_than_half_are_ejected_for_failures(self):
+        made = make_scheduler(make_config(4, 1))
+        for name in ("t0", "t1", "t2", "t3"):
+            for _ in range(5):
+                made.slots.health.fail(name, 0.0)
+        self.assertEqual(len(made.slots.health.ejected(0.0)), 2)
+
+    def test_a_slow_target_is_ejected(self):
+        made = make_scheduler(make_config(4, 1))
+        health = made.slots.health
+        for _ in range(6):
+            for name in ("t0", "t1", "t2"):
+                health.succeed(name, 0.1, 0.0)
+            health.succeed("t3", 2.0, 0.0)
+        self.assertEqual(health.ejected(0.0), ["t3"])
