Split services into cells that lend each other room and account for service

Cause: one scheduler for a service of 610 engines would exceed the budget of a node; a service split without more care idles and drifts.

Change: an idle cell tells a sibling of its room, with a pause that doubles to 1 s; the sibling moves waiting requests there. Cells tell the hub of their service every 2 s what each team got, and the hub tells each cell what the others gave; amounts, not totals, so a hub or cell that starts empty misstates nothing. Routers queue where fewest of their own requests wait. Cells of at most 6 targets: today's services stay one cell each, exactly fair.

--- a/packages/core/chervilwall/cells.py
+++ b/packages/core/chervilwall/cells.py
@@ -5,7 +5,7 @@
 
 from chervilwall.config import Config, Target
 
-TARGETS_PER_CELL = 12
+TARGETS_PER_CELL = 6
 
 
 class Cell(NamedTuple):
@@ -22,12 +22,19 @@
     targets: tuple[Target, ...]
 
 
-def split_cells(config: Config) -> dict[str, Cell]:
-    """Returns the cells of a configuration by name."""
+def split_cells(
+    config: Config, targets_per_cell: int = TARGETS_PER_CELL
+) -> dict[str, Cell]:
+    """Returns the cells of a configuration by name.
+
+    Args:
+        config (Config): The configuration.
+        targets_per_cell (int): Most targets of a cell.
+    """
     cells: dict[str, Cell] = {}
     for service in config.services:
         targets = sorted(config.targets_of(service.name))
-        count = max(1, math.ceil(len(targets) / TARGETS_PER_CELL))
+        count = max(1, math.ceil(len(targets) / targets_per_cell))
         for index in range(count):
             name = f"{service.name}#{index}"
             members = tuple(targets[index::count])
@@ -38,3 +45,14 @@
 def cells_of(cells: dict[str, Cell], service: str) -> list[str]:
     """Returns the names of a service's cells."""
     return [c.name for c in cells.values() if c.service == service]
+
+
+def hub_of(service: str) -> str:
+    """Returns the cell whose scheduler sums up the service of all cells."""
+    return f"{service}#0"
+
+
+def siblings_of(cells: dict[str, Cell], name: str) -> list[str]:
+    """Returns the other cells of a cell's service."""
+    found = cells_of(cells, cells[name].service) if name in cells else []
+    return [cell for cell in found if cell != name]
--- a/packages/core/chervilwall/codec.py
+++ b/packages/core/chervilwall/codec.py
@@ -33,6 +33,9 @@
     message.ConfigPull,
     message.ConfigPush,
     message.RowsPush,
+    message.Room,
+    message.Move,
+    message.CellService,
 )
 _CODES = {cls: code for code, cls in enumerate(_TYPES)}
 _DECODERS: tuple[msgspec.msgpack.Decoder, ...] = tuple(
--- a/packages/core/chervilwall/message.py
+++ b/packages/core/chervilwall/message.py
@@ -183,6 +183,52 @@
     age_s: float
 
 
+class Room(NamedTuple):
+    """Tells a sibling cell of free slots.
+
+    Args:
+        cell (str): The cell that is told.
+        idle_cell (str): The cell with free slots and nothing waiting.
+        slots (int): How many are free.
+    """
+
+    cell: str
+    idle_cell: str
+    slots: int
+
+
+class Move(NamedTuple):
+    """Tells the holding router to queue a request in another cell."""
+
+    req_id: int
+    cell: str
+    to_cell: str
+
+
+class TeamService(NamedTuple):
+    """Service that a team got, in the service's measure."""
+
+    team: str
+    cost: float
+
+
+class CellService(NamedTuple):
+    """Service by team since the last message of this kind.
+
+    A cell sends what it gave to the hub of its service; the hub sends each
+    cell what all others gave.
+
+    Args:
+        cell (str): The cell that gave, or that is told.
+        from_hub (bool): Whether the hub sent it.
+        given (tuple): Service by team.
+    """
+
+    cell: str
+    from_hub: bool
+    given: tuple[TeamService, ...]
+
+
 class Ping(NamedTuple):
     """Probes a member and carries gossip."""
 
@@ -248,6 +294,9 @@
     | Done
     | Sync
     | Missing
+    | Room
+    | Move
+    | CellService
     | Ping
     | Ack
     | PingRequest
--- a/packages/core/chervilwall/scheduler.py
+++ b/packages/core/chervilwall/scheduler.py
@@ -1,6 +1,6 @@
 """The scheduler of one cell: grants slots to queued requests, fairly."""
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
@@ -11,6 +11,7 @@
 from chervilwall.health import LoadReport
 from chervilwall.message import Envelope
 from chervilwall.quarantine import Quarantine
+from chervilwall.siblings import RoomCalls, RoomOffers, make_service
 from chervilwall.slots import Running, SlotTable
 
 REASON_CRASHED_TARGETS = "crashed_targets"
@@ -106,6 +107,9 @@
         self._by_worth = False
         self._seq = 0
         self._progress_at = 0.0
+        self._offers = RoomOffers()
+        self._calls = RoomCalls()
+        self._given: Counter[str] = Counter()
 
     def __repr__(self) -> str:
         return (
@@ -180,6 +184,7 @@
         if self._by_worth and msg.outcome in _REFUNDED:
             cost = 0.0
         self.queue.finish(run.team, cost - run.charged)
+        self._given[run.team] += cost - run.charged  # type: ignore[assignment]
         self._judge_request(run, msg, now)
         self._judge_target(run, msg, now)
         if completed:
@@ -238,6 +243,33 @@
         self.slots.report(target, LoadReport(active, own), now)
         return self.dispatch(now)
 
+    def offer(self, msg: message.Room, now: float) -> list[Envelope]:
+        """Takes an offer of room; moves waiting requests there."""
+        self._offers.put(msg.idle_cell, msg.slots, now)
+        return self.dispatch(now)
+
+    def call_for_work(
+        self, siblings: list[str], now: float
+    ) -> message.Room | None:
+        """Returns an offer to a sibling, where slots idle and nothing waits."""
+        if self._queued:
+            return None
+        slots = self.slots.total_room(now)
+        if slots <= 0:
+            return None
+        sibling = self._calls.due(siblings, now)
+        return message.Room(sibling, self.cell, slots) if sibling else None
+
+    def take_given(self) -> message.CellService | None:
+        """Returns what was given since the last call, for the hub."""
+        given, self._given = self._given, Counter()
+        return make_service(self.cell, given, from_hub=False)
+
+    def add_given(self, msg: message.CellService) -> None:
+        """Charges teams for what they got in other cells."""
+        for team, cost in msg.given:
+            self.queue.charge(team, cost)
+
     def tick(self, now: float) -> list[Envelope]:
         """Refuses what can no longer start in time, and grants the rest."""
         out = []
@@ -261,7 +293,7 @@
             if found is None:
                 break
             out.append(self._grant(*found, now=now))
-        return out
+        return out + self._move_out(now)
 
     def expected_wait_s(self, team: str, deadline: float, now: float) -> float:
         """Returns the seconds until a new request of a team would start."""
@@ -272,6 +304,19 @@
         ahead = self.queue.ahead_of(team, deadline) + 1
         return ahead * self._estimator.duration_s() / rate
 
+    def _move_out(self, now: float) -> list[Envelope]:
+        """Moves what cannot run here to siblings that have room."""
+        out: list[Envelope] = []
+        while self._queued and (cell := self._offers.take(now)):
+            found = self.queue.pop(lambda _: cell)
+            if found is None:
+                break
+            item = found[0]
+            del self._queued[item.router, item.req_id]
+            move = message.Move(item.req_id, self.cell, cell)
+            out.append(Envelope(item.router, move))
+        return out
+
     def _place(self, item: Queued, now: float) -> str | None:
         if self._quarantine.is_suspect(item.fingerprint, now):
             zone = self._quarantine.zone(item.fingerprint)
@@ -285,6 +330,7 @@
             so_far = self._estimator.cost_so_far(run.cls, elapsed_s)
             if so_far > run.charged:
                 self.queue.charge(run.team, so_far - run.charged)
+                self._given[run.team] += so_far - run.charged  # type: ignore[assignment]
                 self.slots.update(run._replace(charged=so_far))
 
     def _refusal(
@@ -329,6 +375,7 @@
             queued_at=now,
         )
         self._queued[router, msg.req_id] = item
+        self._calls.reset()
         self._estimator.note_hint(msg.cls, msg.estimate)
         self.queue.push(item)
 
@@ -336,6 +383,7 @@
         del self._queued[item.router, item.req_id]
         charge = self._expected_cost(item)
         self.queue.start(item.team, charge)
+        self._given[item.team] += charge  # type: ignore[assignment]
         run = Running(
             router=item.router,
             req_id=item.req_id,
--- a/packages/core/chervilwall/slots.py
+++ b/packages/core/chervilwall/slots.py
@@ -144,6 +144,10 @@
         taken = self.in_flight(target.name) + self.foreign(target.name, now)
         return target.slots - taken
 
+    def total_room(self, now: float) -> int:
+        """Returns how many more requests all targets may be given."""
+        return sum(max(0, self.room(t, now)) for t in self._takers(now))
+
     def has_room(self, now: float) -> bool:
         """Tells whether any target may be given a request."""
         return any(self.room(t, now) > 0 for t in self._takers(now))
--- a/packages/router/chervilwall_router/cell_host.py
+++ b/packages/router/chervilwall_router/cell_host.py
@@ -7,12 +7,19 @@
 
 import msgspec
 from chervilwall import events, message
-from chervilwall.cells import Cell, split_cells
+from chervilwall.cells import (
+    Cell,
+    cells_of,
+    hub_of,
+    siblings_of,
+    split_cells,
+)
 from chervilwall.config import TARGET_ACTIVE, TARGET_LEAVING, Config, Target
 from chervilwall.message import Envelope
 from chervilwall.quarantine import Quarantine
 from chervilwall.rendezvous import owner
 from chervilwall.scheduler import CellScheduler
+from chervilwall.siblings import ServiceHub
 from chervilwall.slots import Running
 from tornado.httpclient import AsyncHTTPClient, HTTPError
 
@@ -64,6 +71,7 @@
         self._leaving_hosts: frozenset[str] = frozenset()
         self._leaving_targets: set[str] = set()
         self._schedulers: dict[str, CellScheduler] = {}
+        self._hubs: dict[str, ServiceHub] = {}
         self._http = AsyncHTTPClient(force_instance=True, max_clients=64)
         self.cells: dict[str, Cell] = {}
         self.owners: dict[str, str] = {}
@@ -130,6 +138,9 @@
     def receive(self, peer: str, msg: message.Message) -> None:
         """Hands a message to the scheduler of its cell."""
         cell = getattr(msg, "cell", "")
+        if isinstance(msg, message.CellService) and not msg.from_hub:
+            self._hub(cell.partition("#")[0]).add(msg)
+            return
         scheduler = self._schedulers.get(cell)
         if scheduler is None:
             return
@@ -143,8 +154,15 @@
             out = scheduler.done(peer, msg, now)
         elif isinstance(msg, message.Sync):
             out = scheduler.sync(peer, msg, now)
+        elif isinstance(msg, message.Room):
+            out = scheduler.offer(msg, now)
+        elif isinstance(msg, message.CellService):
+            scheduler.add_given(msg)
         self._send(out)
 
+    def _hub(self, service: str) -> ServiceHub:
+        return self._hubs.setdefault(service, ServiceHub())
+
     def drop_router(self, name: str) -> None:
         """Gives back all that a lost router held."""
         now = time.monotonic()
@@ -157,8 +175,32 @@
     def tick(self) -> None:
         """Advances the timers of all schedulers."""
         now = time.monotonic()
-        for scheduler in self._schedulers.values():
+        for scheduler in list(self._schedulers.values()):
             self._send(scheduler.tick(now))
+            siblings = siblings_of(self.cells, scheduler.cell)
+            room = scheduler.call_for_work(siblings, now)
+            if room is not None:
+                self._send_to_cell(room.cell, room)
+
+    def exchange_service(self) -> None:
+        """Tells hubs what cells here gave, and cells what others gave."""
+        for scheduler in list(self._schedulers.values()):
+            given = scheduler.take_given()
+            if given and siblings_of(self.cells, scheduler.cell):
+                self._send_to_hub(scheduler.service, given)
+        for service, hub in self._hubs.items():
+            for told in hub.drain(cells_of(self.cells, service)):
+                self._send_to_cell(told.cell, told)
+
+    def _send_to_cell(self, cell: str, msg: message.Message) -> None:
+        owner_name = self.owners.get(cell)
+        if owner_name:
+            self._send([Envelope(owner_name, msg)])
+
+    def _send_to_hub(self, service: str, msg: message.CellService) -> None:
+        owner_name = self.owners.get(hub_of(service))
+        if owner_name:
+            self._send([Envelope(owner_name, msg)])
 
     async def poll_loads(self) -> None:
         """Asks the targets of all cells scheduled here for their load."""
--- a/packages/router/chervilwall_router/holder.py
+++ b/packages/router/chervilwall_router/holder.py
@@ -122,6 +122,24 @@
             if held is not None and not held.answer.done():
                 self._send_to_cell(missing.cell, held.current(now))
 
+    def on_move(self, move: message.Move) -> None:
+        """Queues a request in another cell of its service."""
+        held = self._held.get(move.req_id)
+        if held is None or held.answer.done():
+            return
+        if held.enqueue.cell != move.cell:
+            return
+        held.enqueue = held.enqueue._replace(cell=move.to_cell)
+        self._send_to_cell(move.to_cell, held.current(time.monotonic()))
+
+    def waiting_in(self, cell: str) -> int:
+        """Returns how many requests of this router wait in a cell."""
+        return sum(
+            1
+            for held in self._held.values()
+            if held.enqueue.cell == cell and not held.target
+        )
+
     def resend(self, cell: str) -> None:
         """Tells a new scheduler of a cell all that is held of it."""
         now = time.monotonic()
--- a/packages/router/chervilwall_router/pipeline.py
+++ b/packages/router/chervilwall_router/pipeline.py
@@ -331,8 +331,7 @@
         self, found: Classified, deadline: float, exclude: tuple[str, ...]
     ) -> Grant | Refuse:
         started = time.monotonic()
-        cells = cells_of(self._cells.cells, found.cls.service)
-        cell = random.choice(cells)
+        cell = self._choose_cell(found.cls.service)
         enqueue = Enqueue(
             req_id=self._holder.next_id(),
             cell=cell,
@@ -349,6 +348,13 @@
         self._metrics.observe("wait", found.team.name, found.cls.name, wait_s)
         return grant
 
+    def _choose_cell(self, service: str) -> str:
+        cells = cells_of(self._cells.cells, service)
+        if len(cells) == 1:
+            return cells[0]
+        random.shuffle(cells)
+        return min(cells, key=self._holder.waiting_in)
+
     async def _dispatch(
         self,
         req: CallerRequest,
--- a/packages/router/chervilwall_router/router.py
+++ b/packages/router/chervilwall_router/router.py
@@ -19,6 +19,7 @@
 from chervilwall.message import MemberUpdate
 from chervilwall.quarantine import Quarantine
 from chervilwall.rendezvous import owners
+from chervilwall.siblings import SERVICE_INTERVAL_S
 from chervilwall_platform.client import HttpPlatform
 from tornado.web import Application
 
@@ -51,6 +52,8 @@
     message.Cancel,
     message.Done,
     message.Sync,
+    message.Room,
+    message.CellService,
 )
 
 
@@ -259,6 +262,7 @@
         self._every(timing.hosts_poll_s, self._poll_hosts)
         self._every(timing.rows_copy_s, self._copy_rows_loop)
         self._every(timing.counters_flush_s, self._flush_counters)
+        self._every(SERVICE_INTERVAL_S, self._exchange_service)
         self._every(ORDERS_INTERVAL_S, self._step_orders)
         self._every(SWEEP_INTERVAL_S, self._sweep_claims)
         self._every(0.0, self._watch_config)
@@ -324,6 +328,8 @@
             self._holder.on_grant(peer, msg)
         elif isinstance(msg, message.Refuse):
             self._holder.on_refuse(msg)
+        elif isinstance(msg, message.Move):
+            self._holder.on_move(msg)
         elif isinstance(msg, message.Missing):
             self._holder.on_missing(msg)
         elif isinstance(msg, message.RowsPush):
@@ -342,6 +348,9 @@
     async def _sync(self) -> None:
         self._holder.sync_all()
 
+    async def _exchange_service(self) -> None:
+        self._cells.exchange_service()
+
     async def _poll_hosts(self) -> None:
         hosts = await self._platform.hosts()
         leaving = frozenset(h.address for h in hosts if h.state == "leaving")
--- a/packages/standins/chervilwall_standins/policies.py
+++ b/packages/standins/chervilwall_standins/policies.py
@@ -1,17 +1,23 @@
 """The scheduling policies that a trace is replayed into."""
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
 from chervilwall import message
-from chervilwall.cells import split_cells
+from chervilwall.cells import (
+    TARGETS_PER_CELL,
+    cells_of,
+    siblings_of,
+    split_cells,
+)
 from chervilwall.codec import FrameCodec
 from chervilwall.fair_queue import FairQueue, Queued
 from chervilwall.message import Done, Enqueue, Envelope
 from chervilwall.quarantine import Quarantine
 from chervilwall.rendezvous import owner
 from chervilwall.scheduler import CellScheduler, SchedulerSettings
+from chervilwall.siblings import SERVICE_INTERVAL_S, ServiceHub
 
 from chervilwall_standins.trace import Trace, TraceRequest
 
@@ -71,17 +77,23 @@
     Args:
         trace (Trace): What is replayed.
         settings (SchedulerSettings | None): Limits of the schedulers.
+        targets_per_cell (int): Most targets of a cell.
     """
 
     name = "chervilwall"
     hop_s = HOP_S
 
     def __init__(
-        self, trace: Trace, settings: SchedulerSettings | None = None
+        self,
+        trace: Trace,
+        settings: SchedulerSettings | None = None,
+        *,
+        targets_per_cell: int = TARGETS_PER_CELL,
     ) -> None:
         self._trace = trace
         self._starts: list[Start] = []
         self._refusals: list[int] = []
+        self._moves: list[message.Move] = []
         self._excluded: dict[int, tuple[str, ...]] = {}
         self._codec = FrameCodec([_KEY])
         self.control_bytes = 0
@@ -89,12 +101,17 @@
         config = trace.config()
         quarantine = Quarantine()
         self.schedulers: dict[str, CellScheduler] = {}
-        for cell in split_cells(config).values():
+        self._cells = split_cells(config, targets_per_cell)
+        self._cell_of: dict[int, str] = {}
+        self._held: Counter[tuple[int, str]] = Counter()
+        self._hubs = {s.name: ServiceHub() for s in config.services}
+        self._service_at = 0.0
+        for cell in self._cells.values():
             scheduler = CellScheduler(
                 cell.name, cell.service, quarantine, settings
             )
             scheduler.configure(config, cell.targets)
-            self.schedulers[cell.service] = scheduler
+            self.schedulers[cell.name] = scheduler
         routers = [str(i) for i in range(trace.heading.routers)]
         self._owners = {
             s.cell: owner(s.cell, routers) for s in self.schedulers.values()
@@ -103,7 +120,10 @@
     def arrive(self, index: int, now: float) -> None:
         """Queues a request at the scheduler of its service."""
         req = self._trace.requests[index]
-        scheduler = self.schedulers[req.service]
+        cell = self._choose_cell(req)
+        self._cell_of[index] = cell
+        self._held[req.router, cell] += 1
+        scheduler = self.schedulers[cell]
         enqueue = self._enqueue(index, req, scheduler.cell, now)
         self._count(str(req.router), scheduler.cell, enqueue)
         self._take(scheduler.enqueue(str(req.router), enqueue, now))
@@ -111,7 +131,7 @@
     def end(self, index: int, target: str, outcome: str, now: float) -> None:
         """Reports the end of an attempt."""
         req = self._trace.requests[index]
-        scheduler = self.schedulers[req.service]
+        scheduler = self.schedulers[self._cell_of[index]]
         completed = outcome == message.OUTCOME_COMPLETED
         cost = self._trace.cost(req) if completed else message.KEEP_CHARGE
         total = message.KeyedRow(
@@ -137,6 +157,15 @@
         """Advances the schedulers' timers."""
         for scheduler in self.schedulers.values():
             self._take(scheduler.tick(now))
+            siblings = siblings_of(self._cells, scheduler.cell)
+            room = scheduler.call_for_work(siblings, now)
+            if room is not None:
+                self._count("", room.cell, room)
+                self._take(self.schedulers[room.cell].offer(room, now))
+        self._move(now)
+        if now >= self._service_at:
+            self._service_at = now + SERVICE_INTERVAL_S
+            self._exchange_service()
 
     def starts(self) -> list[Start]:
         """Returns what was granted since the last call."""
@@ -150,11 +179,39 @@
 
     def waiting(self) -> dict[tuple[str, str], int]:
         """Returns waiting requests by service and team."""
-        return {
-            (service, team): scheduler.queue.depth(team)
-            for service, scheduler in self.schedulers.items()
-            for team in scheduler.queue.backlogged()
-        }
+        found: Counter[tuple[str, str]] = Counter()
+        for scheduler in self.schedulers.values():
+            for team in scheduler.queue.backlogged():
+                depth = scheduler.queue.depth(team)
+                found[scheduler.service, team] += depth
+        return found
+
+    def _choose_cell(self, req: TraceRequest) -> str:
+        cells = cells_of(self._cells, req.service)
+        return min(cells, key=lambda c: self._held[req.router, c])
+
+    def _exchange_service(self) -> None:
+        for scheduler in self.schedulers.values():
+            given = scheduler.take_given()
+            if given and siblings_of(self._cells, scheduler.cell):
+                self._count("", f"{scheduler.service}#0", given)
+                self._hubs[scheduler.service].add(given)
+        for service, hub in self._hubs.items():
+            for told in hub.drain(cells_of(self._cells, service)):
+                self._count("", told.cell, told)
+                self.schedulers[told.cell].add_given(told)
+
+    def _move(self, now: float) -> None:
+        moves, self._moves = self._moves, []
+        for move in moves:
+            req = self._trace.requests[move.req_id]
+            self._held[req.router, move.cell] -= 1
+            self._held[req.router, move.to_cell] += 1
+            self._cell_of[move.req_id] = move.to_cell
+            enqueue = self._enqueue(move.req_id, req, move.to_cell, now)
+            self._count(str(req.router), move.to_cell, enqueue)
+            scheduler = self.schedulers[move.to_cell]
+            self._take(scheduler.enqueue(str(req.router), enqueue, now))
 
     def _enqueue(
         self, index: int, req: TraceRequest, cell: str, now: float
@@ -176,7 +233,11 @@
     def _take(self, envelopes: Iterable[Envelope]) -> None:
         for peer, msg in envelopes:
             self._count(peer, getattr(msg, "cell", ""), msg)
-            if isinstance(msg, message.Grant):
+            if isinstance(msg, message.Grant | message.Refuse):
+                self._held[int(peer), self._cell_of[msg.req_id]] -= 1
+            if isinstance(msg, message.Move):
+                self._moves.append(msg)
+            elif isinstance(msg, message.Grant):
                 self._starts.append(Start(msg.req_id, msg.target))
             elif isinstance(msg, message.Refuse):
                 self._refusals.append(msg.req_id)
--- /dev/null
+++ b/packages/standins/tests/test_cells.py
@@ -0,0 +1,66 @@
+"""A service of several cells: no slot idles, and service is accounted for."""
+
+import asyncio
+import unittest
+
+from chervilwall_standins.case import CHAT_PATH, FleetCase
+from chervilwall_standins.demo import make_deployment
+from chervilwall_standins.fleet import call_json, free_port
+from chervilwall_standins.measure import TRACES
+from chervilwall_standins.policies import FleetPolicy, OraclePolicy
+from chervilwall_standins.replay import Replay
+from chervilwall_standins.trace import read_trace
+
+ENGINES = 13
+REQUESTS = 130
+TOKENS = 25
+TOKEN_S = 0.02
+
+
+class CellsReplayTest(unittest.TestCase):
+    def test_three_cells_stay_busy_and_near_the_oracle(self):
+        for name in ("astillas", "agency"):
+            with self.subTest(name):
+                trace = read_trace(TRACES / f"{name}.jsonl")
+                policy = FleetPolicy(trace, targets_per_cell=2)
+                ours = Replay(trace, policy).run()
+                oracle = Replay(trace, OraclePolicy(trace)).run()
+                ratio = ours.utilisation / oracle.utilisation
+                self.assertGreaterEqual(ratio, 0.97)
+                self.assertLessEqual(ours.bytes_per_request, 600)
+
+
+class CellsFleetTest(FleetCase):
+    engine_args = ("--slots", "1", "--token-s", str(TOKEN_S))
+
+    @classmethod
+    def make_deployment(cls):
+        port = free_port()
+        engines = tuple(f"127.0.5.{i + 1}:{port}" for i in range(ENGINES))
+        return make_deployment()._replace(engines=engines, slots=1)
+
+    def test_work_of_one_router_fills_all_cells(self):
+        async def work():
+            caller = self.caller(0)
+            sends = [
+                caller.send(
+                    CHAT_PATH,
+                    tokens=TOKENS,
+                    router=self.fleet.address("router1"),
+                    headers={"Chervilwall-Class": "review"},
+                )
+                for _ in range(REQUESTS)
+            ]
+            return await asyncio.gather(*sends)
+
+        cells = {c["name"] for c in self.fleet.status("router1")["cells"]}
+        self.assertLessEqual({f"contract-model#{i}" for i in range(3)}, cells)
+        answers = self.run_async(work())
+        self.assertTrue(all(a.ok for a in answers))
+        runs = [
+            sum(call_json(f"http://{a}/admin")["runs"].values())
+            for a in self.dep.engines
+        ]
+        self.assertGreater(min(runs), 0)
+        ideal_s = REQUESTS / ENGINES * TOKENS * TOKEN_S
+        self.assertLess(max(a.total_s for a in answers), 2 * ideal_s)
