--- a/packages/core/chervilwall/membership.py
+++ b/packages/core/chervilwall/membership.py
@@ -10,6 +10,7 @@
 
 from chervilwall import message
 from chervilwall.message import Envelope, MemberUpdate
+from chervilwall.pacing import PROBE_ROUNDS_PER_S, paced_s
 
 STATE_ALIVE = "alive"
 STATE_SUSPECT = "suspect"
@@ -148,7 +149,11 @@
         out = self._indirect_probes(now)
         changed += self._expire(now)
         if now >= self._next_probe_at:
-            self._next_probe_at = now + self._cfg.probe_interval_s
+            self._next_probe_at = now + paced_s(
+                self._cfg.probe_interval_s,
+                len(self._members),
+                PROBE_ROUNDS_PER_S,
+            )
             out += self._probe_next(now)
         if now >= self._next_reseed_at:
             self._next_reseed_at = now + self._cfg.reseed_interval_s
--- a/packages/router/chervilwall_router/router.py
+++ b/packages/router/chervilwall_router/router.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import logging
+import math
 import ssl
 import time
 from collections.abc import Awaitable, Callable
 
-from chervilwall import events, message
+from chervilwall import events, message, pacing
 from chervilwall.codec import FrameCodec
 from chervilwall.config import Config
 from chervilwall.errors import ChervilwallError
@@ -257,39 +258,61 @@
         self._every(TICK_S, self._tick)
         self._every(JOIN_INTERVAL_S, self._join)
         self._every(METRICS_INTERVAL_S, self._send_metrics)
-        self._every(timing.sync_interval_s, self._sync)
         self._every(timing.load_poll_s, self._cells.poll_loads)
-        self._every(timing.hosts_poll_s, self._poll_hosts)
-        self._every(timing.rows_copy_s, self._copy_rows_loop)
-        self._every(timing.counters_flush_s, self._flush_counters)
+        for base_s, rounds_per_s, work in (
+            (timing.sync_interval_s, pacing.SYNC_ROUNDS_PER_S, self._sync),
+            (timing.hosts_poll_s, pacing.HOSTS_READS_PER_S, self._poll_hosts),
+            (
+                timing.rows_copy_s,
+                pacing.COPY_ROUNDS_PER_S,
+                self._copy_rows_loop,
+            ),
+            (
+                timing.counters_flush_s,
+                pacing.COUNTER_WRITES_PER_S,
+                self._flush_counters,
+            ),
+            (CONFIG_POLL_S, pacing.CONFIG_READS_PER_S, self._keeper.read),
+        ):
+            self._every(base_s, work, rounds_per_s=rounds_per_s)
         self._every(SERVICE_INTERVAL_S, self._exchange_service)
         self._every(ORDERS_INTERVAL_S, self._step_orders)
         self._every(SWEEP_INTERVAL_S, self._sweep_claims)
         self._every(0.0, self._watch_config)
-        self._every(CONFIG_POLL_S, self._keeper.read)
 
-    def _every(self, period_s: float, work: Callable[[], Awaitable]) -> None:
-        task = asyncio.get_running_loop().create_task(
-            self._repeat(period_s, work)
-        )
+    def _every(
+        self,
+        base_s: float,
+        work: Callable[[], Awaitable],
+        *,
+        rounds_per_s: float = math.inf,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(self._repeat(base_s, work, rounds_per_s))
         self._tasks.append(task)
 
     async def _repeat(
-        self, period_s: float, work: Callable[[], Awaitable]
+        self,
+        base_s: float,
+        work: Callable[[], Awaitable],
+        rounds_per_s: float,
     ) -> None:
         while True:
+            pause_s = 0.0
             try:
                 await work()
             except ChervilwallError as exc:
                 self._log_failure(work.__name__, exc)
-                await asyncio.sleep(RETRY_PAUSE_S)
+                pause_s = RETRY_PAUSE_S
             except Exception:
                 LOG.exception(
                     events.TASK_FAILED.text,
                     extra={"event": events.TASK_FAILED.number},
                 )
-                await asyncio.sleep(RETRY_PAUSE_S)
-            await asyncio.sleep(period_s)
+                pause_s = RETRY_PAUSE_S
+            members = len(self._membership.reachable())
+            period_s = pacing.paced_s(base_s, members, rounds_per_s)
+            await asyncio.sleep(period_s + pause_s)
 
     def _log_failure(self, step: str, exc: ChervilwallError) -> None:
         LOG.debug("%s: %s", step, exc)
