Bound what a router keeps of others; spread cells evenly; cheaper frames

Cause: worked out at 370 routers, a scheduler would have kept the accounting rows of every router whose requests it granted (370 x 1200 rows x 330 bytes), rendezvous hashing gave three cells to some routers, and a frame between routers cost 0.71 ms of processor time at both ends together.

Change: rows that come with the end of an attempt are dropped after 120 s (those copied for safe keeping stay until written); rows of lost routers are dropped once written; each router gets at most an even part of the cells; the mesh reads the socket library's own descriptor instead of waiting on its threads; cells of at most 4 targets where a service has more than 6; load polls and lists of held requests are paced by the fleet.

--- a/packages/core/chervilwall/cells.py
+++ b/packages/core/chervilwall/cells.py
@@ -5,7 +5,8 @@
 
 from chervilwall.config import Config, Target
 
-TARGETS_PER_CELL = 6
+SINGLE_CELL_TARGETS = 6
+TARGETS_PER_CELL = 4
 
 
 class Cell(NamedTuple):
@@ -23,18 +24,24 @@
 
 
 def split_cells(
-    config: Config, targets_per_cell: int = TARGETS_PER_CELL
+    config: Config,
+    *,
+    single: int = SINGLE_CELL_TARGETS,
+    per_cell: int = TARGETS_PER_CELL,
 ) -> dict[str, Cell]:
     """Returns the cells of a configuration by name.
 
     Args:
         config (Config): The configuration.
-        targets_per_cell (int): Most targets of a cell.
+        single (int): Most targets of a service that stays one cell.
+        per_cell (int): Most targets of a cell of a larger service.
     """
     cells: dict[str, Cell] = {}
     for service in config.services:
         targets = sorted(config.targets_of(service.name))
-        count = max(1, math.ceil(len(targets) / targets_per_cell))
+        count = 1
+        if len(targets) > single:
+            count = math.ceil(len(targets) / per_cell)
         for index in range(count):
             name = f"{service.name}#{index}"
             members = tuple(targets[index::count])
--- a/packages/core/chervilwall/ledger.py
+++ b/packages/core/chervilwall/ledger.py
@@ -25,17 +25,18 @@
 
     def __init__(self, incarnation: str) -> None:
         self.incarnation = incarnation
-        self._rows: dict[RowKey, Row] = {}
+        self._books: dict[str, dict[RowKey, Row]] = {incarnation: {}}
 
     def __repr__(self) -> str:
-        return f"Ledger({self.incarnation!r}, rows={len(self._rows)})"
+        return f"Ledger({self.incarnation!r}, rows={len(self)})"
 
     def __iter__(self) -> Iterator[KeyedRow]:
-        for key, row in self._rows.items():
-            yield KeyedRow(key, row)
+        for book in self._books.values():
+            for key, row in book.items():
+                yield KeyedRow(key, row)
 
     def __len__(self) -> int:
-        return len(self._rows)
+        return sum(len(book) for book in self._books.values())
 
     def add(
         self,
@@ -49,7 +50,8 @@
     ) -> KeyedRow:
         """Counts one settled request and returns its row's new totals."""
         key = RowKey(self.incarnation, team, service, cls)
-        row = self._rows.get(key, Row())
+        book = self._books.setdefault(self.incarnation, {})
+        row = book.get(key, Row())
         if outcome == OUTCOME_COMPLETED:
             row = row._replace(
                 completed=row.completed + 1,
@@ -62,17 +64,18 @@
             row = row._replace(uncertain=row.uncertain + 1)
         else:
             row = row._replace(unknown=row.unknown + 1)
-        self._rows[key] = row
+        book[key] = row
         return KeyedRow(key, row)
 
     def merge(self, rows: Iterable[KeyedRow]) -> bool:
         """Takes in copies of rows; returns whether any total grew."""
         changed = False
         for key, row in rows:
-            old = self._rows.get(key)
+            book = self._books.setdefault(key.incarnation, {})
+            old = book.get(key)
             new = row if old is None else max_row(old, row)
             if new != old:
-                self._rows[key] = new
+                book[key] = new
                 changed = True
         return changed
 
@@ -82,16 +85,23 @@
 
     def rows_of(self, incarnation: str) -> tuple[KeyedRow, ...]:
         """Returns the rows of one incarnation."""
-        return tuple(r for r in self if r.key.incarnation == incarnation)
+        book = self._books.get(incarnation, {})
+        return tuple(KeyedRow(key, row) for key, row in book.items())
 
     def incarnations(self) -> set[str]:
         """Returns every incarnation of which rows are held."""
-        return {key.incarnation for key in self._rows}
+        return set(self._books)
 
     def forget(self, incarnation: str) -> None:
         """Drops the rows of an incarnation that the platform holds."""
-        for key in [k for k in self._rows if k.incarnation == incarnation]:
-            del self._rows[key]
+        self._books.pop(incarnation, None)
+
+    def forget_row(self, key: RowKey) -> None:
+        """Drops one copied row."""
+        book = self._books.get(key.incarnation, {})
+        book.pop(key, None)
+        if not book and key.incarnation != self.incarnation:
+            self._books.pop(key.incarnation, None)
 
 
 def max_row(left: Row, right: Row) -> Row:
--- a/packages/core/chervilwall/pacing.py
+++ b/packages/core/chervilwall/pacing.py
@@ -5,7 +5,8 @@
 CONFIG_READS_PER_S = 40.0
 COUNTER_WRITES_PER_S = 60.0
 # Fleet-wide rounds a second, for the processor budget of a router.
-SYNC_ROUNDS_PER_S = 75.0
+SYNC_ROUNDS_PER_S = 37.0
+LOAD_ROUNDS_PER_S = 150.0
 COPY_ROUNDS_PER_S = 370.0
 PROBE_ROUNDS_PER_S = 370.0
 
--- a/packages/core/tests/test_state.py
+++ b/packages/core/tests/test_state.py
@@ -9,7 +9,7 @@
 from chervilwall.estimator import Estimator
 from chervilwall.lease import LONGEST_ORDER_S, LeaseRecord, LeaseView
 from chervilwall.ledger import UNCERTAIN, Ledger
-from chervilwall.rendezvous import owner, owners
+from chervilwall.rendezvous import assign, owner, owners
 from chervilwall.report import merge_copies, report_lines
 
 TTL_S = 10.0
@@ -145,3 +145,12 @@
         self.assertTrue(all(before[k] == "r0" for k in moved))
         self.assertEqual(owners("x", members, 3)[0], owner("x", members))
         self.assertIsNone(owner("x", []))
+
+    def test_no_member_is_assigned_more_than_an_even_part(self):
+        members = [f"r{i}" for i in range(8)]
+        keys = [f"cell{i}" for i in range(20)]
+        found = assign(keys, members)
+        counts = [list(found.values()).count(m) for m in members]
+        self.assertLessEqual(max(counts), 3)
+        self.assertEqual(found, assign(reversed(keys), members))
+        self.assertEqual(assign(keys, []), {})
--- a/packages/router/chervilwall_router/accounts.py
+++ b/packages/router/chervilwall_router/accounts.py
@@ -1,6 +1,7 @@
 """Service delivered per team: counted here, copied to peers and platform."""
 
 import logging
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -14,6 +15,7 @@
 
 LOG = logging.getLogger(__name__)
 COPIES = 2
+PASSING_TTL_S = 120.0
 _ROWS = msgspec.msgpack.Decoder(tuple[KeyedRow, ...])
 
 
@@ -38,6 +40,8 @@
         self._platform = platform
         self._versions: dict[str, int] = {}
         self._written: dict[str, tuple[KeyedRow, ...]] = {}
+        self._backed: set[str] = set()
+        self._passing: OrderedDict[RowKey, float] = OrderedDict()
         self._copied: dict[str, dict[RowKey, Row]] = {}
 
     def __repr__(self) -> str:
@@ -77,10 +81,32 @@
                 team=run.team,
             )
 
-    def merge(self, rows: Iterable[KeyedRow]) -> None:
-        """Takes in copies of other routers' rows."""
+    def keep_copy(self, incarnation: str, rows: Iterable[KeyedRow]) -> None:
+        """Takes in rows that a router copies here for safe keeping."""
+        self._backed.add(incarnation)
         self.ledger.merge(rows)
 
+    def note_total(self, total: KeyedRow, now: float) -> None:
+        """Takes in a row that came with the end of an attempt.
+
+        It is dropped once its router has had time to write it, so that a
+        scheduler does not gather the rows of the whole fleet.
+        """
+        self.ledger.merge([total])
+        self._passing[total.key] = now
+        self._passing.move_to_end(total.key)
+
+    def prune(self, now: float) -> None:
+        """Drops passing rows that are old."""
+        while self._passing:
+            key, at = next(iter(self._passing.items()))
+            if now - at < PASSING_TTL_S:
+                return
+            del self._passing[key]
+            kept = key.incarnation in self._backed
+            if not kept and key.incarnation != self.incarnation:
+                self.ledger.forget_row(key)
+
     def copy_to(self, peer: str, send: Callable[[str, RowsPush], None]) -> None:
         """Sends a peer the own rows that changed since its last copy."""
         copied = self._copied.setdefault(peer, {})
@@ -93,19 +119,22 @@
             send(peer, RowsPush(changed))
             copied.update({item.key: item.row for item in changed})
 
-    async def flush(self, incarnations: Iterable[str]) -> bool:
-        """Writes the rows of incarnations to the platform.
+    async def flush(self, lost: Iterable[str] = ()) -> bool:
+        """Writes own rows and those of lost routers to the platform.
 
         Args:
-            incarnations (Iterable[str]): Own incarnation and lost ones.
+            lost (Iterable[str]): Incarnations of routers that are gone; their
+                rows are forgotten here once they are written.
 
         Returns:
-            Whether all that is known of them is now kept.
+            Whether all that is known is now kept.
         """
         kept = True
-        for incarnation in incarnations:
+        for incarnation in (self.incarnation, *lost):
             try:
                 await self._flush_one(incarnation)
+                if incarnation != self.incarnation:
+                    self._forget(incarnation)
             except PlatformError as exc:
                 self._versions.pop(incarnation, None)
                 kept = False
@@ -118,6 +147,12 @@
                 )
         return kept
 
+    def _forget(self, incarnation: str) -> None:
+        self.ledger.forget(incarnation)
+        self._backed.discard(incarnation)
+        self._versions.pop(incarnation, None)
+        self._written.pop(incarnation, None)
+
     async def _flush_one(self, incarnation: str) -> None:
         rows = self.ledger.rows_of(incarnation)
         if not rows or self._written.get(incarnation) == rows:
--- a/packages/router/chervilwall_router/cell_host.py
+++ b/packages/router/chervilwall_router/cell_host.py
@@ -17,7 +17,7 @@
 from chervilwall.config import TARGET_ACTIVE, TARGET_LEAVING, Config, Target
 from chervilwall.message import Envelope
 from chervilwall.quarantine import Quarantine
-from chervilwall.rendezvous import owner
+from chervilwall.rendezvous import assign
 from chervilwall.scheduler import CellScheduler
 from chervilwall.siblings import ServiceHub
 from chervilwall.slots import Running
@@ -122,7 +122,7 @@
         Returns:
             The cells whose scheduler changed.
         """
-        owners = {name: owner(name, members) or "" for name in self.cells}
+        owners = assign(self.cells, members)
         changed = [n for n in owners if owners[n] != self.owners.get(n)]
         self.owners = owners
         for name in [
--- a/packages/router/chervilwall_router/mesh.py
+++ b/packages/router/chervilwall_router/mesh.py
@@ -66,7 +66,6 @@
         self._peers: dict[str, pynng.Push0] = {}
         self._outbox: dict[str, list[Message]] = {}
         self._flush_set = False
-        self._reader: asyncio.Task[None] | None = None
         self.frames_sent = 0
         self.frames_received = 0
         self.bytes_sent = 0
@@ -82,16 +81,18 @@
             recv_buffer_size=RECEIVE_BUFFER_FRAMES,
             recv_max_size=MAX_FRAME_BYTES,
         )
-        self._reader = asyncio.get_running_loop().create_task(self._read())
+        # A reader on the library's own descriptor saves a hand-over between
+        # threads for each frame.
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self._inbox.recv_fd, self._read)
         return self
 
     def __exit__(self, *exc_info: object) -> None:
         self.flush()
-        if self._reader is not None:
-            self._reader.cancel()
         for sock in self._peers.values():
             sock.close()
         if self._inbox is not None:
+            asyncio.get_running_loop().remove_reader(self._inbox.recv_fd)
             self._inbox.close()
 
     def send(self, address: str, message: Message) -> None:
@@ -144,19 +145,14 @@
             self._peers[address] = sock
         return sock
 
-    async def _read(self) -> None:
+    def _read(self) -> None:
         assert self._inbox is not None
-        while True:
+        for _ in range(FRAMES_PER_TURN):
             try:
-                self._take(await self._inbox.arecv())
-            except pynng.Closed:
+                blob = self._inbox.recv(block=False)
+            except pynng.TryAgain:
                 return
-            for _ in range(FRAMES_PER_TURN):
-                try:
-                    self._take(self._inbox.recv(block=False))
-                except pynng.TryAgain:
-                    break
-            await asyncio.sleep(0)
+            self._take(blob)
 
     def _take(self, blob: bytes) -> None:
         self.frames_received += 1
--- a/packages/router/chervilwall_router/router.py
+++ b/packages/router/chervilwall_router/router.py
@@ -174,7 +174,7 @@
         await self._claims.drain(max(0.0, limit - time.monotonic()))
         self._copy_rows()
         while time.monotonic() < limit:
-            if await self._accounts.flush([self._incarnation]):
+            if await self._accounts.flush():
                 break
             await asyncio.sleep(RETRY_PAUSE_S)
         try:
@@ -261,8 +261,12 @@
         self._every(TICK_S, self._tick)
         self._every(JOIN_INTERVAL_S, self._join)
         self._every(METRICS_INTERVAL_S, self._send_metrics)
-        self._every(timing.load_poll_s, self._cells.poll_loads)
         for base_s, rounds_per_s, work in (
+            (
+                timing.load_poll_s,
+                pacing.LOAD_ROUNDS_PER_S,
+                self._cells.poll_loads,
+            ),
             (timing.sync_interval_s, pacing.SYNC_ROUNDS_PER_S, self._sync),
             (timing.hosts_poll_s, pacing.HOSTS_READS_PER_S, self._poll_hosts),
             (
@@ -342,7 +346,7 @@
 
     def _receive(self, peer: str, msg: message.Message) -> None:
         if isinstance(msg, message.Done) and msg.total is not None:
-            self._accounts.merge([msg.total])
+            self._accounts.note_total(msg.total, time.monotonic())
         if isinstance(msg, _TO_SCHEDULER):
             self._cells.receive(peer, msg)
         elif isinstance(msg, message.Grant):
@@ -354,7 +358,13 @@
         elif isinstance(msg, message.Missing):
             self._holder.on_missing(msg)
         elif isinstance(msg, message.RowsPush):
-            self._accounts.merge(msg.rows)
+            self._keep_copy(peer, msg)
+
+    def _keep_copy(self, peer: str, msg: message.RowsPush) -> None:
+        member = self._membership.get(peer)
+        if member is not None:
+            incarnation = f"{member.name}-{member.incarnation}"
+            self._accounts.keep_copy(incarnation, msg.rows)
 
     async def _tick(self) -> None:
         self._fleet.tick()
@@ -403,8 +413,10 @@
             for m in self._membership.members()
             if m.state != STATE_DEAD
         }
+        alive.add(self._incarnation)
         lost = self._accounts.ledger.incarnations() - alive
-        await self._accounts.flush([self._incarnation, *sorted(lost)])
+        await self._accounts.flush(sorted(lost))
+        self._accounts.prune(time.monotonic())
 
     async def _step_orders(self) -> None:
         if self._is_owner("orders", ORDER_CANDIDATES):
--- a/packages/standins/chervilwall_standins/policies.py
+++ b/packages/standins/chervilwall_standins/policies.py
@@ -6,7 +6,7 @@
 
 from chervilwall import message
 from chervilwall.cells import (
-    TARGETS_PER_CELL,
+    SINGLE_CELL_TARGETS,
     cells_of,
     siblings_of,
     split_cells,
@@ -88,7 +88,7 @@
         trace: Trace,
         settings: SchedulerSettings | None = None,
         *,
-        targets_per_cell: int = TARGETS_PER_CELL,
+        targets_per_cell: int = SINGLE_CELL_TARGETS,
     ) -> None:
         self._trace = trace
         self._starts: list[Start] = []
@@ -101,7 +101,9 @@
         config = trace.config()
         quarantine = Quarantine()
         self.schedulers: dict[str, CellScheduler] = {}
-        self._cells = split_cells(config, targets_per_cell)
+        self._cells = split_cells(
+            config, single=targets_per_cell, per_cell=targets_per_cell
+        )
         self._cell_of: dict[int, str] = {}
         self._held: Counter[tuple[int, str]] = Counter()
         self._hubs = {s.name: ServiceHub() for s in config.services}
--- a/packages/standins/chervilwall_standins/slopes.py
+++ b/packages/standins/chervilwall_standins/slopes.py
@@ -27,12 +27,14 @@
 from chervilwall.membership import STATE_ALIVE, Membership
 from chervilwall.message import Done, Enqueue, MemberUpdate
 from chervilwall.quarantine import Quarantine
+from chervilwall.rendezvous import assign
 from chervilwall.scheduler import CellScheduler
-from chervilwall_router.mesh import Mesh
+from chervilwall_router.mesh import Mesh, limit_threads
 
+from chervilwall_standins.caller import Caller
 from chervilwall_standins.demo import apply_sheet, make_deployment
 from chervilwall_standins.fleet import Fleet, call_json, free_port
-from chervilwall_standins.sheets import make_sheet
+from chervilwall_standins.sheets import Deployment, make_sheet, team_key
 
 KEY = b"key-of-the-measured-fleet"
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
@@ -258,13 +260,16 @@
 
 def histograms(count: int) -> Point:
     """Measures the memory of histograms."""
-    before = _rss_bytes()
 
-    table = HistogramTable()
-    for number in range(count):
-        for value in (0.01, 0.5, 3.0):
-            table.observe(HistogramKey("wait", f"t{number}", "chat"), value)
-    return Point(count, {"resident_bytes": _rss_bytes() - before})
+    def make() -> HistogramTable:
+        table = HistogramTable()
+        for number in range(count):
+            for value in (0.01, 0.5, 3.0):
+                key = HistogramKey("wait", f"t{number}", "chat")
+                table.observe(key, value)
+        return table
+
+    return Point(count, {"bytes": kept_bytes(make)})
 
 
 def configuration(teams: int) -> Point:
@@ -287,6 +292,13 @@
     )
 
 
+def election(members: int) -> Point:
+    """Measures the choice of schedulers after a change of members."""
+    cells = [f"model{i % 7}#{i}" for i in range(members * 2 // 5)]
+    names = [f"router{i}" for i in range(members)]
+    return Point(members, {"cpu_ms": cpu_ms(lambda: assign(cells, names))})
+
+
 async def frames(messages: int) -> Point:
     """Measures a frame between two sockets with so many messages."""
     codec = FrameCodec([KEY])
@@ -362,6 +374,47 @@
     )
 
 
+def loaded(requests_per_s: int) -> Point:
+    """Measures routers under steady load, relaying included."""
+    dep = make_deployment()
+    seconds = 8.0
+    with Fleet(routers=3) as fleet:
+        fleet.start_targets("engines", list(dep.engines), "--token-s", "0.002")
+        fleet.start_targets("plains", list(dep.plains))
+        apply_sheet(fleet, make_sheet(dep), quiet=True)
+        time.sleep(2)
+        before = [_process(fleet, name) for name in fleet.names]
+        sent = asyncio.run(_send(fleet, dep, requests_per_s, seconds))
+        after = [_process(fleet, name) for name in fleet.names]
+    spent = {
+        name: sum(b[name] - a[name] for a, b in zip(before, after, strict=True))
+        for name in before[0]
+    }
+    return Point(
+        requests_per_s,
+        {
+            "cpu_ms/request": spent["cpu_ms"] / sent,
+            "frames/request": spent["frames"] / sent,
+            "bytes/request": spent["bytes"] / sent,
+        },
+    )
+
+
+async def _send(
+    fleet: Fleet, dep: Deployment, requests_per_s: int, seconds: float
+) -> int:
+    seeds = [fleet.address(name) for name in fleet.names]
+    callers = [Caller(seeds, team_key(dep, i)) for i in range(dep.teams)]
+    tasks = []
+    for number in range(int(requests_per_s * seconds)):
+        caller = callers[number % len(callers)]
+        send = caller.send("/v1/chat/completions", tokens=5)
+        tasks.append(asyncio.create_task(send))
+        await asyncio.sleep(1.0 / requests_per_s)
+    answers = await asyncio.gather(*tasks)
+    return sum(answer.ok for answer in answers)
+
+
 def _process(fleet: Fleet, name: str) -> dict[str, float]:
     with open(f"/proc/{fleet.pid(name)}/stat") as file:
         fields = file.read().rsplit(")", 1)[1].split()
@@ -374,11 +427,6 @@
     }
 
 
-def _rss_bytes() -> float:
-    with open("/proc/self/statm") as file:
-        return float(file.read().split()[1]) * PAGE_BYTES
-
-
 def series() -> Iterator[tuple[str, list[Point]]]:
     """Yields all series."""
     yield (
@@ -393,6 +441,10 @@
         "scheduler of a cell, by backlogged teams",
         [scheduling(n) for n in (5, 20, 60)],
     )
+    yield (
+        "election of schedulers, by members with two cells for five",
+        [election(n) for n in (8, 64, 370)],
+    )
     yield "waiting requests", [queueing(n) for n in (100, 1000, 5000)]
     yield "accounting rows", [ledger(n) for n in (100, 600, 6000)]
     yield "histograms", [histograms(n) for n in (100, 600, 1800)]
@@ -401,10 +453,15 @@
         [configuration(n) for n in (60, 300, 610)],
     )
     yield "idle routers, by processes", [processes(n) for n in (3, 8, 24)]
+    yield (
+        "three routers under load, by requests a second",
+        [loaded(n) for n in (10, 30, 90)],
+    )
 
 
 def main() -> int:
     """Prints all series with their slopes."""
+    limit_threads()
     for title, points in series():
         show(title, points)
     usage = resource.getrusage(resource.RUSAGE_SELF)
