--- a/packages/router/chervilwall_router/cell_host.py
+++ b/packages/router/chervilwall_router/cell_host.py
@@ -26,6 +26,7 @@
 from chervilwall_router.settings import TimingSettings, split_address
 
 LOG = logging.getLogger(__name__)
+MAX_REFUSED_LOGGED = 1000
 
 
 class TargetLoad(msgspec.Struct):
@@ -70,6 +71,8 @@
         self._config = Config()
         self._leaving_hosts: frozenset[str] = frozenset()
         self._leaving_targets: set[str] = set()
+        self._ejected: set[str] = set()
+        self._refused: set[bytes] = set()
         self._schedulers: dict[str, CellScheduler] = {}
         self._hubs: dict[str, ServiceHub] = {}
         self._http = AsyncHTTPClient(force_instance=True, max_clients=64)
@@ -202,6 +205,31 @@
         if owner_name:
             self._send([Envelope(owner_name, msg)])
 
+    def log_changes(self) -> None:
+        """Logs targets newly ejected and requests newly quarantined."""
+        now = time.monotonic()
+        ejected = {
+            target
+            for scheduler in self._schedulers.values()
+            for target in scheduler.slots.health.ejected(now)
+        }
+        for target in ejected - self._ejected:
+            events.log_event(
+                LOG, events.TARGET_EJECTED, step="judge target", peer=target
+            )
+        self._ejected = ejected
+        refused = {s.fingerprint for s in self._quarantine.refused(now)}
+        for fingerprint in refused - self._refused:
+            events.log_event(
+                LOG,
+                events.REQUEST_QUARANTINED,
+                step="judge request",
+                fingerprint=fingerprint.hex(),
+            )
+        self._refused |= refused
+        if len(self._refused) > MAX_REFUSED_LOGGED:
+            self._refused = refused
+
     async def poll_loads(self) -> None:
         """Asks the targets of all cells scheduled here for their load."""
         targets = [
--- a/packages/router/chervilwall_router/router.py
+++ b/packages/router/chervilwall_router/router.py
@@ -375,6 +375,7 @@
 
     async def _send_metrics(self) -> None:
         self._metrics.flush()
+        self._cells.log_changes()
 
     async def _sync(self) -> None:
         self._holder.sync_all()
