Drop doubt about routers that lived; run traces through real processes

Change: uncertain rows name the lost incarnation, an incarnation that ends as planned says so in its rows, and the report leaves out doubts about those that live or ended as planned.

--- a/packages/core/chervilwall/ledger.py
+++ b/packages/core/chervilwall/ledger.py
@@ -11,6 +11,10 @@
 )
 
 UNCERTAIN = "uncertain"
+# Divides a lost incarnation from the one that counted what it had in progress.
+LOST_MARK = "?"
+# Class of the empty row that an incarnation writes when it ends as planned.
+CLOSED_CLASS = "closed"
 
 
 class Ledger:
@@ -47,10 +51,24 @@
         *,
         work: float = 0.0,
         worth: float = 0.0,
+        lost: str = "",
     ) -> KeyedRow:
-        """Counts one settled request and returns its row's new totals."""
-        key = RowKey(self.incarnation, team, service, cls)
-        book = self._books.setdefault(self.incarnation, {})
+        """Counts one settled request and returns its row's new totals.
+
+        Args:
+            team (str): Team that pays.
+            service (str): Service.
+            cls (str): Request class.
+            outcome (str): Which total grows.
+            work (float): Work of a completed request.
+            worth (float): Worth of a completed request.
+            lost (str): Incarnation that was lost with the request.
+        """
+        incarnation = self.incarnation
+        if lost:
+            incarnation = f"{lost}{LOST_MARK}{self.incarnation}"
+        key = RowKey(incarnation, team, service, cls)
+        book = self._books.setdefault(incarnation, {})
         row = book.get(key, Row())
         if outcome == OUTCOME_COMPLETED:
             row = row._replace(
@@ -67,6 +85,19 @@
         book[key] = row
         return KeyedRow(key, row)
 
+    def close(self) -> None:
+        """Notes that this incarnation ends as planned, with nothing open."""
+        key = RowKey(self.incarnation, "", "", CLOSED_CLASS)
+        self._books.setdefault(self.incarnation, {})[key] = Row()
+
+    def closed(self) -> set[str]:
+        """Returns the incarnations that ended as planned."""
+        return {
+            incarnation
+            for incarnation, book in self._books.items()
+            if RowKey(incarnation, "", "", CLOSED_CLASS) in book
+        }
+
     def merge(self, rows: Iterable[KeyedRow]) -> bool:
         """Takes in copies of rows; returns whether any total grew."""
         changed = False
--- a/packages/core/chervilwall/report.py
+++ b/packages/core/chervilwall/report.py
@@ -1,13 +1,17 @@
 """The report of service delivered per team, from grow-only totals."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
-from chervilwall.ledger import Ledger, sum_rows
+from chervilwall.ledger import (
+    CLOSED_CLASS,
+    LOST_MARK,
+    Ledger,
+    sum_rows,
+)
 from chervilwall.message import KeyedRow, Row
 
 COUNTERS_PREFIX = "counters/"
-ARCHIVE_KEY = "archive/counters"
 
 
 class ReportLine(NamedTuple):
@@ -34,10 +38,25 @@
     return ledger
 
 
-def report_lines(ledger: Ledger) -> list[ReportLine]:
-    """Returns a line for each team, service and class."""
+def report_lines(
+    ledger: Ledger, alive: Collection[str] = ()
+) -> list[ReportLine]:
+    """Returns a line for each team, service and class.
+
+    What an incarnation had in progress when others gave it up for lost is
+    uncertain only if it really ended then: one that is alive, or that ended
+    as planned, has told all of it in its own totals.
+
+    Args:
+        ledger (Ledger): The fleet's totals.
+        alive (Collection): Incarnations that run now.
+    """
+    certain = ledger.closed() | set(alive)
     groups: dict[tuple[str, str, str], list[Row]] = {}
     for key, row in ledger:
+        lost, mark, _ = key.incarnation.partition(LOST_MARK)
+        if key.cls == CLOSED_CLASS or (mark and lost in certain):
+            continue
         groups.setdefault((key.team, key.service, key.cls), []).append(row)
     return [
         ReportLine(*group, sum_rows(rows))
--- a/packages/core/tests/test_state.py
+++ b/packages/core/tests/test_state.py
@@ -39,6 +39,17 @@
         row = report_lines(ledger)[0].row
         self.assertEqual(row, (1, 1, 1, 1, 1.0, 5.0))
 
+    def test_what_a_lost_router_had_is_uncertain_unless_it_lived(self):
+        ledger = Ledger("r1-1")
+        ledger.add("a", "s", "c", UNCERTAIN, lost="r2-1")
+        uncertain = [line.row.uncertain for line in report_lines(ledger)]
+        self.assertEqual(uncertain, [1])
+        self.assertEqual(report_lines(ledger, alive=["r2-1"]), [])
+        ended = Ledger("r2-1")
+        ended.close()
+        ledger.merge(ended)
+        self.assertEqual(report_lines(ledger), [])
+
 
 class ClaimTest(unittest.TestCase):
     def make(self, state, answer=None):
--- a/packages/operator/chervilwall_ctl/commands.py
+++ b/packages/operator/chervilwall_ctl/commands.py
@@ -203,10 +203,11 @@
 
 async def report(session: Session) -> int:
     """Shows service delivered per team, service and class."""
-    ledger, missing = await fleet_view.gather_ledger(
+    found = await fleet_view.gather_totals(
         session.routers, session.platform, session.args.router
     )
-    lines = report_lines(ledger)
+    missing = found.missing
+    lines = report_lines(found.ledger, found.alive)
     titles = ("completed", "refused", "unknown", "uncertain", "work", "worth")
     table = Table(
         [
--- a/packages/operator/chervilwall_ctl/fleet_view.py
+++ b/packages/operator/chervilwall_ctl/fleet_view.py
@@ -66,10 +66,24 @@
     return RouterView(name, address, status)
 
 
-async def gather_ledger(
+class Gathered(NamedTuple):
+    """The fleet's totals.
+
+    Args:
+        ledger (Ledger): The totals.
+        alive (list): Incarnations that run now.
+        missing (list): Sources that did not answer.
+    """
+
+    ledger: Ledger
+    alive: list[str]
+    missing: list[str]
+
+
+async def gather_totals(
     client: RouterClient, platform: Platform, addresses: Iterable[str]
-) -> tuple[Ledger, list[str]]:
-    """Returns the fleet's totals, and the sources that did not answer."""
+) -> Gathered:
+    """Returns the fleet's totals from the platform and all routers."""
     copies: list[Iterable[KeyedRow]] = []
     missing: list[str] = []
     try:
@@ -82,10 +96,13 @@
     except RouterError as exc:
         routers = {}
         missing.append(f"routers ({exc.reason})")
+    alive: list[str] = []
     for name, address in routers.items():
         try:
+            status = await client.get(address, "/v1/admin/status")
+            alive.append(status["incarnation"])
             raw = await client.get(address, "/v1/admin/rows")
             copies.append(msgspec.convert(raw, list[KeyedRow]))
         except RouterError as exc:
             missing.append(f"router {name} ({exc.reason})")
-    return merge_copies(copies), missing
+    return Gathered(merge_copies(copies), alive, missing)
--- a/packages/router/chervilwall_router/accounts.py
+++ b/packages/router/chervilwall_router/accounts.py
@@ -69,10 +69,14 @@
         self._on_change()
         return row
 
-    def settle_lost(self, service: str, runs: Iterable[Running]) -> None:
+    def settle_lost(
+        self, incarnation: str, service: str, runs: Iterable[Running]
+    ) -> None:
         """Counts the attempts of a lost router as uncertain."""
         for run in runs:
-            self.settle(run.team, service, run.cls, UNCERTAIN)
+            self.ledger.add(
+                run.team, service, run.cls, UNCERTAIN, lost=incarnation
+            )
             events.log_event(
                 LOG,
                 events.SERVICE_UNCERTAIN,
@@ -133,7 +137,7 @@
         for incarnation in (self.incarnation, *lost):
             try:
                 await self._flush_one(incarnation)
-                if incarnation != self.incarnation:
+                if not incarnation.endswith(self.incarnation):
                     self._forget(incarnation)
             except PlatformError as exc:
                 self._versions.pop(incarnation, None)
--- a/packages/router/chervilwall_router/admin.py
+++ b/packages/router/chervilwall_router/admin.py
@@ -95,6 +95,10 @@
         }
         if scheduler is not None:
             view["waiting"] = scheduler.waiting()
+            view["waiting_by_team"] = {
+                team: scheduler.queue.depth(team)
+                for team in scheduler.queue.backlogged()
+            }
             view["running"] = len(scheduler.slots)
             view["target_states"] = [
                 s._asdict() for s in scheduler.slots.states(time.monotonic())
--- a/packages/router/chervilwall_router/cell_host.py
+++ b/packages/router/chervilwall_router/cell_host.py
@@ -51,7 +51,8 @@
         quarantine (Quarantine): Suspects, shared by all cells.
         timing (TimingSettings): Periods.
         send (Callable): Sends envelopes to routers.
-        on_lost (Callable): Takes the attempts of a lost router.
+        on_lost (Callable): Takes the incarnation of a lost router, a service
+            and the attempts that it had there.
     """
 
     def __init__(
@@ -61,7 +62,7 @@
         timing: TimingSettings,
         *,
         send: Callable[[Iterable[Envelope]], None],
-        on_lost: Callable[[str, list[Running]], None],
+        on_lost: Callable[[str, str, list[Running]], None],
     ) -> None:
         self._name = name
         self._quarantine = quarantine
@@ -166,14 +167,14 @@
     def _hub(self, service: str) -> ServiceHub:
         return self._hubs.setdefault(service, ServiceHub())
 
-    def drop_router(self, name: str) -> None:
+    def drop_router(self, name: str, incarnation: str) -> None:
         """Gives back all that a lost router held."""
         now = time.monotonic()
         for scheduler in self._schedulers.values():
             lost, out = scheduler.drop_router(name, now)
             self._send(out)
             if lost:
-                self._on_lost(scheduler.service, lost)
+                self._on_lost(incarnation, scheduler.service, lost)
 
     def tick(self) -> None:
         """Advances the timers of all schedulers."""
--- a/packages/router/chervilwall_router/router.py
+++ b/packages/router/chervilwall_router/router.py
@@ -172,6 +172,8 @@
 
     async def _keep_state(self, limit: float) -> None:
         await self._claims.drain(max(0.0, limit - time.monotonic()))
+        if not self._is_busy():
+            self._accounts.ledger.close()
         self._copy_rows()
         while time.monotonic() < limit:
             if await self._accounts.flush():
@@ -336,7 +338,8 @@
         self._elect()
         for member in changed:
             if member.state == STATE_DEAD:
-                self._cells.drop_router(member.name)
+                incarnation = f"{member.name}-{member.incarnation}"
+                self._cells.drop_router(member.name, incarnation)
         self._fleet.prune()
 
     def _send_to_cell(self, cell: str, msg: message.Message) -> None:
--- a/packages/standins/chervilwall_standins/measure.py
+++ b/packages/standins/chervilwall_standins/measure.py
@@ -14,10 +14,12 @@
     RoundRobinPolicy,
     StaticSharesPolicy,
 )
+from chervilwall_standins.real_run import RealOutcome, run_real
 from chervilwall_standins.replay import Outcome, Replay
-from chervilwall_standins.trace import Trace, read_trace
+from chervilwall_standins.trace import Trace, read_trace, shorten
 
 TRACES = pathlib.Path(__file__).parents[3] / "traces"
+REAL_S = 30.0
 DEPLOYMENTS = ("astillas", "agency")
 
 
@@ -65,6 +67,25 @@
     }
 
 
+def compare_real(name: str, replayed: Outcome, real: RealOutcome) -> None:
+    """Prints a replay beside the same requests through real processes."""
+    table = Table(
+        [Column(f"{name}, {REAL_S:g} s"), Column("replay"), Column("processes")]
+    )
+    bytes_replayed = f"{replayed.bytes_per_request:.0f}"
+    table.add("fairness gap", replayed.gap, real.gap)
+    table.add(
+        "utilisation",
+        f"{replayed.utilisation:.3f}",
+        f"{real.utilisation:.3f}",
+    )
+    table.add("refused", replayed.refused, real.refused)
+    table.add(
+        "control bytes/request", bytes_replayed, f"{real.bytes_per_request:.0f}"
+    )
+    print(table.to_text(), end="\n\n", flush=True)
+
+
 def main() -> int:
     """Runs all replays; the last line is one JSON object."""
     result: dict[str, object] = {}
@@ -72,6 +93,10 @@
         outcomes = replay_all(read_trace(path))
         print_outcomes(path.stem, outcomes)
         result[path.stem] = summarise(outcomes)
+    for name in DEPLOYMENTS:
+        trace = shorten(read_trace(TRACES / f"{name}.jsonl"), REAL_S)
+        replayed = Replay(trace, FleetPolicy(trace), count_progress=False)
+        compare_real(name, replayed.run(), run_real(trace))
     print(json.dumps(result))
     return 0
 
--- a/packages/standins/chervilwall_standins/trace.py
+++ b/packages/standins/chervilwall_standins/trace.py
@@ -204,6 +204,13 @@
     path.write_bytes(b"\n".join(lines) + b"\n")
 
 
+def shorten(trace: Trace, until: float) -> Trace:
+    """Returns the beginning of a trace."""
+    heading = trace.heading._replace(until=until)
+    kept = tuple(req for req in trace.requests if req.at < until)
+    return Trace(heading, kept)
+
+
 def _expand(heading: TraceHeading, line: _Line) -> TraceRequest:
     cls = heading.classes[line.cls]
     return TraceRequest(
--- a/packages/standins/tests/test_reports.py
+++ b/packages/standins/tests/test_reports.py
@@ -81,6 +81,41 @@
         self.fleet.start_router("router3")
         self.fleet.wait_ready("router3")
 
+    def test_a_router_given_up_for_lost_that_lives_leaves_no_doubt(self):
+        before = self.report()
+        dead = []
+
+        def disturb():
+            time.sleep(0.5)
+            self.fleet.send_signal("router2", signal.SIGSTOP)
+            wait_for(
+                lambda: (
+                    "dead"
+                    in [
+                        m[3]
+                        for m in self.fleet.status("router1")["members"]
+                        if m[0] == "router2"
+                    ]
+                ),
+                limit_s=8,
+                what="router2 given up for lost",
+            )
+            dead.append(True)
+            self.fleet.send_signal("router2", signal.SIGCONT)
+
+        got, broken = self.run_async(self.load(disturb))
+        self.assertTrue(dead)
+        self.check_totals(got, broken, before)
+
+        def certain():
+            after = self.report()
+            return all(
+                (after[team] - before.get(team, Counter()))["uncertain"] == 0
+                for team in after
+            )
+
+        wait_for(certain, limit_s=10, what="no uncertain requests")
+
     def test_totals_match_when_the_platform_loses_replies(self):
         before = self.report()
 
