Show what a killed router had in progress, also where it scheduled itself

Cause: requests in progress on a router that scheduled their cell itself were known to no other router, so after a kill they were neither completed nor uncertain. Change: a router counts attempts begun and ended on its own grants in its grow-only rows, which two peers hold; the report shows the difference as uncertain once the router is gone.

--- a/packages/core/chervilwall/ledger.py
+++ b/packages/core/chervilwall/ledger.py
@@ -11,6 +11,8 @@
 )
 
 UNCERTAIN = "uncertain"
+STARTED = "started"
+FINISHED = "finished"
 # Divides a lost incarnation from the one that counted what it had in progress.
 LOST_MARK = "?"
 # Class of the empty row that an incarnation writes when it ends as planned.
@@ -80,6 +82,10 @@
             row = row._replace(refused=row.refused + 1)
         elif outcome == UNCERTAIN:
             row = row._replace(uncertain=row.uncertain + 1)
+        elif outcome == STARTED:
+            row = row._replace(started=row.started + 1)
+        elif outcome == FINISHED:
+            row = row._replace(finished=row.finished + 1)
         else:
             row = row._replace(unknown=row.unknown + 1)
         book[key] = row
--- a/packages/core/chervilwall/message.py
+++ b/packages/core/chervilwall/message.py
@@ -32,6 +32,9 @@
         uncertain (int): Requests granted to a router that was then lost.
         work (float): Work of completed requests, in work units.
         worth (float): Worth of completed requests.
+        started (int): Attempts begun on a grant of this router's own
+            scheduler, of which no other router knows.
+        finished (int): Those of them that have ended.
     """
 
     completed: int = 0
@@ -40,6 +43,8 @@
     uncertain: int = 0
     work: float = 0.0
     worth: float = 0.0
+    started: int = 0
+    finished: int = 0
 
 
 class KeyedRow(NamedTuple):
--- a/packages/core/chervilwall/report.py
+++ b/packages/core/chervilwall/report.py
@@ -57,6 +57,9 @@
         lost, mark, _ = key.incarnation.partition(LOST_MARK)
         if key.cls == CLOSED_CLASS or (mark and lost in certain):
             continue
+        if key.incarnation not in certain:
+            open_count = max(0, row.started - row.finished)
+            row = row._replace(uncertain=row.uncertain + open_count)
         groups.setdefault((key.team, key.service, key.cls), []).append(row)
     return [
         ReportLine(*group, sum_rows(rows))
--- a/packages/core/tests/test_state.py
+++ b/packages/core/tests/test_state.py
@@ -37,7 +37,7 @@
         for outcome in ("completed", "refused", "broken", UNCERTAIN):
             ledger.add("a", "s", "c", outcome, work=1.0, worth=5.0)
         row = report_lines(ledger)[0].row
-        self.assertEqual(row, (1, 1, 1, 1, 1.0, 5.0))
+        self.assertEqual(row, (1, 1, 1, 1, 1.0, 5.0, 0, 0))
 
     def test_what_a_lost_router_had_is_uncertain_unless_it_lived(self):
         ledger = Ledger("r1-1")
--- a/packages/operator/chervilwall_ctl/commands.py
+++ b/packages/operator/chervilwall_ctl/commands.py
@@ -16,7 +16,7 @@
     hash_key,
 )
 from chervilwall.errors import ChervilwallError, SheetError
-from chervilwall.report import report_lines
+from chervilwall.report import ReportLine, report_lines
 from chervilwall.sheet import diff_configs, parse_sheet
 from chervilwall_platform.client import HttpPlatform
 
@@ -30,6 +30,14 @@
 EXIT_USAGE = 2
 EXIT_REFUSED = 3
 EXIT_PARTIAL = 4
+REPORT_TOTALS = (
+    "completed",
+    "refused",
+    "unknown",
+    "uncertain",
+    "work",
+    "worth",
+)
 
 
 class Session(NamedTuple):
@@ -208,24 +216,24 @@
     )
     missing = found.missing
     lines = report_lines(found.ledger, found.alive)
-    titles = ("completed", "refused", "unknown", "uncertain", "work", "worth")
     table = Table(
         [
             Column("team"),
             Column("service"),
             Column("class"),
-            *(Column(title, True) for title in titles),
+            *(Column(title, True) for title in REPORT_TOTALS),
         ]
     )
     for line in lines:
-        table.add(line.team, line.service, line.cls, *line.row)
+        totals = _report_totals(line).values()
+        table.add(line.team, line.service, line.cls, *totals)
     data = {
         "lines": [
             {
                 "team": line.team,
                 "service": line.service,
                 "class": line.cls,
-                **line.row._asdict(),
+                **_report_totals(line),
             }
             for line in lines
         ],
@@ -237,6 +245,10 @@
     return EXIT_PARTIAL if missing else EXIT_OK
 
 
+def _report_totals(line: ReportLine) -> dict[str, float]:
+    return {title: getattr(line.row, title) for title in REPORT_TOTALS}
+
+
 async def drain(session: Session) -> int:
     """Begins a planned stop of a router."""
     client = session.routers
--- a/packages/router/chervilwall_router/cell_host.py
+++ b/packages/router/chervilwall_router/cell_host.py
@@ -96,6 +96,10 @@
         """Returns the scheduler of a cell, if it runs here."""
         return self._schedulers.get(cell)
 
+    def is_own(self, cell: str) -> bool:
+        """Tells whether this router schedules a cell."""
+        return cell in self._schedulers
+
     def target(self, name: str) -> Target | None:
         """Returns a target of the configuration in force."""
         for cell in self.cells.values():
--- a/packages/router/chervilwall_router/pipeline.py
+++ b/packages/router/chervilwall_router/pipeline.py
@@ -20,6 +20,7 @@
 )
 from chervilwall.config import MEASURE_WORTH, Config
 from chervilwall.errors import BrokenRelayError, PlatformError
+from chervilwall.ledger import FINISHED, STARTED
 from chervilwall.message import (
     KEEP_CHARGE,
     Done,
@@ -369,6 +370,9 @@
             return Attempt(message.OUTCOME_NOT_SENT, reason="target removed")
         if held and not claim_lib.may_dispatch(held.claimed_at, now):
             return Attempt(message.OUTCOME_NOT_SENT, reason="claim too old")
+        own = self._cells.is_own(grant.cell)
+        if own:
+            self._count(found, STARTED)
         try:
             attempt = await self._client.attempt(
                 target, req, sink, may_retry=found.cls.idempotent
@@ -377,6 +381,9 @@
             attempt = Attempt(message.OUTCOME_CANCELLED, reason="cancelled")
             self._report(found, grant, attempt, self._count_end(found, attempt))
             raise
+        finally:
+            if own:
+                self._count(found, FINISHED)
         if attempt.outcome != message.OUTCOME_COMPLETED:
             events.log_event(
                 LOG,
--- a/packages/standins/tests/test_reports.py
+++ b/packages/standins/tests/test_reports.py
@@ -12,6 +12,7 @@
 from chervilwall_standins.fleet import call_json, wait_for
 
 TEAMS = 6
+IN_PROGRESS = 5
 
 
 class ReportsTest(FleetCase):
@@ -81,6 +82,40 @@
         self.fleet.start_router("router3")
         self.fleet.wait_ready("router3")
 
+    def test_requests_in_progress_on_a_killed_router_are_uncertain(self):
+        cells = self.fleet.status("router1")["cells"]
+        victim = next(c["scheduler"] for c in cells if "model" in c["name"])
+        survivors = [n for n in self.fleet.names if n != victim]
+        for name in (victim, survivors[0]):
+            before = sum(t["uncertain"] for t in self.report().values())
+
+            async def work(name=name):
+                caller = self.caller(1)
+                address = self.fleet.address(name)
+                sends = [
+                    asyncio.create_task(
+                        caller.send(CHAT_PATH, tokens=150, router=address)
+                    )
+                    for _ in range(IN_PROGRESS)
+                ]
+                await asyncio.sleep(1.5)
+                self.fleet.send_signal(name, signal.SIGKILL)
+                return await asyncio.gather(*sends)
+
+            answers = self.run_async(work())
+            self.assertFalse(any(a.ok for a in answers))
+            self.fleet.wait_exit(name, 5)
+
+            def counted(before=before):
+                totals = self.report().values()
+                now = sum(t["uncertain"] for t in totals)
+                return now - before == IN_PROGRESS
+
+            wait_for(counted, limit_s=15, what="uncertain requests")
+            self.fleet.start_router(name)
+            self.fleet.wait_ready(name)
+            time.sleep(2.0)
+
     def test_a_router_given_up_for_lost_that_lives_leaves_no_doubt(self):
         before = self.report()
         dead = []
