Add TLS between routers, prove key rotation, pace the polls for orders

Weighed what pynng gives: TLS with certificates on both sides works over its sockets (mbed TLS in the package); it is optional, since the keyed digest already authenticates frames and keys rotate by SIGHUP without a stop, which a certificate does not. Seen: fleets of 2 join over TLS, a router without it or with another key is not heard, the fleet key rotates in three steps with all members alive after each. Orders: the holder of the lease polled every target each second, 610 x 2.2 ms at the size to come; it now polls at most 3.4 a second beyond small fleets.

--- a/packages/core/chervilwall/pacing.py
+++ b/packages/core/chervilwall/pacing.py
@@ -9,6 +9,8 @@
 LOAD_ROUNDS_PER_S = 150.0
 COPY_ROUNDS_PER_S = 370.0
 PROBE_ROUNDS_PER_S = 370.0
+# Polls of targets a second by the holder of the lease on orders.
+ORDER_POLLS_PER_S = 3.4
 
 
 def paced_s(base_s: float, members: int, rounds_per_s: float) -> float:
--- a/packages/router/chervilwall_router/mesh.py
+++ b/packages/router/chervilwall_router/mesh.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import pathlib
 from collections.abc import Callable, Sequence
 
 import pynng
@@ -10,6 +11,8 @@
 from chervilwall.errors import CodecError
 from chervilwall.message import Message
 
+from chervilwall_router.settings import PeerTlsSettings
+
 LOG = logging.getLogger(__name__)
 SEND_BUFFER_FRAMES = 64
 RECEIVE_BUFFER_FRAMES = 256
@@ -45,6 +48,7 @@
         incarnation (int): This router's incarnation.
         codec (FrameCodec): Encodes and authenticates frames.
         on_frame (Callable): Takes each decoded frame.
+        tls (PeerTlsSettings | None): Certificates. Defaults to none.
     """
 
     def __init__(
@@ -55,7 +59,10 @@
         incarnation: int,
         codec: FrameCodec,
         on_frame: Callable[[Frame], None],
+        tls: PeerTlsSettings | None = None,
     ) -> None:
+        self._tls = tls
+        self._scheme = "tcp" if tls is None else "tls+tcp"
         self._address = address
         self._source, _, _ = address.rpartition(":")
         self._name = name
@@ -77,10 +84,13 @@
 
     def __enter__(self) -> "Mesh":
         self._inbox = pynng.Pull0(
-            listen=f"tcp://{self._address}",
             recv_buffer_size=RECEIVE_BUFFER_FRAMES,
             recv_max_size=MAX_FRAME_BYTES,
         )
+        if self._tls is not None:
+            mode = pynng.TLSConfig.MODE_SERVER
+            self._inbox.tls_config = _make_tls(self._tls, mode)
+        self._inbox.listen(f"{self._scheme}://{self._address}")
         # A reader on the library's own descriptor saves a hand-over between
         # threads for each frame.
         loop = asyncio.get_running_loop()
@@ -134,14 +144,17 @@
     def _peer(self, address: str) -> pynng.Push0:
         sock = self._peers.get(address)
         if sock is None:
-            # The source address lets firewalls tell routers apart.
             sock = pynng.Push0(
-                dial=f"tcp://{self._source};{address}",
-                block_on_dial=False,
                 send_buffer_size=SEND_BUFFER_FRAMES,
                 reconnect_time_min=RECONNECT_MIN_MS,
                 reconnect_time_max=RECONNECT_MAX_MS,
             )
+            if self._tls is not None:
+                mode = pynng.TLSConfig.MODE_CLIENT
+                sock.tls_config = _make_tls(self._tls, mode)
+            # The source address lets firewalls tell routers apart.
+            url = f"{self._scheme}://{self._source};{address}"
+            sock.dial(url, block=False)
             self._peers[address] = sock
         return sock
 
@@ -168,3 +181,15 @@
             self._on_frame(frame)
         except Exception:
             LOG.exception("frame failed", extra={"event": 105})
+
+
+def _make_tls(cfg: PeerTlsSettings, mode: int) -> pynng.TLSConfig:
+    key = pathlib.Path(cfg.key_file).read_text()
+    return pynng.TLSConfig(
+        mode,
+        server_name=cfg.server_name,
+        ca_string=pathlib.Path(cfg.ca_file).read_text(),
+        own_key_string=key,
+        own_cert_string=pathlib.Path(cfg.cert_file).read_text(),
+        auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED,
+    )
--- a/packages/router/chervilwall_router/orders.py
+++ b/packages/router/chervilwall_router/orders.py
@@ -16,11 +16,13 @@
     decode_lease,
     encode_lease,
 )
+from chervilwall.pacing import ORDER_POLLS_PER_S, paced_s
 from chervilwall.protocol import Platform
 from tornado.httpclient import AsyncHTTPClient, HTTPError
 
 from chervilwall_router.cell_host import TargetLoad
 
+CONFIRM_S = 2.0
 LOG = logging.getLogger(__name__)
 
 
@@ -49,6 +51,7 @@
         self._http = AsyncHTTPClient(force_instance=True, max_clients=32)
         self._next_load_at = 0.0
         self._held = False
+        self._confirmed: dict[Target, float] = {}
 
     def __repr__(self) -> str:
         return f"OrderKeeper({self.lease!r})"
@@ -65,12 +68,25 @@
         self._note_holding()
         if not self._held:
             return
-        wanted = [t for t in self._config().targets if t.model]
+        wanted = self._due(time.monotonic())
         loads = await asyncio.gather(*(self._load(t) for t in wanted))
         for target, load in zip(wanted, loads, strict=True):
-            if load is not None and load.model != target.model:
+            if load is None:
+                continue
+            if load.model == target.model:
+                self._confirmed[target] = time.monotonic()
+            else:
                 await self._order(target)
 
+    def _due(self, now: float) -> list[Target]:
+        """Returns the targets whose model is wrong or not confirmed lately."""
+        wanted = [t for t in self._config().targets if t.model]
+        period_s = paced_s(CONFIRM_S, len(wanted), ORDER_POLLS_PER_S)
+        self._confirmed = {
+            t: at for t, at in self._confirmed.items() if now - at < period_s
+        }
+        return [t for t in wanted if t not in self._confirmed]
+
     async def release(self) -> None:
         """Gives the lease up at a planned stop."""
         if self.lease.holds(time.monotonic()):
--- a/packages/router/chervilwall_router/router.py
+++ b/packages/router/chervilwall_router/router.py
@@ -209,6 +209,7 @@
             incarnation=self._started_ms,
             codec=_make_codec(self._cfg),
             on_frame=lambda frame: self._fleet.on_frame(frame),
+            tls=self._cfg.listen.peer_tls,
         )
 
     def _make_fleet(self) -> Fleet:
--- a/packages/router/chervilwall_router/settings.py
+++ b/packages/router/chervilwall_router/settings.py
@@ -28,6 +28,22 @@
     key_file: str
 
 
+class PeerTlsSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Certificates between routers; both sides must show one of the CA.
+
+    Args:
+        ca_file (str): Path of the fleet's CA certificate, PEM.
+        cert_file (str): Path of this router's certificate, PEM.
+        key_file (str): Path of its private key, PEM.
+        server_name (str): Name that every router's certificate carries.
+    """
+
+    ca_file: str
+    cert_file: str
+    key_file: str
+    server_name: str
+
+
 class ListenSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Addresses of this process.
 
@@ -37,12 +53,15 @@
         peers_advertised (str): "IP:port" at which other routers reach this
             one, where that is another address. Defaults to peers.
         tls (TlsSettings | None): Certificate for callers. Defaults to none.
+        peer_tls (PeerTlsSettings | None): Certificates between routers.
+            Defaults to none: frames are authenticated and not encrypted.
     """
 
     callers: Address
     peers: Address
     peers_advertised: Address | None = None
     tls: TlsSettings | None = None
+    peer_tls: PeerTlsSettings | None = None
 
 
 class LimitSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/packages/router/tests/test_security.py
@@ -0,0 +1,117 @@
+"""Tests of TLS, operators' keys and the rotation of the fleet's key."""
+
+import json
+import pathlib
+import signal
+import ssl
+import time
+import unittest
+import urllib.request
+
+from chervilwall_standins.fleet import FLEET_KEY, Fleet, call_json, wait_for
+
+DATA = pathlib.Path(__file__).parent / "data"
+CERT, KEY = str(DATA / "cert.pem"), str(DATA / "key.pem")
+PEER_TLS = {
+    "ca_file": CERT,
+    "cert_file": CERT,
+    "key_file": KEY,
+    "server_name": "127.0.0.1",
+}
+NEW_KEY = "the-new-key-of-the-fleet"
+
+
+def joined(fleet, asked, count):
+    status = fleet.status(asked)
+    alive = [m for m in status["members"] if m[3] == "alive"]
+    return len(alive) == count
+
+
+class TlsTest(unittest.TestCase):
+    def test_routers_meet_over_tls(self):
+        with Fleet(routers=2, listen={"peer_tls": PEER_TLS}) as fleet:
+            for name in fleet.names:
+                wait_for(
+                    lambda name=name: joined(fleet, name, 2),
+                    limit_s=8,
+                    what="both routers joined",
+                )
+
+    def test_a_router_without_a_certificate_does_not_join(self):
+        with Fleet(routers=2, listen={"peer_tls": PEER_TLS}) as fleet:
+            wait_for(
+                lambda: joined(fleet, "router1", 2), limit_s=8, what="joined"
+            )
+            fleet.send_signal("router2", signal.SIGKILL)
+            fleet.wait_exit("router2", 5)
+            listen = {
+                "callers": fleet.address("router2"),
+                "peers": f"{fleet.host('router2')}:{fleet.peer_port}",
+            }
+            fleet.start_router("router2", listen=listen)
+            fleet.wait_ready("router2")
+            wait_for(
+                lambda: joined(fleet, "router1", 1), limit_s=8, what="lost"
+            )
+            time.sleep(2.0)
+            self.assertTrue(joined(fleet, "router1", 1))
+            self.assertTrue(joined(fleet, "router2", 1))
+
+    def test_callers_are_served_over_tls(self):
+        tls = {"cert_file": CERT, "key_file": KEY}
+        context = ssl.create_default_context(cafile=CERT)
+        context.check_hostname = False
+        with Fleet(routers=0) as fleet:
+            fleet.names = ["router1"]
+            listen = {
+                "callers": fleet.address("router1"),
+                "peers": f"{fleet.host('router1')}:{fleet.peer_port}",
+                "tls": tls,
+            }
+            fleet.start_router("router1", listen=listen)
+            url = f"https://{fleet.address('router1')}/v1/routers"
+
+            def served():
+                with urllib.request.urlopen(url, context=context) as answer:
+                    return len(json.loads(answer.read())["routers"]) == 1
+
+            wait_for(served, limit_s=8, what="an answer over TLS")
+
+
+class KeysTest(unittest.TestCase):
+    def test_the_fleet_key_rotates_without_a_stop(self):
+        with Fleet(routers=3) as fleet:
+            for keys in (
+                [FLEET_KEY, NEW_KEY],
+                [NEW_KEY, FLEET_KEY],
+                [NEW_KEY],
+            ):
+                for name in fleet.names:
+                    fleet.rewrite_settings(name, fleet_keys=keys)
+                    fleet.send_signal(name, signal.SIGHUP)
+                    time.sleep(0.3)
+                time.sleep(1.0)
+                for name in fleet.names:
+                    self.assertTrue(joined(fleet, name, 3), (name, keys))
+
+    def test_a_router_with_another_key_is_not_heard(self):
+        with Fleet(routers=2) as fleet:
+            wait_for(
+                lambda: joined(fleet, "router1", 2), limit_s=8, what="joined"
+            )
+            fleet.send_signal("router2", signal.SIGKILL)
+            fleet.wait_exit("router2", 5)
+            fleet.start_router("router2", fleet_keys=[NEW_KEY])
+            fleet.wait_ready("router2")
+            wait_for(
+                lambda: joined(fleet, "router1", 1), limit_s=8, what="lost"
+            )
+            time.sleep(1.0)
+            self.assertTrue(joined(fleet, "router1", 1))
+
+    def test_operators_need_a_key(self):
+        with Fleet(routers=1) as fleet:
+            for path in ("status", "rows", "metrics", "explain"):
+                url = f"{fleet.url('router1')}/v1/admin/{path}"
+                with self.assertRaisesRegex(OSError, "401"):
+                    call_json(url, key="not-the-key")
--- a/packages/standins/chervilwall_standins/fleet.py
+++ b/packages/standins/chervilwall_standins/fleet.py
@@ -65,6 +65,7 @@
     Args:
         routers (int): How many routers. Defaults to 3.
         settings (Mapping | None): Settings that override the usual ones.
+        listen (Mapping | None): Settings added to `listen`.
         quiet (bool): Whether router logs are dropped. Defaults to True.
         relayed (bool): Whether routers reach each other through relays that
             tests can cut. Defaults to False.
@@ -75,11 +76,13 @@
         *,
         routers: int = 3,
         settings: Mapping[str, Any] | None = None,
+        listen: Mapping[str, Any] | None = None,
         quiet: bool = True,
         relayed: bool = False,
     ) -> None:
         self._count = routers
         self._overrides = settings or {}
+        self._listen = listen or {}
         self._quiet = quiet
         self._dir = pathlib.Path(tempfile.mkdtemp(prefix="chervilwall-"))
         self._procs: dict[str, subprocess.Popen[bytes]] = {}
@@ -153,10 +156,15 @@
 
     def start_router(self, name: str, **settings: Any) -> None:
         """Starts a router; its name must be one of the fleet's."""
+        self.rewrite_settings(name, **settings)
         path = self._dir / f"{name}.json"
-        path.write_text(json.dumps(self._settings(name, settings)))
         self._spawn(name, "chervilwall_router", str(path))
 
+    def rewrite_settings(self, name: str, **settings: Any) -> None:
+        """Writes a router's settings file again."""
+        path = self._dir / f"{name}.json"
+        path.write_text(json.dumps(self._settings(name, settings)))
+
     def wait_ready(self, name: str) -> None:
         """Waits until a router answers."""
         url = f"{self.url(name)}/v1/routers"
@@ -205,6 +213,7 @@
                 "callers": self.address(name),
                 "peers": f"{self.host(name)}:{self.peer_port}",
                 "peers_advertised": self._advertised(name),
+                **self._listen,
             },
             "platform": self.platform_url,
             "fleet_keys": [FLEET_KEY],
