Hand a cell's knowledge over; refuse at once where no target is left

Cause, each shown by a test that failed before or had no code to pass: - A new scheduler of a cell started with no costs learned and all counters equal, although its predecessor was often alive (planned stop, election). - Requests waited until their deadline when the configuration took away the last target or the cell itself. - A suspect was known to one scheduler only, so its resend through another cell would have cost a third target. - A router that alone could not reach the platform took the whole stop limit (120 s) to stop, although peers held copies of its counters.

Change: a scheduler that loses a cell sends counters and learned costs to the next one; such requests are refused at once with "no_target"; suspects of the last minute are gossiped with the refused; a stop waits 5 s for the platform when peers are there.

--- a/packages/core/chervilwall/codec.py
+++ b/packages/core/chervilwall/codec.py
@@ -36,6 +36,7 @@
     message.Room,
     message.Move,
     message.CellService,
+    message.Handover,
 )
 _CODES = {cls: code for code, cls in enumerate(_TYPES)}
 _DECODERS: tuple[msgspec.msgpack.Decoder, ...] = tuple(
--- a/packages/core/chervilwall/estimator.py
+++ b/packages/core/chervilwall/estimator.py
@@ -2,8 +2,11 @@
 
 import math
 from collections import OrderedDict
+from collections.abc import Iterable
 from typing import NamedTuple
 
+from chervilwall.message import Learned
+
 WEIGHT = 0.1
 MAX_TEAMS_CLASSES = 10_000
 
@@ -79,6 +82,20 @@
         """Returns the mean seconds that an attempt holds its slot."""
         return self._overall.duration_s
 
+    def learned(self) -> tuple[Learned, ...]:
+        """Returns what was learned of each class."""
+        return tuple(
+            Learned(cls, known.cost, known.duration_s)
+            for cls, known in self._by_class.items()
+        )
+
+    def take_over(self, learned: Iterable[Learned]) -> None:
+        """Takes in what another scheduler learned, where nothing is known."""
+        for cls, cost, duration_s in learned:
+            if cls not in self._by_class:
+                self._by_class[cls] = Expectation(cost, duration_s, 1)
+                self._overall = self._overall.updated(cost, duration_s)
+
     def learn(
         self, team: str, cls: str, *, cost: float, duration_s: float
     ) -> None:
--- a/packages/core/chervilwall/fair_queue.py
+++ b/packages/core/chervilwall/fair_queue.py
@@ -5,9 +5,11 @@
 """
 
 import bisect
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import NamedTuple
 
+from chervilwall.message import TeamService
+
 DEFAULT_SHARE = 1.0
 
 
@@ -95,6 +97,20 @@
         """Returns a team's service per unit of share, as charged."""
         return self._counters.get(team, self._floor)
 
+    def counters(self) -> tuple[TeamService, ...]:
+        """Returns the counters of active teams, counted from the least."""
+        active = self._queues.keys() | self._running.keys()
+        least = min((self.counter(t) for t in active), default=0.0)
+        return tuple(
+            TeamService(team, self.counter(team) - least)
+            for team in sorted(active)
+        )
+
+    def add_counters(self, counters: Iterable[TeamService]) -> None:
+        """Adds the counters of the scheduler that went before."""
+        for team, lead in counters:
+            self._counters[team] = self.counter(team) + lead
+
     def push(self, item: Queued) -> None:
         """Adds a waiting request.
 
--- a/packages/core/chervilwall/message.py
+++ b/packages/core/chervilwall/message.py
@@ -210,6 +210,29 @@
     to_cell: str
 
 
+class Learned(NamedTuple):
+    """Mean cost and duration of a class, learned from finished requests."""
+
+    cls: str
+    cost: float
+    duration_s: float
+
+
+class Handover(NamedTuple):
+    """Tells a cell's next scheduler what the last one knew.
+
+    Args:
+        cell (str): The cell.
+        counters (tuple): Service per unit of share, by team, counted from
+            the least.
+        learned (tuple): What was learned of each class.
+    """
+
+    cell: str
+    counters: "tuple[TeamService, ...]"
+    learned: tuple[Learned, ...]
+
+
 class TeamService(NamedTuple):
     """Service that a team got, in the service's measure."""
 
@@ -302,6 +325,7 @@
     | Room
     | Move
     | CellService
+    | Handover
     | Ping
     | Ack
     | PingRequest
--- a/packages/core/chervilwall/quarantine.py
+++ b/packages/core/chervilwall/quarantine.py
@@ -10,6 +10,8 @@
 REFUSED_CRASHES = 2
 MAX_ENTRIES = 1000
 ENTRY_TTL_S = 3600.0
+MAX_NEWS = 8
+NEWS_AGE_S = 60.0
 
 
 class _Entry(NamedTuple):
@@ -96,15 +98,22 @@
             changed = True
         return changed
 
-    def refused(self, now: float, limit: int = 8) -> tuple[Suspicion, ...]:
-        """Returns the newest refused requests, to be gossiped."""
-        found = []
+    def refused(self, now: float) -> set[bytes]:
+        """Returns the fingerprints of all refused requests."""
+        return {f for f in self._entries if self.is_refused(f, now)}
+
+    def news(self, now: float) -> tuple[Suspicion, ...]:
+        """Returns the newest entries, to be gossiped.
+
+        Suspects are told as well as refused requests: a caller may send one
+        again through a cell with another scheduler within seconds.
+        """
+        found: list[Suspicion] = []
         for fingerprint, entry in reversed(self._entries.items()):
             age_s = now - entry.at
-            if entry.crashes >= REFUSED_CRASHES and age_s <= self._ttl_s:
-                found.append(Suspicion(fingerprint, entry.crashes, age_s))
-            if len(found) >= limit:
+            if len(found) >= MAX_NEWS or age_s > NEWS_AGE_S:
                 break
+            found.append(Suspicion(fingerprint, entry.crashes, age_s))
         return tuple(found)
 
     def _put(self, fingerprint: bytes, entry: _Entry) -> None:
--- a/packages/core/chervilwall/scheduler.py
+++ b/packages/core/chervilwall/scheduler.py
@@ -145,6 +145,17 @@
             expected_wait_s=self.expected_wait_s(team, now, now),
         )
 
+    def hand_over(self) -> message.Handover:
+        """Returns what the cell's next scheduler should know."""
+        return message.Handover(
+            self.cell, self.queue.counters(), self._estimator.learned()
+        )
+
+    def take_over(self, msg: message.Handover) -> None:
+        """Takes in what the cell's last scheduler knew."""
+        self.queue.add_counters(msg.counters)
+        self._estimator.take_over(msg.learned)
+
     def waiting(self) -> int:
         """Returns how many requests wait."""
         return len(self._queued)
@@ -272,14 +283,16 @@
 
     def tick(self, now: float) -> list[Envelope]:
         """Refuses what can no longer start in time, and grants the rest."""
-        out = []
-        for item in list(self.queue.expired(now)):
-            self.cancel(item.router, item.req_id)
-            after_s = self._retry_after_s(item.team, now)
-            refusal = message.Refuse(
-                item.req_id, self.cell, REASON_DEADLINE, after_s
-            )
-            out.append(Envelope(item.router, refusal))
+        out = [
+            self._refuse_queued(item, REASON_DEADLINE, now)
+            for item in list(self.queue.expired(now))
+        ]
+        if self._queued and not self.slots.is_served():
+            waiting = list(self._queued.values())
+            out += [
+                self._refuse_queued(item, REASON_NO_TARGET, now)
+                for item in waiting
+            ]
         if now >= self._progress_at and not self._by_worth:
             self._progress_at = now + PROGRESS_INTERVAL_S
             self._charge_progress(now)
@@ -317,6 +330,12 @@
             out.append(Envelope(item.router, move))
         return out
 
+    def _refuse_queued(self, item: Queued, reason: str, now: float) -> Envelope:
+        self.cancel(item.router, item.req_id)
+        after_s = self._retry_after_s(item.team, now)
+        refusal = message.Refuse(item.req_id, self.cell, reason, after_s)
+        return Envelope(item.router, refusal)
+
     def _place(self, item: Queued, now: float) -> str | None:
         if self._quarantine.is_suspect(item.fingerprint, now):
             zone = self._quarantine.zone(item.fingerprint)
@@ -340,6 +359,8 @@
         deadline = now + msg.deadline_left_s
         if self._quarantine.is_refused(msg.fingerprint, now):
             reason, after_s = REASON_CRASHED_TARGETS, QUARANTINE_RETRY_AFTER_S
+        elif not self.slots.is_served():
+            reason = REASON_NO_TARGET
         elif self.queue.depth(msg.team) >= self._cfg.max_depth:
             reason = REASON_QUEUE_FULL
         elif (
--- a/packages/core/chervilwall/slots.py
+++ b/packages/core/chervilwall/slots.py
@@ -144,6 +144,10 @@
         taken = self.in_flight(target.name) + self.foreign(target.name, now)
         return target.slots - taken
 
+    def is_served(self) -> bool:
+        """Tells whether any target is to take work, now or after a pause."""
+        return any(t.state == TARGET_ACTIVE for t in self._targets.values())
+
     def total_room(self, now: float) -> int:
         """Returns how many more requests all targets may be given."""
         return sum(max(0, self.room(t, now)) for t in self._takers(now))
--- a/packages/core/tests/test_scheduler.py
+++ b/packages/core/tests/test_scheduler.py
@@ -87,6 +87,33 @@
             granted |= grants(made.enqueue("r1", enqueue(req_id), 0.0))
         self.assertEqual(set(granted.values()), {"t1"})
 
+    def test_without_any_target_all_are_refused_at_once(self):
+        config = make_config(1, 1)
+        made = make_scheduler(config)
+        made.enqueue("r1", enqueue(1), 0.0)
+        made.enqueue("r1", enqueue(2), 0.0)
+        leaving = config.targets[0]._replace(state=TARGET_LEAVING)
+        made.configure(config, [leaving])
+        out = made.tick(0.1)
+        self.assertEqual(refusals(out), {2: scheduler.REASON_NO_TARGET})
+        out = made.enqueue("r1", enqueue(3), 0.2)
+        self.assertEqual(refusals(out), {3: scheduler.REASON_NO_TARGET})
+
+    def test_a_handover_keeps_the_order_of_teams_and_what_was_learned(self):
+        old, new = make_scheduler(), make_scheduler()
+        for req_id in range(8):
+            team = "a" if req_id < 6 else "b"
+            old.enqueue("r1", enqueue(req_id, team), 0.0)
+        old.done("r1", done(0, "t0", cost=40.0), 2.0)
+        for req_id in range(1, 8):
+            team = "a" if req_id < 6 else "b"
+            new.enqueue("r1", enqueue(req_id, team), 3.0)
+        new.take_over(old.hand_over())
+        lead = new.queue.counter("a") - new.queue.counter("b")
+        before = old.queue.counter("a") - old.queue.counter("b")
+        self.assertAlmostEqual(lead, before)
+        self.assertEqual(new.hand_over().learned, old.hand_over().learned)
+
     def test_what_cannot_make_its_deadline_is_refused_at_once(self):
         made = make_scheduler(make_config(targets=1, slots=1))
         made.enqueue("r1", enqueue(1), 0.0)
@@ -214,6 +241,14 @@
         self.crash(made, 1, "t0", 1.1)
         self.assertFalse(refusals(made.enqueue("r1", enqueue(1), 1.2)))
 
+    def test_suspects_are_told_to_other_schedulers_while_new(self):
+        made, other = Quarantine(), Quarantine()
+        made.record_crash(b"k", zone="az1", suspect=False, now=0.0)
+        self.assertTrue(other.merge(made.news(1.0), 1.0))
+        self.assertTrue(other.is_suspect(b"k", 1.0))
+        self.assertFalse(other.merge(made.news(1.0), 1.0))
+        self.assertEqual(made.news(100.0), ())
+
 
 class EjectionTest(unittest.TestCase):
     def test_failing_targets_are_ejected_and_probed_back(self):
--- a/packages/router/chervilwall_router/cell_host.py
+++ b/packages/router/chervilwall_router/cell_host.py
@@ -26,7 +26,6 @@
 from chervilwall_router.settings import TimingSettings, split_address
 
 LOG = logging.getLogger(__name__)
-MAX_REFUSED_LOGGED = 1000
 
 
 class TargetLoad(msgspec.Struct):
@@ -136,6 +135,7 @@
         for name in [
             n for n in self._schedulers if owners.get(n) != self._name
         ]:
+            self._send_to_cell(name, self._schedulers[name].hand_over())
             del self._schedulers[name]
             events.log_event(LOG, events.CELL_LEFT, cell=name)
         for name in owners:
@@ -166,6 +166,8 @@
             out = scheduler.offer(msg, now)
         elif isinstance(msg, message.CellService):
             scheduler.add_given(msg)
+        elif isinstance(msg, message.Handover):
+            scheduler.take_over(msg)
         self._send(out)
 
     def _hub(self, service: str) -> ServiceHub:
@@ -223,7 +225,7 @@
                 LOG, events.TARGET_EJECTED, step="judge target", peer=target
             )
         self._ejected = ejected
-        refused = {s.fingerprint for s in self._quarantine.refused(now)}
+        refused = self._quarantine.refused(now)
         for fingerprint in refused - self._refused:
             events.log_event(
                 LOG,
@@ -231,9 +233,7 @@
                 step="judge request",
                 fingerprint=fingerprint.hex(),
             )
-        self._refused |= refused
-        if len(self._refused) > MAX_REFUSED_LOGGED:
-            self._refused = refused
+        self._refused = refused
 
     async def poll_loads(self) -> None:
         """Asks the targets of all cells scheduled here for their load."""
--- a/packages/router/chervilwall_router/holder.py
+++ b/packages/router/chervilwall_router/holder.py
@@ -3,11 +3,15 @@
 import asyncio
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 from chervilwall import message
 from chervilwall.message import Done, Enqueue, Grant, Refuse, RunningItem, Sync
-from chervilwall.scheduler import MIN_RETRY_AFTER_S, REASON_DEADLINE
+from chervilwall.scheduler import (
+    MIN_RETRY_AFTER_S,
+    REASON_DEADLINE,
+    REASON_NO_TARGET,
+)
 
 SendToCell = Callable[[str, message.Message], None]
 SendToPeer = Callable[[str, message.Message], None]
@@ -114,6 +118,20 @@
             self._forget(held)
             held.answer.set_result(refuse)
 
+    def refuse_gone(self, cells: Container[str]) -> None:
+        """Refuses what waits for a cell that the configuration has no more."""
+        for held in list(self._held.values()):
+            enqueue = held.enqueue
+            if enqueue.cell not in cells and not held.answer.done():
+                self.on_refuse(
+                    Refuse(
+                        enqueue.req_id,
+                        enqueue.cell,
+                        REASON_NO_TARGET,
+                        MIN_RETRY_AFTER_S,
+                    )
+                )
+
     def on_missing(self, missing: message.Missing) -> None:
         """Queues again what the scheduler does not know."""
         now = time.monotonic()
--- a/packages/router/chervilwall_router/pipeline.py
+++ b/packages/router/chervilwall_router/pipeline.py
@@ -62,6 +62,10 @@
         429,
         "The team has as many requests waiting as it may have.",
     ),
+    scheduler.REASON_NO_TARGET: (
+        503,
+        "No target of the service takes work.",
+    ),
     scheduler.REASON_CRASHED_TARGETS: (
         422,
         "The request crashed two targets and is refused.",
--- a/packages/router/chervilwall_router/router.py
+++ b/packages/router/chervilwall_router/router.py
@@ -47,6 +47,7 @@
 RETRY_PAUSE_S = 0.5
 ORDER_CANDIDATES = 2
 LINGER_S = 0.3
+PLATFORM_WAIT_S = 5.0
 
 _TO_SCHEDULER = (
     message.Enqueue,
@@ -55,6 +56,7 @@
     message.Sync,
     message.Room,
     message.CellService,
+    message.Handover,
 )
 
 
@@ -171,10 +173,14 @@
         return len(self._holder) > 0 or len(self._open_requests) > 0
 
     async def _keep_state(self, limit: float) -> None:
-        await self._claims.drain(max(0.0, limit - time.monotonic()))
+        wait_s = min(PLATFORM_WAIT_S, limit - time.monotonic())
+        await self._claims.drain(max(0.0, wait_s))
         if not self._is_busy():
             self._accounts.ledger.close()
         self._copy_rows()
+        if len(self._membership.reachable()) > 1:
+            # Peers hold copies and write them once this router is gone.
+            limit = min(limit, time.monotonic() + PLATFORM_WAIT_S)
         while time.monotonic() < limit:
             if await self._accounts.flush():
                 break
@@ -328,6 +334,7 @@
     def _configure(self, config: Config) -> None:
         self._pipeline.configure(config)
         self._cells.configure(config)
+        self._holder.refuse_gone(self._cells.cells)
         self._elect()
         self._fleet.announce_config()
 
