--- a/packages/router/chervilwall_router/admin.py
+++ b/packages/router/chervilwall_router/admin.py
@@ -80,6 +80,7 @@
                     "bytes_sent": ctx.mesh.bytes_sent,
                     "bytes_received": ctx.mesh.bytes_received,
                     "messages_sent": ctx.mesh.messages_sent,
+                    "cpu_s": time.process_time(),
                 },
             }
         )
--- a/packages/standins/tests/test_once.py
+++ b/packages/standins/tests/test_once.py
@@ -121,6 +121,19 @@
             if answer.problem.get("executed") == "no":
                 self.assertEqual(self.runs("lost"), 0)
 
+    def test_a_caller_that_leaves_finds_the_outcome_later(self):
+        async def work():
+            first = asyncio.create_task(self.book("left", "router1"))
+            await asyncio.sleep(0.1)
+            first.cancel()
+            await asyncio.sleep(1.5)
+            return await self.book("left", "router2")
+
+        answer = self.run_async(work())
+        self.assertTrue(answer.ok, answer)
+        self.assertEqual(answer.headers["Idempotency-Replayed"], "true")
+        self.assertEqual(self.runs("left"), 1)
+
     def test_a_paused_holder_of_a_claim_does_not_run_it_again(self):
         async def work():
             fill = [
