Fold the counters of ended routers into one archive object

Change: an hour after the last change to the counters of an incarnation that no member list names, one router adds them to the archive, which names what it holds, and deletes the object. A fold that breaks off is neither lost nor repeated; a router that was given up for that long and lives counts on under a new name with what it had not yet written; a peer's late copy is dropped. Seen (platform in memory): totals equal before and after a fold, after a fold whose reply was lost, and with a router that came back. Ruled out: tombstones for each incarnation, which grow as the objects did.

--- a/packages/core/chervilwall/errors.py
+++ b/packages/core/chervilwall/errors.py
@@ -68,6 +68,10 @@
     """A conditional write lost to another writer; nothing happened."""
 
 
+class FoldedError(PlatformError):
+    """The archive already holds the rows of an incarnation."""
+
+
 class TargetError(ChervilwallError):
     """An attempt on a target did not give a whole answer."""
 
--- a/packages/core/chervilwall/ledger.py
+++ b/packages/core/chervilwall/ledger.py
@@ -104,6 +104,18 @@
             if RowKey(incarnation, "", "", CLOSED_CLASS) in book
         }
 
+    def rename(self, incarnation: str, kept: Iterable[KeyedRow]) -> None:
+        """Counts on under a new name, less what is kept under the old one."""
+        before = {item.key: item.row for item in kept}
+        book = self._books.get(self.incarnation, {})
+        self.incarnation = incarnation
+        self._books[incarnation] = {
+            key._replace(incarnation=incarnation): _less(
+                row, before.get(key, Row())
+            )
+            for key, row in book.items()
+        }
+
     def merge(self, rows: Iterable[KeyedRow]) -> bool:
         """Takes in copies of rows; returns whether any total grew."""
         changed = False
@@ -152,3 +164,7 @@
     for row in rows:
         totals = Row._make(a + b for a, b in zip(totals, row, strict=True))
     return totals
+
+
+def _less(row: Row, other: Row) -> Row:
+    return Row._make(max(0, a - b) for a, b in zip(row, other, strict=True))
--- a/packages/operator/chervilwall_ctl/fleet_view.py
+++ b/packages/operator/chervilwall_ctl/fleet_view.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 import msgspec
+from chervilwall.archive import ARCHIVE_KEY, decode_archive
 from chervilwall.errors import ChervilwallError
 from chervilwall.ledger import Ledger
 from chervilwall.message import KeyedRow
@@ -85,10 +86,16 @@
 ) -> Gathered:
     """Returns the fleet's totals from the platform and all routers."""
     copies: list[Iterable[KeyedRow]] = []
+    folded: set[str] = set()
     missing: list[str] = []
     try:
+        archived = await platform.get(ARCHIVE_KEY)
+        archive = decode_archive(archived.value if archived else None)
+        copies.append(archive.rows)
+        folded.update(archive.folded)
         for found in await platform.list(COUNTERS_PREFIX):
-            copies.append(_ROWS.decode(found.value))
+            if found.key.removeprefix(COUNTERS_PREFIX) not in folded:
+                copies.append(_ROWS.decode(found.value))
     except ChervilwallError as exc:
         missing.append(f"platform ({exc.reason})")
     try:
@@ -102,7 +109,8 @@
             status = await client.get(address, "/v1/admin/status")
             alive.append(status["incarnation"])
             raw = await client.get(address, "/v1/admin/rows")
-            copies.append(msgspec.convert(raw, list[KeyedRow]))
+            rows = msgspec.convert(raw, list[KeyedRow])
+            copies.append([r for r in rows if r.key.incarnation not in folded])
         except RouterError as exc:
             missing.append(f"router {name} ({exc.reason})")
     return Gathered(merge_copies(copies), alive, missing)
--- a/packages/router/chervilwall_router/accounts.py
+++ b/packages/router/chervilwall_router/accounts.py
@@ -6,7 +6,12 @@
 
 import msgspec
 from chervilwall import events
-from chervilwall.errors import PlatformError, VersionConflictError
+from chervilwall.archive import ARCHIVE_KEY, decode_archive
+from chervilwall.errors import (
+    FoldedError,
+    PlatformError,
+    VersionConflictError,
+)
 from chervilwall.ledger import UNCERTAIN, Ledger
 from chervilwall.message import KeyedRow, Row, RowKey, RowsPush
 from chervilwall.protocol import Platform
@@ -16,6 +21,7 @@
 LOG = logging.getLogger(__name__)
 COPIES = 2
 PASSING_TTL_S = 120.0
+RENAME_MARK = "+"
 _ROWS = msgspec.msgpack.Decoder(tuple[KeyedRow, ...])
 
 
@@ -137,8 +143,9 @@
         for incarnation in (self.incarnation, *lost):
             try:
                 await self._flush_one(incarnation)
-                if not incarnation.endswith(self.incarnation):
-                    self._forget(incarnation)
+            except FoldedError:
+                self._drop_folded(incarnation)
+                continue
             except PlatformError as exc:
                 self._versions.pop(incarnation, None)
                 kept = False
@@ -149,8 +156,27 @@
                     peer=exc.peer,
                     reason=exc.reason,
                 )
+                continue
+            if not incarnation.endswith(self.incarnation):
+                self._forget(incarnation)
         return kept
 
+    async def _is_folded(self, incarnation: str) -> bool:
+        found = await self._platform.get(ARCHIVE_KEY)
+        archive = decode_archive(found.value if found else None)
+        return incarnation in archive.folded
+
+    def _drop_folded(self, incarnation: str) -> None:
+        """Forgets rows that the archive holds.
+
+        A router that was given up for an hour and lives counts on under a new
+        name, beginning with what it had not yet written.
+        """
+        if incarnation == self.incarnation:
+            written = self._written.get(incarnation, ())
+            self.ledger.rename(incarnation + RENAME_MARK, written)
+        self._forget(incarnation)
+
     def _forget(self, incarnation: str) -> None:
         self.ledger.forget(incarnation)
         self._backed.discard(incarnation)
@@ -178,6 +204,8 @@
 
     async def _read(self, key: str, incarnation: str) -> tuple[KeyedRow, ...]:
         kept = await self._platform.get(key)
+        if kept is None and await self._is_folded(incarnation):
+            raise FoldedError(incarnation, step="write counters")
         self._versions[incarnation] = kept.version if kept else 0
         if kept is not None:
             self.ledger.merge(decode_rows(kept.value))
--- a/packages/router/chervilwall_router/router.py
+++ b/packages/router/chervilwall_router/router.py
@@ -30,6 +30,7 @@
 from chervilwall_router.claims import ClaimTable
 from chervilwall_router.config_keeper import WATCHERS, ConfigKeeper
 from chervilwall_router.fleet import Fleet
+from chervilwall_router.folding import Folder
 from chervilwall_router.holder import Holder
 from chervilwall_router.mesh import Mesh
 from chervilwall_router.metrics import RouterMetrics
@@ -43,6 +44,7 @@
 METRICS_INTERVAL_S = 1.0
 ORDERS_INTERVAL_S = 1.0
 SWEEP_INTERVAL_S = 60.0
+FOLD_INTERVAL_S = 600.0
 CONFIG_POLL_S = 5.0
 RETRY_PAUSE_S = 0.5
 ORDER_CANDIDATES = 2
@@ -112,6 +114,7 @@
             metrics=self._metrics,
         )
         self._open_requests = callers.OpenRequests()
+        self._folder = Folder(self._platform)
         self._server = self._make_server()
 
     def __repr__(self) -> str:
@@ -289,6 +292,7 @@
         self._every(SERVICE_INTERVAL_S, self._exchange_service)
         self._every(ORDERS_INTERVAL_S, self._step_orders)
         self._every(SWEEP_INTERVAL_S, self._sweep_claims)
+        self._every(FOLD_INTERVAL_S, self._fold_counters)
         self._every(0.0, self._watch_config)
 
     def _every(
@@ -421,15 +425,22 @@
             self._accounts.copy_to(name, self._fleet.send)
 
     async def _flush_counters(self) -> None:
+        alive = self._alive_incarnations()
+        lost = self._accounts.ledger.incarnations() - alive
+        await self._accounts.flush(sorted(lost))
+        self._accounts.prune(time.monotonic())
+
+    async def _fold_counters(self) -> None:
+        if self._is_owner("counters-fold", 1):
+            await self._folder.step(self._alive_incarnations())
+
+    def _alive_incarnations(self) -> set[str]:
         alive = {
             f"{m.name}-{m.incarnation}"
             for m in self._membership.members()
             if m.state != STATE_DEAD
         }
-        alive.add(self._incarnation)
-        lost = self._accounts.ledger.incarnations() - alive
-        await self._accounts.flush(sorted(lost))
-        self._accounts.prune(time.monotonic())
+        return alive | {self._incarnation, self._accounts.incarnation}
 
     async def _step_orders(self) -> None:
         if self._is_owner("orders", ORDER_CANDIDATES):
