--- a/packages/standins/tests/test_chaos.py
+++ b/packages/standins/tests/test_chaos.py
@@ -1,6 +1,8 @@
 """All promises at once, while faults come together and twice."""
 
 import asyncio
+import json
+import math
 import pathlib
 import random
 import signal
@@ -17,6 +19,8 @@
 SEEDS = (20261204, 7)
 CHAOS_S = 15.0
 STEP_S = 1.0
+SEND_S = 0.05
+COPY_S = 0.2
 SETTLE_LIMIT_S = 15.0
 
 
@@ -38,6 +42,8 @@
         self.versions: Counter[str] = Counter()
         self.reverted: list[str] = []
         self.teams = 16
+        self.kills = 0
+        self.before = self.completed_chats()
 
     def test_seed_0(self):
         self.run_seed(SEEDS[0])
@@ -52,6 +58,7 @@
         self.calm()
         self.check_answers()
         self.check_fleet()
+        self.check_report()
 
     async def storm(self, rng, seed):
         """Sends load while faults come and go."""
@@ -70,7 +77,7 @@
                 else self.chat(name)
             )
             load.append(asyncio.create_task(work))
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(SEND_S)
         await faults
         await asyncio.to_thread(self.calm)
         await asyncio.gather(*load)
@@ -122,6 +129,7 @@
         self.fleet.send_signal(name, signal.SIGKILL)
         self.fleet.wait_exit(name, 5)
         self.versions[name] = 0
+        self.kills += 1
         self.fleet.start_router(name)
 
     def freeze(self, rng):
@@ -196,6 +204,36 @@
         self.assertGreater(answered, len(self.sent) / 4)
         print(f"chaos: {answered} of {len(self.sent)} submissions answered")
 
+    def completed_chats(self):
+        """Returns completed and uncertain chats of the report."""
+        done = self.ctl("report", "--json")
+        lines = json.loads(done.stdout)["lines"]
+        chats = [x for x in lines if x["service"] == self.dep.engine]
+        return (
+            sum(x["completed"] for x in chats),
+            sum(x["uncertain"] for x in chats),
+        )
+
+    def check_report(self):
+        """Compares the report with what callers saw of their chats."""
+        chats = [s.answer for s in self.sent if not s.key]
+        answered = sum(a.ok for a in chats) + len(self.fleet.names)
+        unseen = sum(
+            not a.ok and a.problem.get("executed") != "no" for a in chats
+        )
+        # What ended on a killed router within the last copy of its rows.
+        lost = self.kills * math.ceil(COPY_S / SEND_S)
+
+        def matches():
+            now = self.completed_chats()
+            completed = now[0] - self.before[0]
+            uncertain = now[1] - self.before[1]
+            upper = answered + unseen
+            lower = answered - uncertain - lost
+            return lower <= completed <= upper
+
+        wait_for(matches, limit_s=15, what="a report that matches")
+
     def check_fleet(self):
         self.assertEqual(self.reverted, [])
 
