--- a/packages/core/chervilwall/scheduler.py
+++ b/packages/core/chervilwall/scheduler.py
@@ -1,6 +1,6 @@
 """The scheduler of one cell: grants slots to queued requests, fairly."""
 
-from collections import Counter, OrderedDict
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
@@ -8,6 +8,7 @@
 from chervilwall.config import MEASURE_WORTH, Config, Target
 from chervilwall.estimator import Estimator
 from chervilwall.fair_queue import FairQueue, Queued
+from chervilwall.forecast import TeamView, WaitForecast
 from chervilwall.health import LoadReport
 from chervilwall.message import Envelope
 from chervilwall.quarantine import Quarantine
@@ -20,10 +21,7 @@
 REASON_NO_TARGET = "no_target"
 SYNC_GRACE_S = 2.0
 PROGRESS_INTERVAL_S = 0.25
-MIN_RETRY_AFTER_S = 1.0
-MAX_RETRY_AFTER_S = 60.0
 QUARANTINE_RETRY_AFTER_S = 3600.0
-MAX_LOST = 10_000
 # Failures of targets, for which a team does not pay in completed requests.
 _REFUNDED = (
     message.OUTCOME_BROKEN,
@@ -48,32 +46,6 @@
     learn_costs: bool = True
 
 
-class TeamView(NamedTuple):
-    """A team's place in the queue of a cell.
-
-    Args:
-        cell (str): The cell.
-        team (str): The team.
-        waiting (int): Its waiting requests.
-        share (float): Its share.
-        counter (float): Its service per unit of share.
-        least_counter (float): The least counter of any backlogged team.
-        backlogged_teams (int): Teams with waiting requests.
-        free_slots (bool): Whether any target has room.
-        expected_wait_s (float): Seconds until a new request would start.
-    """
-
-    cell: str
-    team: str
-    waiting: int
-    share: float
-    counter: float
-    least_counter: float
-    backlogged_teams: int
-    free_slots: bool
-    expected_wait_s: float
-
-
 class CellScheduler:
     """Queue requests for one cell and grant them slots.
 
@@ -101,9 +73,9 @@
         self._cfg = settings or SchedulerSettings()
         self._quarantine = quarantine
         self._estimator = Estimator()
+        self._forecast = WaitForecast(self.queue, self.slots, self._estimator)
         self._queued: dict[tuple[str, int], Queued] = {}
         self._hints: dict[str, float] = {}
-        self._lost: OrderedDict[tuple[str, int], Running] = OrderedDict()
         self._by_worth = False
         self._seq = 0
         self._progress_at = 0.0
@@ -130,20 +102,7 @@
 
     def explain(self, team: str, now: float) -> TeamView:
         """Returns why a team's requests wait here."""
-        return TeamView(
-            cell=self.cell,
-            team=team,
-            waiting=self.queue.depth(team),
-            share=self.queue.share(team),
-            counter=self.queue.counter(team),
-            least_counter=min(
-                (self.queue.counter(t) for t in self.queue.backlogged()),
-                default=self.queue.counter(team),
-            ),
-            backlogged_teams=len(self.queue.backlogged()),
-            free_slots=self.slots.has_room(now),
-            expected_wait_s=self.expected_wait_s(team, now, now),
-        )
+        return self._forecast.explain(self.cell, team, now)
 
     def hand_over(self) -> message.Handover:
         """Returns what the cell's next scheduler should know."""
@@ -186,7 +145,6 @@
         self, router: str, msg: message.Done, now: float
     ) -> list[Envelope]:
         """Settles a granted attempt and grants what now fits."""
-        self._lost.pop((router, msg.req_id), None)
         run = self.slots.release(router, msg.req_id)
         if run is None:
             return []
@@ -239,13 +197,8 @@
         for run in lost:
             self.slots.release(router, run.req_id)
             self.queue.finish(run.team, 0.0)
-            self._remember_lost(run)
         return lost, self.dispatch(now)
 
-    def was_lost(self, router: str, req_id: int) -> Running | None:
-        """Returns an attempt that was given up for lost, if it was."""
-        return self._lost.get((router, req_id))
-
     def report_load(
         self, target: str, active: int, now: float
     ) -> list[Envelope]:
@@ -308,15 +261,6 @@
             out.append(self._grant(*found, now=now))
         return out + self._move_out(now)
 
-    def expected_wait_s(self, team: str, deadline: float, now: float) -> float:
-        """Returns the seconds until a new request of a team would start."""
-        if self.slots.has_room(now) and not self._queued:
-            return 0.0
-        slots = max(1, self.slots.capacity(now))
-        rate = slots * self.queue.active_share(team)
-        ahead = self.queue.ahead_of(team, deadline) + 1
-        return ahead * self._estimator.duration_s() / rate
-
     def _move_out(self, now: float) -> list[Envelope]:
         """Moves what cannot run here to siblings that have room."""
         out: list[Envelope] = []
@@ -332,7 +276,7 @@
 
     def _refuse_queued(self, item: Queued, reason: str, now: float) -> Envelope:
         self.cancel(item.router, item.req_id)
-        after_s = self._retry_after_s(item.team, now)
+        after_s = self._forecast.retry_after_s(item.team, now)
         refusal = message.Refuse(item.req_id, self.cell, reason, after_s)
         return Envelope(item.router, refusal)
 
@@ -364,22 +308,14 @@
         elif self.queue.depth(msg.team) >= self._cfg.max_depth:
             reason = REASON_QUEUE_FULL
         elif (
-            self.expected_wait_s(msg.team, deadline, now) > msg.deadline_left_s
+            self._forecast.wait_s(msg.team, deadline, now) > msg.deadline_left_s
         ):
             reason = REASON_DEADLINE
         if not reason:
             return None
-        after_s = after_s or self._retry_after_s(msg.team, now)
+        after_s = after_s or self._forecast.retry_after_s(msg.team, now)
         return message.Refuse(msg.req_id, self.cell, reason, after_s)
 
-    def _retry_after_s(self, team: str, now: float) -> float:
-        wait_s = self.expected_wait_s(team, now, now) + self._drain_s(team, now)
-        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
-
-    def _drain_s(self, team: str, now: float) -> float:
-        rate = max(1, self.slots.capacity(now)) * self.queue.active_share(team)
-        return self.queue.depth(team) * self._estimator.duration_s() / rate / 2
-
     def _push(self, router: str, msg: message.Enqueue, now: float) -> None:
         self._seq += 1
         item = Queued(
@@ -464,7 +400,6 @@
         self, router: str, items: tuple[message.RunningItem, ...], now: float
     ) -> None:
         for item in items:
-            self._lost.pop((router, item.req_id), None)
             if self.slots.get(router, item.req_id) is not None:
                 continue
             self.cancel(router, item.req_id)
@@ -490,8 +425,3 @@
                 and item.queued_at < limit
             ):
                 self.cancel(*key)
-
-    def _remember_lost(self, run: Running) -> None:
-        self._lost[run.router, run.req_id] = run
-        if len(self._lost) > MAX_LOST:
-            self._lost.popitem(last=False)
--- a/packages/router/chervilwall_router/holder.py
+++ b/packages/router/chervilwall_router/holder.py
@@ -6,12 +6,9 @@
 from collections.abc import Callable, Container
 
 from chervilwall import message
+from chervilwall.forecast import MIN_RETRY_AFTER_S
 from chervilwall.message import Done, Enqueue, Grant, Refuse, RunningItem, Sync
-from chervilwall.scheduler import (
-    MIN_RETRY_AFTER_S,
-    REASON_DEADLINE,
-    REASON_NO_TARGET,
-)
+from chervilwall.scheduler import REASON_DEADLINE, REASON_NO_TARGET
 
 SendToCell = Callable[[str, message.Message], None]
 SendToPeer = Callable[[str, message.Message], None]
--- a/packages/router/chervilwall_router/pipeline.py
+++ b/packages/router/chervilwall_router/pipeline.py
@@ -3,35 +3,29 @@
 import logging
 import random
 import time
-from collections import deque
-from collections.abc import Mapping
 from typing import NamedTuple
 
 from chervilwall import claim as claim_lib
 from chervilwall import events, message, scheduler
 from chervilwall.budget import RetryBudget
 from chervilwall.cells import cells_of
-from chervilwall.claim import ClaimView, StoredAnswer
+from chervilwall.claim import ClaimView
 from chervilwall.classify import (
     CallerRequest,
     Classified,
     Classifier,
     ClassifyFault,
 )
-from chervilwall.config import MEASURE_WORTH, Config
+from chervilwall.config import Config
 from chervilwall.errors import BrokenRelayError, PlatformError
 from chervilwall.ledger import FINISHED, STARTED
 from chervilwall.message import (
-    KEEP_CHARGE,
-    Done,
     Enqueue,
     Grant,
-    KeyedRow,
     Refuse,
 )
 from chervilwall.protocol import AnswerSink
 from chervilwall.quarantine import Quarantine
-from tornado.iostream import StreamClosedError
 
 from chervilwall_router.accounts import Accounts
 from chervilwall_router.cell_host import CellHost
@@ -43,7 +37,10 @@
     EXECUTED_UNKNOWN,
     Problem,
 )
+from chervilwall_router.recording import RecordingSink
+from chervilwall_router.refusal import RefusalLog, refused_problem
 from chervilwall_router.settings import LimitSettings
+from chervilwall_router.settlement import Settlement
 from chervilwall_router.target_client import Attempt, TargetClient
 
 LOG = logging.getLogger(__name__)
@@ -53,24 +50,6 @@
 RECENT_REFUSALS = 256
 REPLAYED_HEADER = "Idempotency-Replayed"
 
-_REFUSAL_DETAILS = {
-    scheduler.REASON_DEADLINE: (
-        503,
-        "The answer could not start before the deadline of its class.",
-    ),
-    scheduler.REASON_QUEUE_FULL: (
-        429,
-        "The team has as many requests waiting as it may have.",
-    ),
-    scheduler.REASON_NO_TARGET: (
-        503,
-        "No target of the service takes work.",
-    ),
-    scheduler.REASON_CRASHED_TARGETS: (
-        422,
-        "The request crashed two targets and is refused.",
-    ),
-}
 _RETRIABLE = (
     message.OUTCOME_BROKEN,
     message.OUTCOME_TIMEOUT,
@@ -78,18 +57,6 @@
 )
 
 
-class Refusal(NamedTuple):
-    """A refusal kept for operators who ask why."""
-
-    request_id: str
-    team: str
-    service: str
-    cls: str
-    reason: str
-    executed: str
-    at: float
-
-
 class _Ending(NamedTuple):
     """How the attempts of a request ended.
 
@@ -106,46 +73,6 @@
     cut: bool = False
 
 
-class RecordingSink:
-    """Pass an answer on and keep a copy, also when the caller has gone.
-
-    Args:
-        sink (AnswerSink): The caller.
-    """
-
-    def __init__(self, sink: AnswerSink) -> None:
-        self._sink = sink
-        self._gone = False
-        self._status = 0
-        self._content_type = ""
-        self._body = bytearray()
-        self._whole = True
-
-    def begin(self, status: int, headers: Mapping[str, str]) -> None:
-        """Takes the status and the headers."""
-        self._status = status
-        self._content_type = headers.get("Content-Type", "")
-        self._sink.begin(status, headers)
-
-    async def write(self, chunk: bytes) -> None:
-        """Takes a piece of the body."""
-        room = claim_lib.MAX_STORED_BODY_BYTES - len(self._body)
-        self._whole = self._whole and len(chunk) <= room
-        if self._whole:
-            self._body += chunk
-        if self._gone:
-            return
-        try:
-            await self._sink.write(chunk)
-        except StreamClosedError:
-            self._gone = True
-
-    def answer(self) -> StoredAnswer:
-        """Returns the copy."""
-        body = bytes(self._body) if self._whole else b""
-        return StoredAnswer(self._status, self._content_type, body, self._whole)
-
-
 class Pipeline:
     """Serve callers' requests, one filter after another.
 
@@ -177,11 +104,12 @@
         self._accounts = accounts
         self._quarantine = quarantine
         self._metrics = metrics
+        self._settlement = Settlement(holder, accounts)
         self._client = TargetClient(limits)
         self._budget = RetryBudget()
         self._config = Config()
         self._classifier = Classifier(self._config)
-        self.refusals: deque[Refusal] = deque(maxlen=RECENT_REFUSALS)
+        self.refusals = RefusalLog()
 
     def __repr__(self) -> str:
         return f"Pipeline({self._holder!r})"
@@ -190,6 +118,7 @@
         """Takes a new configuration in force."""
         self._config = config
         self._classifier = Classifier(config)
+        self._settlement.configure(config)
 
     def new_request_id(self) -> str:
         """Returns an id under which operators can ask about a request."""
@@ -224,14 +153,14 @@
             return found
         problem = self._admit(found)
         if problem is not None:
-            self._count(found, message.OUTCOME_REFUSED)
+            self._settlement.count(found, message.OUTCOME_REFUSED)
         elif found.cls.idempotent:
             ending = await self._attempts(req, found, sink, None)
             problem = self._end(found, req, ending)
         else:
             problem = await self._run_once(req, found, sink)
         if problem is not None:
-            self._note_refusal(found, problem, request_id)
+            self.refusals.note(found, problem, request_id)
         return problem
 
     def _classify(self, req: CallerRequest) -> Classified | Problem:
@@ -249,10 +178,10 @@
 
     def _admit(self, found: Classified) -> Problem | None:
         if self._quarantine.is_refused(found.fingerprint, time.monotonic()):
-            return _refused(scheduler.REASON_CRASHED_TARGETS, 0.0, False)
+            return refused_problem(scheduler.REASON_CRASHED_TARGETS, 0.0, False)
         held = self._holder.held_by(found.team.name)
         if held >= self._limits.max_held_per_team:
-            return _refused(scheduler.REASON_QUEUE_FULL, 1.0, False)
+            return refused_problem(scheduler.REASON_QUEUE_FULL, 1.0, False)
         return None
 
     async def _run_once(
@@ -261,7 +190,7 @@
         try:
             held = await self._claims.take(found)
         except PlatformError:
-            self._count(found, message.OUTCOME_REFUSED)
+            self._settlement.count(found, message.OUTCOME_REFUSED)
             return Problem(
                 503,
                 "cannot_claim",
@@ -327,7 +256,7 @@
             last = number == self._limits.max_attempts
             if last or not self._may_retry(found, attempt):
                 return self._close(found, grant, attempt, may_have_run)
-            self._report(found, grant, attempt, None)
+            self._settlement.report(found, grant, attempt, None)
             self._metrics.count("retries")
             exclude += (grant.target,)
         raise AssertionError("unreachable")
@@ -343,7 +272,7 @@
             team=found.team.name,
             cls=found.cls.name,
             deadline_left_s=deadline - started,
-            estimate=self._estimate(found),
+            estimate=self._settlement.estimate(found),
             fingerprint=found.fingerprint,
             prefix=found.prefix,
             exclude=exclude,
@@ -376,18 +305,23 @@
             return Attempt(message.OUTCOME_NOT_SENT, reason="claim too old")
         own = self._cells.is_own(grant.cell)
         if own:
-            self._count(found, STARTED)
+            self._settlement.count(found, STARTED)
         try:
             attempt = await self._client.attempt(
                 target, req, sink, may_retry=found.cls.idempotent
             )
         except BaseException:
             attempt = Attempt(message.OUTCOME_CANCELLED, reason="cancelled")
-            self._report(found, grant, attempt, self._count_end(found, attempt))
+            self._settlement.report(
+                found,
+                grant,
+                attempt,
+                self._settlement.count_end(found, attempt),
+            )
             raise
         finally:
             if own:
-                self._count(found, FINISHED)
+                self._settlement.count(found, FINISHED)
         if attempt.outcome != message.OUTCOME_COMPLETED:
             events.log_event(
                 LOG,
@@ -413,8 +347,8 @@
         attempt: Attempt,
         may_have_run: bool,
     ) -> _Ending:
-        row = self._count_end(found, attempt, may_have_run)
-        self._report(found, grant, attempt, row)
+        row = self._settlement.count_end(found, attempt, may_have_run)
+        self._settlement.report(found, grant, attempt, row)
         if attempt.outcome == message.OUTCOME_COMPLETED:
             self._budget.succeed()
             return _Ending(attempt.outcome, attempt)
@@ -439,7 +373,7 @@
     ) -> Problem | None:
         team, cls = found.team.name, found.cls.name
         if ending.attempt is None:
-            self._count(found, ending.outcome)
+            self._settlement.count(found, ending.outcome)
         elif ending.attempt.first_byte_s >= 0:
             self._metrics.observe(
                 "first_byte", team, cls, ending.attempt.first_byte_s
@@ -454,88 +388,9 @@
             )
         return ending.problem
 
-    def _report(
-        self,
-        found: Classified,
-        grant: Grant,
-        attempt: Attempt,
-        row: KeyedRow | None,
-    ) -> None:
-        done = Done(
-            req_id=grant.req_id,
-            cell=grant.cell,
-            target=grant.target,
-            outcome=attempt.outcome,
-            cost=self._cost(found, attempt),
-            first_byte_s=attempt.first_byte_s,
-            total=row,
-        )
-        self._holder.done(done)
-
-    def _cost(self, found: Classified, attempt: Attempt) -> float:
-        if attempt.outcome == message.OUTCOME_NOT_SENT:
-            return 0.0
-        if attempt.outcome != message.OUTCOME_COMPLETED:
-            return KEEP_CHARGE
-        return found.cls.worth if self._by_worth(found) else attempt.work
-
-    def _estimate(self, found: Classified) -> float:
-        by_worth = self._by_worth(found)
-        return found.cls.worth if by_worth else found.cls.cost_hint
-
-    def _by_worth(self, found: Classified) -> bool:
-        service = self._config.service(found.cls.service)
-        return service is not None and service.measure == MEASURE_WORTH
-
-    def _count_end(
-        self, found: Classified, attempt: Attempt, may_have_run: bool = True
-    ) -> KeyedRow:
-        if attempt.outcome == message.OUTCOME_COMPLETED:
-            return self._count(found, attempt.outcome, attempt.work)
-        if may_have_run:
-            return self._count(found, message.OUTCOME_UNKNOWN)
-        return self._count(found, message.OUTCOME_REFUSED)
-
-    def _count(
-        self, found: Classified, outcome: str, work: float = 0.0
-    ) -> KeyedRow:
-        return self._accounts.settle(
-            found.team.name,
-            found.cls.service,
-            found.cls.name,
-            outcome,
-            work=work,
-            worth=found.cls.worth,
-        )
-
-    def _note_refusal(
-        self, found: Classified, problem: Problem, request_id: str
-    ) -> None:
-        refusal = Refusal(
-            request_id,
-            found.team.name,
-            found.cls.service,
-            found.cls.name,
-            problem.reason,
-            problem.executed,
-            time.time(),
-        )
-        self.refusals.append(refusal)
-        unknown = problem.executed == EXECUTED_UNKNOWN
-        event = events.REQUEST_UNKNOWN if unknown else events.REQUEST_REFUSED
-        events.log_event(
-            LOG, event, step=problem.reason, peer=found.team.name, id=request_id
-        )
-
-
-def _refused(reason: str, after_s: float, may_have_run: bool) -> Problem:
-    status, detail = _REFUSAL_DETAILS[reason]
-    executed = EXECUTED_UNKNOWN if may_have_run else EXECUTED_NO
-    return Problem(status, reason, detail, executed, after_s)
-
 
 def _refused_ending(refuse: Refuse, may_have_run: bool) -> _Ending:
-    problem = _refused(refuse.reason, refuse.retry_after_s, may_have_run)
+    problem = refused_problem(refuse.reason, refuse.retry_after_s, may_have_run)
     outcome = (
         message.OUTCOME_UNKNOWN if may_have_run else message.OUTCOME_REFUSED
     )
--- a/packages/router/chervilwall_router/router.py
+++ b/packages/router/chervilwall_router/router.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import logging
-import math
 import ssl
 import time
-from collections.abc import Awaitable, Callable
 
 from chervilwall import events, message, pacing
 from chervilwall.codec import FrameCodec
@@ -25,6 +23,7 @@
 from tornado.web import Application
 
 from chervilwall_router import admin, callers
+from chervilwall_router._loop import RETRY_PAUSE_S, PeriodicWork
 from chervilwall_router.accounts import COPIES, Accounts
 from chervilwall_router.cell_host import CellHost
 from chervilwall_router.claims import ClaimTable
@@ -46,7 +45,6 @@
 SWEEP_INTERVAL_S = 60.0
 FOLD_INTERVAL_S = 600.0
 CONFIG_POLL_S = 5.0
-RETRY_PAUSE_S = 0.5
 ORDER_CANDIDATES = 2
 LINGER_S = 0.3
 PLATFORM_WAIT_S = 5.0
@@ -73,7 +71,7 @@
         self._cfg = settings
         self._started_ms = int(time.time() * 1000)
         self._incarnation = f"{settings.name}-{self._started_ms}"
-        self._tasks: list[asyncio.Task[None]] = []
+        self._work = PeriodicWork(lambda: len(self._membership.reachable()))
         self._stop = asyncio.Event()
         self._stopped = False
         self._platform = HttpPlatform(
@@ -134,9 +132,7 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._work.stop()
         self._server.stop()
         self._mesh.__exit__(*exc_info)
         self._cells.close()
@@ -191,7 +187,7 @@
         try:
             await self._orders.release()
         except ChervilwallError as exc:
-            self._log_failure("release lease", exc)
+            LOG.debug("release lease: %s", exc)
 
     def _make_membership(self) -> Membership:
         cfg = self._cfg
@@ -270,9 +266,9 @@
 
     def _start_loops(self) -> None:
         timing = self._cfg.timing
-        self._every(TICK_S, self._tick)
-        self._every(JOIN_INTERVAL_S, self._join)
-        self._every(METRICS_INTERVAL_S, self._send_metrics)
+        self._work.every(TICK_S, self._tick)
+        self._work.every(JOIN_INTERVAL_S, self._join)
+        self._work.every(METRICS_INTERVAL_S, self._send_metrics)
         for base_s, rounds_per_s, work in (
             (
                 timing.load_poll_s,
@@ -288,49 +284,12 @@
             ),
             (CONFIG_POLL_S, pacing.CONFIG_READS_PER_S, self._keeper.read),
         ):
-            self._every(base_s, work, rounds_per_s=rounds_per_s)
-        self._every(SERVICE_INTERVAL_S, self._exchange_service)
-        self._every(ORDERS_INTERVAL_S, self._step_orders)
-        self._every(SWEEP_INTERVAL_S, self._sweep_claims)
-        self._every(FOLD_INTERVAL_S, self._fold_counters)
-        self._every(0.0, self._watch_config)
-
-    def _every(
-        self,
-        base_s: float,
-        work: Callable[[], Awaitable],
-        *,
-        rounds_per_s: float = math.inf,
-    ) -> None:
-        loop = asyncio.get_running_loop()
-        task = loop.create_task(self._repeat(base_s, work, rounds_per_s))
-        self._tasks.append(task)
-
-    async def _repeat(
-        self,
-        base_s: float,
-        work: Callable[[], Awaitable],
-        rounds_per_s: float,
-    ) -> None:
-        while True:
-            pause_s = 0.0
-            try:
-                await work()
-            except ChervilwallError as exc:
-                self._log_failure(work.__name__, exc)
-                pause_s = RETRY_PAUSE_S
-            except Exception:
-                LOG.exception(
-                    events.TASK_FAILED.text,
-                    extra={"event": events.TASK_FAILED.number},
-                )
-                pause_s = RETRY_PAUSE_S
-            members = len(self._membership.reachable())
-            period_s = pacing.paced_s(base_s, members, rounds_per_s)
-            await asyncio.sleep(period_s + pause_s)
-
-    def _log_failure(self, step: str, exc: ChervilwallError) -> None:
-        LOG.debug("%s: %s", step, exc)
+            self._work.every(base_s, work, rounds_per_s=rounds_per_s)
+        self._work.every(SERVICE_INTERVAL_S, self._exchange_service)
+        self._work.every(ORDERS_INTERVAL_S, self._step_orders)
+        self._work.every(SWEEP_INTERVAL_S, self._sweep_claims)
+        self._work.every(FOLD_INTERVAL_S, self._fold_counters)
+        self._work.every(0.0, self._watch_config)
 
     def _config(self) -> Config:
         return self._keeper.current.config
--- a/packages/standins/chervilwall_standins/measure.py
+++ b/packages/standins/chervilwall_standins/measure.py
@@ -6,14 +6,13 @@
 
 from chervilwall_ctl.table import Column, Table
 
-from chervilwall_standins.policies import (
+from chervilwall_standins.baselines import (
     FirstComePolicy,
-    FleetPolicy,
     OraclePolicy,
-    Policy,
     RoundRobinPolicy,
     StaticSharesPolicy,
 )
+from chervilwall_standins.policies import FleetPolicy, Policy
 from chervilwall_standins.real_run import RealOutcome, run_real
 from chervilwall_standins.replay import Outcome, Replay
 from chervilwall_standins.trace import Trace, read_trace, shorten
--- a/packages/standins/tests/test_cells.py
+++ b/packages/standins/tests/test_cells.py
@@ -3,11 +3,12 @@
 import asyncio
 import unittest
 
+from chervilwall_standins.baselines import OraclePolicy
 from chervilwall_standins.case import CHAT_PATH, FleetCase
 from chervilwall_standins.demo import make_deployment
 from chervilwall_standins.fleet import call_json, free_port
 from chervilwall_standins.measure import TRACES
-from chervilwall_standins.policies import FleetPolicy, OraclePolicy
+from chervilwall_standins.policies import FleetPolicy
 from chervilwall_standins.replay import Replay
 from chervilwall_standins.trace import read_trace
 
