Remove what nothing uses, merge what stood twice, use the host list as seeds

Decoding of rows and of the configuration object stood in router and operator tool; both are in core now. Baselines share one way to queue. Error classes and a probe hook that nothing used are gone. A router that knows no other asks a few live hosts of the platform's list, as the design meant; seen: three routers without seeds join by it.

--- a/packages/core/chervilwall/config.py
+++ b/packages/core/chervilwall/config.py
@@ -5,13 +5,15 @@
 
 import msgspec
 
+from chervilwall.errors import PlatformError
+
 MEASURE_WORK = "work"
 MEASURE_WORTH = "worth"
 MEASURES = (MEASURE_WORK, MEASURE_WORTH)
 TARGET_ACTIVE = "active"
 TARGET_LEAVING = "leaving"
 TARGET_STATES = (TARGET_ACTIVE, TARGET_LEAVING)
-KEY_HASH_HEX_DIGITS = 64
+CONFIG_KEY = "config/current"
 
 
 class Team(NamedTuple):
@@ -140,6 +142,9 @@
     history: tuple[HistoryEntry, ...] = ()
 
 
+_DECODER = msgspec.json.Decoder(ConfigObject)
+
+
 class VersionedConfig(NamedTuple):
     """A configuration with the platform version that orders it."""
 
@@ -150,3 +155,15 @@
 def hash_key(key: str) -> str:
     """Returns the digest under which a team's key stands in the sheet."""
     return hashlib.sha256(key.encode()).hexdigest()
+
+
+def decode_object(value: bytes) -> ConfigObject:
+    """Returns the configuration object in a platform value.
+
+    Raises:
+        PlatformError: The value does not decode.
+    """
+    try:
+        return _DECODER.decode(value)
+    except msgspec.MsgspecError as exc:
+        raise PlatformError(str(exc), step="decode configuration") from exc
--- a/packages/core/chervilwall/errors.py
+++ b/packages/core/chervilwall/errors.py
@@ -72,25 +72,5 @@
     """The archive already holds the rows of an incarnation."""
 
 
-class TargetError(ChervilwallError):
-    """An attempt on a target did not give a whole answer."""
-
-
-class NotSentError(TargetError):
-    """No byte of the request left for the target."""
-
-
-class BrokenAnswerError(TargetError):
-    """The target broke off after bytes of the request may have left."""
-
-
-class TargetTimeoutError(TargetError):
-    """The target sent nothing for longer than the limit."""
-
-
-class OrderError(ChervilwallError):
-    """An order to a target was not carried out."""
-
-
 class BrokenRelayError(ChervilwallError):
     """An answer broke off after a part of it went to the caller."""
--- a/packages/core/chervilwall/membership.py
+++ b/packages/core/chervilwall/membership.py
@@ -190,16 +190,6 @@
         self._relays[self._seq] = _Relay(peer, msg.seq, msg.subject, now)
         return [Envelope(msg.subject, self._ping(self._seq))]
 
-    def heard_from(self, peer: str, incarnation: int, now: float) -> bool:
-        """Notes that a peer sent a frame.
-
-        Returns:
-            Whether the peer is unknown in this incarnation, so that its
-            member list should be asked for.
-        """
-        known = self._members.get(peer)
-        return known is None or known.incarnation < incarnation
-
     def _probe_next(self, now: float) -> list[Envelope]:
         names = {n for n in self.reachable() if n != self._me.name}
         self._order = [n for n in self._order if n in names]
--- a/packages/core/chervilwall/protocol.py
+++ b/packages/core/chervilwall/protocol.py
@@ -88,14 +88,6 @@
         ...
 
 
-class Clock(Protocol):
-    """A source of time."""
-
-    def __call__(self) -> float:
-        """Returns seconds; only differences are meaningful."""
-        ...
-
-
 class Metrics(Protocol):
     """Where counts and timings go."""
 
--- a/packages/core/chervilwall/report.py
+++ b/packages/core/chervilwall/report.py
@@ -3,6 +3,9 @@
 from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
+import msgspec
+
+from chervilwall.errors import PlatformError
 from chervilwall.ledger import (
     CLOSED_CLASS,
     LOST_MARK,
@@ -12,6 +15,7 @@
 from chervilwall.message import KeyedRow, Row
 
 COUNTERS_PREFIX = "counters/"
+_ROWS = msgspec.msgpack.Decoder(tuple[KeyedRow, ...])
 
 
 class ReportLine(NamedTuple):
@@ -30,6 +34,23 @@
     row: Row
 
 
+def encode_rows(rows: tuple[KeyedRow, ...]) -> bytes:
+    """Returns the value of a counters object."""
+    return msgspec.msgpack.encode(rows)
+
+
+def decode_rows(value: bytes) -> tuple[KeyedRow, ...]:
+    """Returns the rows in a counters object.
+
+    Raises:
+        PlatformError: The value does not decode.
+    """
+    try:
+        return _ROWS.decode(value)
+    except msgspec.MsgspecError as exc:
+        raise PlatformError(str(exc), step="decode counters") from exc
+
+
 def merge_copies(copies: Iterable[Iterable[KeyedRow]]) -> Ledger:
     """Returns one ledger from copies that may overlap or be late."""
     ledger = Ledger("report")
--- a/packages/operator/chervilwall_ctl/apply.py
+++ b/packages/operator/chervilwall_ctl/apply.py
@@ -6,7 +6,13 @@
 from typing import NamedTuple
 
 import msgspec
-from chervilwall.config import Config, ConfigObject, HistoryEntry
+from chervilwall.config import (
+    CONFIG_KEY,
+    Config,
+    ConfigObject,
+    HistoryEntry,
+    decode_object,
+)
 from chervilwall.errors import (
     PlatformError,
     PlatformUnavailableError,
@@ -14,7 +20,6 @@
 )
 from chervilwall.protocol import Platform
 
-CONFIG_KEY = "config/current"
 MAX_HISTORY = 50
 
 
@@ -63,11 +68,7 @@
     found = await platform.get(CONFIG_KEY)
     if found is None:
         return Standing(0, ConfigObject(Config(), ""))
-    try:
-        standing = msgspec.json.decode(found.value, type=ConfigObject)
-    except msgspec.MsgspecError as exc:
-        raise PlatformError(str(exc), step="decode configuration") from exc
-    return Standing(found.version, standing)
+    return Standing(found.version, decode_object(found.value))
 
 
 async def apply_config(
--- a/packages/operator/chervilwall_ctl/fleet_view.py
+++ b/packages/operator/chervilwall_ctl/fleet_view.py
@@ -10,12 +10,10 @@
 from chervilwall.ledger import Ledger
 from chervilwall.message import KeyedRow
 from chervilwall.protocol import Platform
-from chervilwall.report import COUNTERS_PREFIX, merge_copies
+from chervilwall.report import COUNTERS_PREFIX, decode_rows, merge_copies
 
 from chervilwall_ctl.client import RouterClient, RouterError
 
-_ROWS = msgspec.msgpack.Decoder(tuple[KeyedRow, ...])
-
 
 class RouterView(NamedTuple):
     """A router, as seen by an operator.
@@ -95,7 +93,7 @@
         folded.update(archive.folded)
         for found in await platform.list(COUNTERS_PREFIX):
             if found.key.removeprefix(COUNTERS_PREFIX) not in folded:
-                copies.append(_ROWS.decode(found.value))
+                copies.append(decode_rows(found.value))
     except ChervilwallError as exc:
         missing.append(f"platform ({exc.reason})")
     try:
--- a/packages/router/chervilwall_router/accounts.py
+++ b/packages/router/chervilwall_router/accounts.py
@@ -4,7 +4,6 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
-import msgspec
 from chervilwall import events
 from chervilwall.archive import ARCHIVE_KEY, decode_archive
 from chervilwall.errors import (
@@ -15,14 +14,13 @@
 from chervilwall.ledger import UNCERTAIN, Ledger
 from chervilwall.message import KeyedRow, Row, RowKey, RowsPush
 from chervilwall.protocol import Platform
-from chervilwall.report import COUNTERS_PREFIX
+from chervilwall.report import COUNTERS_PREFIX, decode_rows, encode_rows
 from chervilwall.slots import Running
 
 LOG = logging.getLogger(__name__)
 COPIES = 2
 PASSING_TTL_S = 120.0
 RENAME_MARK = "+"
-_ROWS = msgspec.msgpack.Decoder(tuple[KeyedRow, ...])
 
 
 class Accounts:
@@ -191,12 +189,12 @@
         if incarnation not in self._versions:
             rows = await self._read(key, incarnation)
         version = self._versions[incarnation]
-        blob = msgspec.msgpack.encode(rows)
+        blob = encode_rows(rows)
         try:
             new = await self._platform.put(key, blob, if_version=version)
         except VersionConflictError:
             rows = await self._read(key, incarnation)
-            blob = msgspec.msgpack.encode(rows)
+            blob = encode_rows(rows)
             version = self._versions[incarnation]
             new = await self._platform.put(key, blob, if_version=version)
         self._versions[incarnation] = new
@@ -210,15 +208,3 @@
         if kept is not None:
             self.ledger.merge(decode_rows(kept.value))
         return self.ledger.rows_of(incarnation)
-
-
-def decode_rows(value: bytes) -> tuple[KeyedRow, ...]:
-    """Returns the rows in a counters object.
-
-    Raises:
-        PlatformError: The value does not decode.
-    """
-    try:
-        return _ROWS.decode(value)
-    except msgspec.MsgspecError as exc:
-        raise PlatformError(str(exc), step="decode counters") from exc
--- a/packages/router/chervilwall_router/config_keeper.py
+++ b/packages/router/chervilwall_router/config_keeper.py
@@ -3,17 +3,19 @@
 import logging
 from collections.abc import Callable
 
-import msgspec
 from chervilwall import events
-from chervilwall.config import Config, ConfigObject, VersionedConfig
+from chervilwall.config import (
+    CONFIG_KEY,
+    Config,
+    VersionedConfig,
+    decode_object,
+)
 from chervilwall.errors import PlatformError
 from chervilwall.protocol import Platform, PlatformObject
 
 LOG = logging.getLogger(__name__)
-CONFIG_KEY = "config/current"
 WATCH_TIMEOUT_S = 20.0
 WATCHERS = 3
-_DECODER = msgspec.json.Decoder(ConfigObject)
 
 
 class ConfigKeeper:
@@ -77,8 +79,8 @@
 
     def _offer_object(self, found: PlatformObject) -> None:
         try:
-            config = _DECODER.decode(found.value).config
-        except msgspec.MsgspecError as exc:
+            config = decode_object(found.value).config
+        except PlatformError as exc:
             events.log_event(LOG, events.CONFIG_REFUSED, reason=exc)
-            raise PlatformError(str(exc), step="decode configuration") from exc
+            raise
         self.offer(VersionedConfig(found.version, config), "platform")
--- a/packages/router/chervilwall_router/pipeline.py
+++ b/packages/router/chervilwall_router/pipeline.py
@@ -24,14 +24,13 @@
     Grant,
     Refuse,
 )
-from chervilwall.protocol import AnswerSink
+from chervilwall.protocol import AnswerSink, Metrics
 from chervilwall.quarantine import Quarantine
 
 from chervilwall_router.accounts import Accounts
 from chervilwall_router.cell_host import CellHost
 from chervilwall_router.claims import ClaimTable, HeldClaim
 from chervilwall_router.holder import Holder
-from chervilwall_router.metrics import RouterMetrics
 from chervilwall_router.problem import (
     EXECUTED_NO,
     EXECUTED_UNKNOWN,
@@ -83,7 +82,7 @@
         claims (ClaimTable): Claims on idempotency keys.
         accounts (Accounts): Totals per team.
         quarantine (Quarantine): Requests that crashed targets.
-        metrics (RouterMetrics): Counters and histograms.
+        metrics (Metrics): Counters and histograms.
     """
 
     def __init__(
@@ -95,7 +94,7 @@
         claims: ClaimTable,
         accounts: Accounts,
         quarantine: Quarantine,
-        metrics: RouterMetrics,
+        metrics: Metrics,
     ) -> None:
         self._limits = limits
         self._holder = holder
--- a/packages/router/chervilwall_router/router.py
+++ b/packages/router/chervilwall_router/router.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 import ssl
 import time
 
@@ -16,6 +17,7 @@
     MembershipSettings,
 )
 from chervilwall.message import MemberUpdate
+from chervilwall.protocol import HostEntry
 from chervilwall.quarantine import Quarantine
 from chervilwall.rendezvous import owners
 from chervilwall.siblings import SERVICE_INTERVAL_S
@@ -47,6 +49,7 @@
 CONFIG_POLL_S = 5.0
 ORDER_CANDIDATES = 2
 LINGER_S = 0.3
+MAX_HOST_SEEDS = 16
 PLATFORM_WAIT_S = 5.0
 
 _TO_SCHEDULER = (
@@ -362,6 +365,8 @@
         hosts = await self._platform.hosts()
         leaving = frozenset(h.address for h in hosts if h.state == "leaving")
         self._cells.set_leaving_hosts(leaving)
+        if len(self._membership.reachable()) == 1:
+            self._fleet.add_seeds(self._seeds_among(hosts))
 
     def _copy_rows_soon(self) -> None:
         """Copies rows once after a while, however many change until then."""
@@ -383,6 +388,13 @@
         for name in owners(self._incarnation, others, COPIES):
             self._accounts.copy_to(name, self._fleet.send)
 
+    def _seeds_among(self, hosts: tuple[HostEntry, ...]) -> list[str]:
+        """Returns a few hosts that may run routers, to be asked when alone."""
+        _, port = split_address(self._cfg.listen.peers)
+        live = [h.address for h in hosts if h.state == "live"]
+        chosen = random.sample(live, min(MAX_HOST_SEEDS, len(live)))
+        return [f"{address}:{port}" for address in chosen]
+
     async def _flush_counters(self) -> None:
         alive = self._alive_incarnations()
         lost = self._accounts.ledger.incarnations() - alive
--- a/packages/router/tests/test_kept_state.py
+++ b/packages/router/tests/test_kept_state.py
@@ -9,9 +9,9 @@
 from chervilwall.classify import Classified
 from chervilwall.config import Config, RequestClass, Team, VersionedConfig
 from chervilwall.errors import PlatformUnavailableError
-from chervilwall.report import merge_copies, report_lines
+from chervilwall.report import decode_rows, merge_copies, report_lines
 from chervilwall_router import claims as claims_lib
-from chervilwall_router.accounts import Accounts, decode_rows
+from chervilwall_router.accounts import Accounts
 from chervilwall_router.claims import ClaimTable
 from chervilwall_router.config_keeper import ConfigKeeper
 from chervilwall_router.folding import Folder
--- a/packages/router/tests/test_security.py
+++ b/packages/router/tests/test_security.py
@@ -78,6 +78,19 @@
             wait_for(served, limit_s=8, what="an answer over TLS")
 
 
+class SeedsTest(unittest.TestCase):
+    def test_a_router_without_seeds_finds_others_by_the_host_list(self):
+        with Fleet(routers=3, settings={"seeds": []}) as fleet:
+            hosts = {fleet.host(name): "live" for name in fleet.names}
+            call_json(f"{fleet.platform_url}/admin/hosts", hosts)
+            for name in fleet.names:
+                wait_for(
+                    lambda name=name: joined(fleet, name, 3),
+                    limit_s=8,
+                    what="all routers joined",
+                )
+
+
 class KeysTest(unittest.TestCase):
     def test_the_fleet_key_rotates_without_a_stop(self):
         with Fleet(routers=3) as fleet:
--- a/packages/standins/chervilwall_standins/baselines.py
+++ b/packages/standins/chervilwall_standins/baselines.py
@@ -4,23 +4,22 @@
 
 from chervilwall.fair_queue import FairQueue, Queued
 
-from chervilwall_standins.policies import Start
+from chervilwall_standins.policies import Decisions, Start
 from chervilwall_standins.trace import Trace, TraceRequest
 
 
-class _SlotPolicy:
+class _SlotPolicy(Decisions):
     """Base of the baselines: slots are seen exactly and at once."""
 
     name = ""
     hop_s = 0.0
 
     def __init__(self, trace: Trace) -> None:
+        super().__init__()
         self._trace = trace
         self._free = {t.name: t.slots for t in trace.config().targets}
         self._slots = dict(self._free)
         self._down: set[str] = set()
-        self._starts: list[Start] = []
-        self._refusals: list[int] = []
         self._shares = dict(trace.heading.teams)
         self._waiting: dict[tuple[str, str], int] = {}
 
@@ -53,16 +52,6 @@
         for service in self._trace.heading.services:
             self._run(service.name, now)
 
-    def starts(self) -> list[Start]:
-        """Returns what was started since the last call."""
-        starts, self._starts = self._starts, []
-        return starts
-
-    def refusals(self) -> list[int]:
-        """Returns what was refused since the last call."""
-        refusals, self._refusals = self._refusals, []
-        return refusals
-
     def waiting(self) -> dict[tuple[str, str], int]:
         """Returns waiting requests by service and team."""
         return {k: n for k, n in self._waiting.items() if n}
@@ -95,6 +84,17 @@
             self._free[target] -= 1
             self._starts.append(Start(index, target))
 
+    def _queued(self, index: int, req: TraceRequest, estimate: float) -> Queued:
+        return Queued(
+            deadline=req.at + self._trace.deadline_s(req),
+            seq=index,
+            router="",
+            req_id=index,
+            team=req.team,
+            cls=req.cls,
+            estimate=estimate,
+        )
+
     def _late(self, index: int, now: float) -> bool:
         req = self._trace.requests[index]
         if now <= req.at + self._trace.deadline_s(req):
@@ -174,7 +174,6 @@
         super().__init__(trace)
         self._queues: dict[tuple[str, int], FairQueue] = {}
         self._busy: dict[tuple[str, int], int] = {}
-        self._seq = 0
 
     def _limit(self, service: str) -> float:
         slots = sum(
@@ -183,20 +182,9 @@
         return max(1.0, slots / self._trace.heading.routers)
 
     def _push(self, index: int, req: TraceRequest) -> None:
-        self._seq += 1
         key = (req.service, req.router)
         queue = self._queues.setdefault(key, FairQueue(self._shares))
-        queue.push(
-            Queued(
-                deadline=req.at + self._trace.deadline_s(req),
-                seq=self._seq,
-                router="",
-                req_id=index,
-                team=req.team,
-                cls=req.cls,
-                estimate=req.hint,
-            )
-        )
+        queue.push(self._queued(index, req, req.hint))
 
     def _pop(self, service: str, now: float) -> int | None:
         for (name, router), queue in self._queues.items():
@@ -225,22 +213,10 @@
     def __init__(self, trace: Trace) -> None:
         super().__init__(trace)
         self._queues: dict[str, FairQueue] = {}
-        self._seq = 0
 
     def _push(self, index: int, req: TraceRequest) -> None:
-        self._seq += 1
         queue = self._queues.setdefault(req.service, FairQueue(self._shares))
-        queue.push(
-            Queued(
-                deadline=req.at + self._trace.deadline_s(req),
-                seq=self._seq,
-                router="",
-                req_id=index,
-                team=req.team,
-                cls=req.cls,
-                estimate=self._trace.cost(req),
-            )
-        )
+        queue.push(self._queued(index, req, self._trace.cost(req)))
 
     def _pop(self, service: str, now: float) -> int | None:
         queue = self._queues.get(service)
--- a/packages/standins/chervilwall_standins/caller.py
+++ b/packages/standins/chervilwall_standins/caller.py
@@ -9,8 +9,6 @@
 
 from chervilwall_standins.target import REQUEST_HEADER, TOKENS_HEADER
 
-KEEP_S = 1.0
-
 
 class Answer(NamedTuple):
     """What a caller got.
--- a/packages/standins/chervilwall_standins/policies.py
+++ b/packages/standins/chervilwall_standins/policies.py
@@ -70,7 +70,25 @@
         ...
 
 
-class FleetPolicy:
+class Decisions:
+    """Gather what a policy decided until the replay asks."""
+
+    def __init__(self) -> None:
+        self._starts: list[Start] = []
+        self._refusals: list[int] = []
+
+    def starts(self) -> list[Start]:
+        """Returns what was started since the last call."""
+        starts, self._starts = self._starts, []
+        return starts
+
+    def refusals(self) -> list[int]:
+        """Returns what was refused since the last call."""
+        refusals, self._refusals = self._refusals, []
+        return refusals
+
+
+class FleetPolicy(Decisions):
     """The product's own decisions, with a hop between routers.
 
     Args:
@@ -89,9 +107,8 @@
         *,
         targets_per_cell: int = SINGLE_CELL_TARGETS,
     ) -> None:
+        super().__init__()
         self._trace = trace
-        self._starts: list[Start] = []
-        self._refusals: list[int] = []
         self._moves: list[message.Move] = []
         self._excluded: dict[int, tuple[str, ...]] = {}
         self._codec = FrameCodec([_KEY])
@@ -168,16 +185,6 @@
             self._service_at = now + SERVICE_INTERVAL_S
             self._exchange_service()
 
-    def starts(self) -> list[Start]:
-        """Returns what was granted since the last call."""
-        starts, self._starts = self._starts, []
-        return starts
-
-    def refusals(self) -> list[int]:
-        """Returns what was refused since the last call."""
-        refusals, self._refusals = self._refusals, []
-        return refusals
-
     def waiting(self) -> dict[tuple[str, str], int]:
         """Returns waiting requests by service and team."""
         found: Counter[tuple[str, str]] = Counter()
--- a/packages/standins/tests/test_model_orders.py
+++ b/packages/standins/tests/test_model_orders.py
@@ -5,8 +5,7 @@
 import time
 
 import msgspec
-from chervilwall.config import ConfigObject
-from chervilwall_ctl.apply import CONFIG_KEY
+from chervilwall.config import CONFIG_KEY, decode_object
 from chervilwall_platform.client import HttpPlatform
 from chervilwall_standins.case import FleetCase
 from chervilwall_standins.fleet import call_json, wait_for
@@ -29,7 +28,7 @@
         async def work():
             platform = HttpPlatform(self.fleet.platform_url)
             found = await platform.get(CONFIG_KEY)
-            standing = msgspec.json.decode(found.value, type=ConfigObject)
+            standing = decode_object(found.value)
             engine = self.dep.engine
             targets = tuple(
                 t._replace(model=model, checks_fencing=t.service == engine)
--- a/tools/check.py
+++ b/tools/check.py
@@ -43,7 +43,8 @@
     done = subprocess.run(
         command, cwd=ROOT, capture_output=True, text=True, check=False
     )
-    print(f"{name} {args[0]}: {'ok' if done.returncode == 0 else 'FAILED'}")
+    what = f"{name} {args[0]}" if name == "ruff" else name
+    print(f"{what}: {'ok' if done.returncode == 0 else 'FAILED'}")
     if done.returncode:
         print(done.stdout + done.stderr)
     return done.returncode == 0
