--- a/packages/core/chervilwall/scheduler.py
+++ b/packages/core/chervilwall/scheduler.py
@@ -1,6 +1,6 @@
 """The scheduler of one cell: grants slots to queued requests, fairly."""
 
-from collections import Counter
+from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
@@ -12,7 +12,7 @@
 from chervilwall.health import LoadReport
 from chervilwall.message import Envelope
 from chervilwall.quarantine import Quarantine
-from chervilwall.siblings import RoomCalls, RoomOffers, make_service
+from chervilwall.siblings import Given, RoomCalls, RoomOffers, make_service
 from chervilwall.slots import Running, SlotTable
 
 REASON_CRASHED_TARGETS = "crashed_targets"
@@ -81,7 +81,7 @@
         self._progress_at = 0.0
         self._offers = RoomOffers()
         self._calls = RoomCalls()
-        self._given: Counter[str] = Counter()
+        self._given: Given = defaultdict(float)
 
     def __repr__(self) -> str:
         return (
@@ -153,7 +153,7 @@
         if self._by_worth and msg.outcome in _REFUNDED:
             cost = 0.0
         self.queue.finish(run.team, cost - run.charged)
-        self._given[run.team] += cost - run.charged  # type: ignore[assignment]
+        self._given[run.team] += cost - run.charged
         self._judge_request(run, msg, now)
         self._judge_target(run, msg, now)
         if completed:
@@ -226,7 +226,7 @@
 
     def take_given(self) -> message.CellService | None:
         """Returns what was given since the last call, for the hub."""
-        given, self._given = self._given, Counter()
+        given, self._given = self._given, defaultdict(float)
         return make_service(self.cell, given, from_hub=False)
 
     def add_given(self, msg: message.CellService) -> None:
@@ -293,7 +293,7 @@
             so_far = self._estimator.cost_so_far(run.cls, elapsed_s)
             if so_far > run.charged:
                 self.queue.charge(run.team, so_far - run.charged)
-                self._given[run.team] += so_far - run.charged  # type: ignore[assignment]
+                self._given[run.team] += so_far - run.charged
                 self.slots.update(run._replace(charged=so_far))
 
     def _refusal(
@@ -340,7 +340,7 @@
         del self._queued[item.router, item.req_id]
         charge = self._expected_cost(item)
         self.queue.start(item.team, charge)
-        self._given[item.team] += charge  # type: ignore[assignment]
+        self._given[item.team] += charge
         run = Running(
             router=item.router,
             req_id=item.req_id,
--- a/packages/core/chervilwall/siblings.py
+++ b/packages/core/chervilwall/siblings.py
@@ -1,7 +1,7 @@
 """Cells of one service: they share room and account for each other."""
 
-from collections import Counter
-from collections.abc import Callable, Iterable
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from chervilwall.message import CellService, TeamService
@@ -12,6 +12,9 @@
 SERVICE_INTERVAL_S = 2.0
 LEAST_COST = 1e-9
 
+# Service by team.
+Given = defaultdict[str, float]
+
 
 class Offer(NamedTuple):
     """Free slots that a sibling told of."""
@@ -82,25 +85,27 @@
     """
 
     def __init__(self) -> None:
-        self._given: dict[str, Counter[str]] = {}
+        self._given: dict[str, Given] = {}
 
     def __repr__(self) -> str:
         return f"ServiceHub(cells={len(self._given)})"
 
     def add(self, msg: CellService) -> None:
         """Takes in what a cell gave."""
-        given = self._given.setdefault(msg.cell, Counter())
-        _add(given, msg.given)
+        given = self._given.setdefault(msg.cell, defaultdict(float))
+        for team, cost in msg.given:
+            given[team] += cost
 
     def drain(self, cells: Iterable[str]) -> list[CellService]:
         """Returns what to tell each cell, and starts again."""
-        total: Counter[str] = Counter()
+        total: Given = defaultdict(float)
         for given in self._given.values():
-            total.update(given)
+            for team, cost in given.items():
+                total[team] += cost
         out = []
         for cell in cells:
-            others = Counter(total)
-            others.subtract(self._given.get(cell, Counter()))
+            own = self._given.get(cell, {})
+            others = {t: cost - own.get(t, 0.0) for t, cost in total.items()}
             if message := make_service(cell, others, from_hub=True):
                 out.append(message)
         self._given = {}
@@ -108,21 +113,12 @@
 
 
 def make_service(
-    cell: str,
-    given: Counter[str],
-    *,
-    from_hub: bool,
-    keep: Callable[[str], bool] = lambda _: True,
+    cell: str, given: Mapping[str, float], *, from_hub: bool
 ) -> CellService | None:
     """Returns the message that tells of service, or None for no service."""
     found = tuple(
         TeamService(team, cost)
         for team, cost in given.items()
-        if abs(cost) > LEAST_COST and keep(team)
+        if abs(cost) > LEAST_COST
     )
     return CellService(cell, from_hub, found) if found else None
-
-
-def _add(given: Counter[str], items: Iterable[TeamService]) -> None:
-    for team, cost in items:
-        given[team] += cost  # type: ignore[assignment]
--- a/packages/router/chervilwall_router/metrics.py
+++ b/packages/router/chervilwall_router/metrics.py
@@ -1,6 +1,6 @@
 """Counters and histograms, kept here and sent by statsd."""
 
-from collections import Counter
+from collections import defaultdict
 from typing import NamedTuple
 
 import statsd
@@ -30,9 +30,9 @@
     """
 
     def __init__(self, address: str | None = None) -> None:
-        self.counters: Counter[str] = Counter()
+        self.counters: defaultdict[str, float] = defaultdict(float)
         self.histograms = HistogramTable()
-        self._unsent: Counter[str] = Counter()
+        self._unsent: defaultdict[str, float] = defaultdict(float)
         self._timings: list[tuple[str, float]] = []
         self._client = None
         if address is not None:
@@ -44,9 +44,9 @@
 
     def count(self, name: str, value: float = 1) -> None:
         """Adds to a counter."""
-        self.counters[name] += value  # type: ignore[assignment]
+        self.counters[name] += value
         if self._client is not None:
-            self._unsent[name] += value  # type: ignore[assignment]
+            self._unsent[name] += value
 
     def observe(self, kind: str, team: str, cls: str, seconds: float) -> None:
         """Adds a duration to the histogram of a team's class."""
--- a/packages/router/chervilwall_router/pipeline.py
+++ b/packages/router/chervilwall_router/pipeline.py
@@ -265,6 +265,9 @@
     ) -> Grant | Refuse:
         started = time.monotonic()
         cell = self._choose_cell(found.cls.service)
+        if cell is None:
+            reason = scheduler.REASON_NO_TARGET
+            return Refuse(0, "", reason, NO_CONFIG_RETRY_S)
         enqueue = Enqueue(
             req_id=self._holder.next_id(),
             cell=cell,
@@ -281,10 +284,14 @@
         self._metrics.observe("wait", found.team.name, found.cls.name, wait_s)
         return grant
 
-    def _choose_cell(self, service: str) -> str:
+    def _choose_cell(self, service: str) -> str | None:
+        """Returns the cell in which the fewest own requests wait.
+
+        There is none where a new configuration has just taken the service.
+        """
         cells = cells_of(self._cells.cells, service)
-        if len(cells) == 1:
-            return cells[0]
+        if len(cells) < 2:
+            return cells[0] if cells else None
         random.shuffle(cells)
         return min(cells, key=self._holder.waiting_in)
 
