--- a/packages/core/chervilwall/siblings.py
+++ b/packages/core/chervilwall/siblings.py
@@ -104,7 +104,7 @@
                 total[team] += cost
         out = []
         for cell in cells:
-            own = self._given.get(cell, {})
+            own: Mapping[str, float] = self._given.get(cell, {})
             others = {t: cost - own.get(t, 0.0) for t, cost in total.items()}
             if message := make_service(cell, others, from_hub=True):
                 out.append(message)
--- a/packages/router/chervilwall_router/admin.py
+++ b/packages/router/chervilwall_router/admin.py
@@ -122,11 +122,16 @@
         """Shows all metrics."""
         view = self._context.metrics.view()
         histograms = [
-            {**h.key._asdict(), **h._replace(key=None)._asdict()}  # type: ignore[arg-type]
-            for h in view.histograms
+            {
+                **summary.key._asdict(),
+                "samples": summary.samples,
+                "p50_ms": summary.p50_ms,
+                "p95_ms": summary.p95_ms,
+                "p99_ms": summary.p99_ms,
+                "max_ms": summary.max_ms,
+            }
+            for summary in view.histograms
         ]
-        for item in histograms:
-            item.pop("key")
         body = {"counters": view.counters, "histograms": histograms}
         self.send_json(body)
 
