--- a/packages/core/chervilwall/protocol.py
+++ b/packages/core/chervilwall/protocol.py
@@ -91,7 +91,7 @@
 class Metrics(Protocol):
     """Where counts and timings go."""
 
-    def count(self, name: str, value: float = 1) -> None:
+    def count(self, name: str, value: int = 1) -> None:
         """Adds to a counter."""
         ...
 
--- /dev/null
+++ b/packages/core/tests/test_slots.py
@@ -0,0 +1,60 @@
+"""Tests of the choice of targets."""
+
+import unittest
+
+from chervilwall.config import Target
+from chervilwall.fair_queue import Queued
+from chervilwall.health import LoadReport
+from chervilwall.slots import (
+    LOAD_REPORT_TTL_S,
+    MAX_PREFIXES,
+    Running,
+    SlotTable,
+)
+
+PREFIX = 77
+
+
+def item(prefix=0, exclude=()):
+    return Queued(9.0, 1, "r1", 1, "a", "c", 1.0, b"f", prefix, exclude)
+
+
+def make_table():
+    table = SlotTable()
+    table.set_targets(
+        Target(f"t{i}", "svc", f"10.0.0.{i}:80", slots=2) for i in range(3)
+    )
+    return table
+
+
+def run(table, target, req_id):
+    table.add(Running("r1", req_id, target, "a", "c", 1.0, b"f", 0.0))
+
+
+class SlotTableTest(unittest.TestCase):
+    def test_a_cached_prefix_is_preferred_while_its_target_has_room(self):
+        table = make_table()
+        first = table.choose(item(PREFIX), 0.0)
+        run(table, first, 1)
+        self.assertEqual(table.choose(item(PREFIX), 0.0), first)
+        run(table, first, 2)
+        self.assertNotEqual(table.choose(item(PREFIX), 0.0), first)
+
+    def test_the_least_loaded_target_is_chosen_otherwise(self):
+        table = make_table()
+        run(table, "t0", 1)
+        run(table, "t1", 2)
+        self.assertEqual(table.choose(item(), 0.0), "t2")
+        self.assertNotEqual(table.choose(item(exclude=("t2",)), 0.0), "t2")
+
+    def test_a_late_load_report_is_a_hint_for_a_while_only(self):
+        table = make_table()
+        table.report("t0", LoadReport(active=2, own=0), 0.0)
+        self.assertEqual(table.foreign("t0", 1.0), 2)
+        self.assertEqual(table.foreign("t0", LOAD_REPORT_TTL_S + 1), 0)
+
+    def test_remembered_prefixes_are_bounded(self):
+        table = make_table()
+        for prefix in range(1, MAX_PREFIXES + 100):
+            table.choose(item(prefix), 0.0)
+        self.assertEqual(len(table._prefixes), MAX_PREFIXES)
--- a/packages/router/chervilwall_router/metrics.py
+++ b/packages/router/chervilwall_router/metrics.py
@@ -18,7 +18,7 @@
 class MetricsView(NamedTuple):
     """All metrics of a router, as shown to operators."""
 
-    counters: dict[str, float]
+    counters: dict[str, int]
     histograms: list[HistogramSummary]
 
 
@@ -30,9 +30,9 @@
     """
 
     def __init__(self, address: str | None = None) -> None:
-        self.counters: defaultdict[str, float] = defaultdict(float)
+        self.counters: defaultdict[str, int] = defaultdict(int)
         self.histograms = HistogramTable()
-        self._unsent: defaultdict[str, float] = defaultdict(float)
+        self._unsent: defaultdict[str, int] = defaultdict(int)
         self._timings: list[tuple[str, float]] = []
         self._client = None
         if address is not None:
@@ -42,7 +42,7 @@
     def __repr__(self) -> str:
         return f"RouterMetrics(counters={len(self.counters)})"
 
-    def count(self, name: str, value: float = 1) -> None:
+    def count(self, name: str, value: int = 1) -> None:
         """Adds to a counter."""
         self.counters[name] += value
         if self._client is not None:
