Use the field's names: address TTL, served, transient, announce

Cause: read as a newcomer, `keep_s`, `given`, `news` and `call_for_work` needed explaining, and the stand-in platform had its own copy of PlatformObject. Change: names only; the setting `answers_keep_s` is `address_ttl_s` and the address list says `ttl_s`. No behaviour changes.

--- a/packages/core/chervilwall/archive.py
+++ b/packages/core/chervilwall/archive.py
@@ -52,7 +52,7 @@
         raise PlatformError(str(exc), step="decode archive") from exc
 
 
-def ended_with(incarnation: str) -> str:
+def base_incarnation(incarnation: str) -> str:
     """Returns the incarnation on whose end a counters object depends."""
     return incarnation.partition(LOST_MARK)[0]
 
@@ -110,7 +110,7 @@
         self._seen = {n: s for n, s in self._seen.items() if n in versions}
         groups: dict[str, list[str]] = {}
         for name in sorted(versions):
-            groups.setdefault(ended_with(name), []).append(name)
+            groups.setdefault(base_incarnation(name), []).append(name)
         return [
             names
             for ended, names in groups.items()
--- a/packages/core/chervilwall/message.py
+++ b/packages/core/chervilwall/message.py
@@ -249,12 +249,12 @@
     Args:
         cell (str): The cell that gave, or that is told.
         from_hub (bool): Whether the hub sent it.
-        given (tuple): Service by team.
+        served (tuple): Service by team.
     """
 
     cell: str
     from_hub: bool
-    given: tuple[TeamService, ...]
+    served: tuple[TeamService, ...]
 
 
 class Ping(NamedTuple):
--- a/packages/core/chervilwall/quarantine.py
+++ b/packages/core/chervilwall/quarantine.py
@@ -10,8 +10,8 @@
 REFUSED_CRASHES = 2
 MAX_ENTRIES = 1000
 ENTRY_TTL_S = 3600.0
-MAX_NEWS = 8
-NEWS_AGE_S = 60.0
+MAX_RECENT = 8
+RECENT_AGE_S = 60.0
 
 
 class _Entry(NamedTuple):
@@ -102,7 +102,7 @@
         """Returns the fingerprints of all refused requests."""
         return {f for f in self._entries if self.is_refused(f, now)}
 
-    def news(self, now: float) -> tuple[Suspicion, ...]:
+    def recent(self, now: float) -> tuple[Suspicion, ...]:
         """Returns the newest entries, to be gossiped.
 
         Suspects are told as well as refused requests: a caller may send one
@@ -111,7 +111,7 @@
         found: list[Suspicion] = []
         for fingerprint, entry in reversed(self._entries.items()):
             age_s = now - entry.at
-            if len(found) >= MAX_NEWS or age_s > NEWS_AGE_S:
+            if len(found) >= MAX_RECENT or age_s > RECENT_AGE_S:
                 break
             found.append(Suspicion(fingerprint, entry.crashes, age_s))
         return tuple(found)
--- a/packages/core/chervilwall/scheduler.py
+++ b/packages/core/chervilwall/scheduler.py
@@ -12,7 +12,12 @@
 from chervilwall.health import LoadReport
 from chervilwall.message import Envelope
 from chervilwall.quarantine import Quarantine
-from chervilwall.siblings import Given, RoomCalls, RoomOffers, make_service
+from chervilwall.siblings import (
+    RoomAnnouncer,
+    RoomOffers,
+    ServiceByTeam,
+    make_service,
+)
 from chervilwall.slots import Running, SlotTable
 
 REASON_CRASHED_TARGETS = "crashed_targets"
@@ -80,8 +85,8 @@
         self._seq = 0
         self._progress_at = 0.0
         self._offers = RoomOffers()
-        self._calls = RoomCalls()
-        self._given: Given = defaultdict(float)
+        self._calls = RoomAnnouncer()
+        self._served: ServiceByTeam = defaultdict(float)
 
     def __repr__(self) -> str:
         return (
@@ -153,7 +158,7 @@
         if self._by_worth and msg.outcome in _REFUNDED:
             cost = 0.0
         self.queue.finish(run.team, cost - run.charged)
-        self._given[run.team] += cost - run.charged
+        self._served[run.team] += cost - run.charged
         self._judge_request(run, msg, now)
         self._judge_target(run, msg, now)
         if completed:
@@ -212,7 +217,7 @@
         self._offers.put(msg.idle_cell, msg.slots, now)
         return self.dispatch(now)
 
-    def call_for_work(
+    def announce_room(
         self, siblings: list[str], now: float
     ) -> message.Room | None:
         """Returns an offer to a sibling, where slots idle and nothing waits."""
@@ -224,14 +229,14 @@
         sibling = self._calls.due(siblings, now)
         return message.Room(sibling, self.cell, slots) if sibling else None
 
-    def take_given(self) -> message.CellService | None:
+    def drain_service(self) -> message.CellService | None:
         """Returns what was given since the last call, for the hub."""
-        given, self._given = self._given, defaultdict(float)
-        return make_service(self.cell, given, from_hub=False)
+        served, self._served = self._served, defaultdict(float)
+        return make_service(self.cell, served, from_hub=False)
 
-    def add_given(self, msg: message.CellService) -> None:
+    def add_remote_service(self, msg: message.CellService) -> None:
         """Charges teams for what they got in other cells."""
-        for team, cost in msg.given:
+        for team, cost in msg.served:
             self.queue.charge(team, cost)
 
     def tick(self, now: float) -> list[Envelope]:
@@ -293,7 +298,7 @@
             so_far = self._estimator.cost_so_far(run.cls, elapsed_s)
             if so_far > run.charged:
                 self.queue.charge(run.team, so_far - run.charged)
-                self._given[run.team] += so_far - run.charged
+                self._served[run.team] += so_far - run.charged
                 self.slots.update(run._replace(charged=so_far))
 
     def _refusal(
@@ -340,7 +345,7 @@
         del self._queued[item.router, item.req_id]
         charge = self._expected_cost(item)
         self.queue.start(item.team, charge)
-        self._given[item.team] += charge
+        self._served[item.team] += charge
         run = Running(
             router=item.router,
             req_id=item.req_id,
--- a/packages/core/chervilwall/siblings.py
+++ b/packages/core/chervilwall/siblings.py
@@ -13,7 +13,7 @@
 LEAST_COST = 1e-9
 
 # Service by team.
-Given = defaultdict[str, float]
+ServiceByTeam = defaultdict[str, float]
 
 
 class Offer(NamedTuple):
@@ -47,7 +47,7 @@
         return None
 
 
-class RoomCalls:
+class RoomAnnouncer:
     """Decide when an idle cell tells a sibling of its room.
 
     The pause doubles while nothing comes of it, so that an idle fleet is
@@ -60,7 +60,7 @@
         self._turn = 0
 
     def __repr__(self) -> str:
-        return f"RoomCalls(pause_s={self._pause_s:g})"
+        return f"RoomAnnouncer(pause_s={self._pause_s:g})"
 
     def reset(self) -> None:
         """Starts with the short pause again."""
@@ -85,40 +85,40 @@
     """
 
     def __init__(self) -> None:
-        self._given: dict[str, Given] = {}
+        self._served: dict[str, ServiceByTeam] = {}
 
     def __repr__(self) -> str:
-        return f"ServiceHub(cells={len(self._given)})"
+        return f"ServiceHub(cells={len(self._served)})"
 
     def add(self, msg: CellService) -> None:
         """Takes in what a cell gave."""
-        given = self._given.setdefault(msg.cell, defaultdict(float))
-        for team, cost in msg.given:
-            given[team] += cost
+        served = self._served.setdefault(msg.cell, defaultdict(float))
+        for team, cost in msg.served:
+            served[team] += cost
 
     def drain(self, cells: Iterable[str]) -> list[CellService]:
         """Returns what to tell each cell, and starts again."""
-        total: Given = defaultdict(float)
-        for given in self._given.values():
-            for team, cost in given.items():
+        total: ServiceByTeam = defaultdict(float)
+        for served in self._served.values():
+            for team, cost in served.items():
                 total[team] += cost
         out = []
         for cell in cells:
-            own: Mapping[str, float] = self._given.get(cell, {})
+            own: Mapping[str, float] = self._served.get(cell, {})
             others = {t: cost - own.get(t, 0.0) for t, cost in total.items()}
             if message := make_service(cell, others, from_hub=True):
                 out.append(message)
-        self._given = {}
+        self._served = {}
         return out
 
 
 def make_service(
-    cell: str, given: Mapping[str, float], *, from_hub: bool
+    cell: str, served: Mapping[str, float], *, from_hub: bool
 ) -> CellService | None:
     """Returns the message that tells of service, or None for no service."""
     found = tuple(
         TeamService(team, cost)
-        for team, cost in given.items()
+        for team, cost in served.items()
         if abs(cost) > LEAST_COST
     )
     return CellService(cell, from_hub, found) if found else None
--- a/packages/core/tests/test_scheduler.py
+++ b/packages/core/tests/test_scheduler.py
@@ -243,10 +243,10 @@
     def test_suspects_are_told_to_other_schedulers_while_new(self):
         made, other = Quarantine(), Quarantine()
         made.record_crash(b"k", zone="az1", suspect=False, now=0.0)
-        self.assertTrue(other.merge(made.news(1.0), 1.0))
+        self.assertTrue(other.merge(made.recent(1.0), 1.0))
         self.assertTrue(other.is_suspect(b"k", 1.0))
-        self.assertFalse(other.merge(made.news(1.0), 1.0))
-        self.assertEqual(made.news(100.0), ())
+        self.assertFalse(other.merge(made.recent(1.0), 1.0))
+        self.assertEqual(made.recent(100.0), ())
 
 
 class EjectionTest(unittest.TestCase):
--- a/packages/router/chervilwall_router/accounts.py
+++ b/packages/router/chervilwall_router/accounts.py
@@ -19,7 +19,7 @@
 
 LOG = logging.getLogger(__name__)
 COPIES = 2
-PASSING_TTL_S = 120.0
+TRANSIENT_TTL_S = 120.0
 RENAME_MARK = "+"
 
 
@@ -45,7 +45,7 @@
         self._versions: dict[str, int] = {}
         self._written: dict[str, tuple[KeyedRow, ...]] = {}
         self._backed: set[str] = set()
-        self._passing: OrderedDict[RowKey, float] = OrderedDict()
+        self._transient: OrderedDict[RowKey, float] = OrderedDict()
         self._copied: dict[str, dict[RowKey, Row]] = {}
 
     def __repr__(self) -> str:
@@ -101,16 +101,16 @@
         scheduler does not gather the rows of the whole fleet.
         """
         self.ledger.merge([total])
-        self._passing[total.key] = now
-        self._passing.move_to_end(total.key)
+        self._transient[total.key] = now
+        self._transient.move_to_end(total.key)
 
     def prune(self, now: float) -> None:
         """Drops passing rows that are old."""
-        while self._passing:
-            key, at = next(iter(self._passing.items()))
-            if now - at < PASSING_TTL_S:
+        while self._transient:
+            key, at = next(iter(self._transient.items()))
+            if now - at < TRANSIENT_TTL_S:
                 return
-            del self._passing[key]
+            del self._transient[key]
             kept = key.incarnation in self._backed
             if not kept and key.incarnation != self.incarnation:
                 self.ledger.forget_row(key)
--- a/packages/router/chervilwall_router/callers.py
+++ b/packages/router/chervilwall_router/callers.py
@@ -247,14 +247,14 @@
         members = self._context.membership.open_to_callers()
         random.shuffle(members)
         members.sort(key=lambda m: m.zone != zone)
-        keep_s = cfg.timing.answers_keep_s
+        ttl_s = cfg.timing.address_ttl_s
         routers = [
             {"name": m.name, "address": m.caller_address, "zone": m.zone}
             for m in members
         ]
         self.set_header("Content-Type", "application/json")
-        self.set_header("Cache-Control", f"max-age={keep_s}")
-        body = {"routers": routers, "keep_s": keep_s}
+        self.set_header("Cache-Control", f"max-age={ttl_s}")
+        body = {"routers": routers, "ttl_s": ttl_s}
         self.finish(msgspec.json.encode(body))
 
 
@@ -270,13 +270,13 @@
         write = stream.write
 
         def write_explained(data: bytes | memoryview) -> Any:
-            return write(_explain(data))
+            return write(_explain_refusal(data))
 
         stream.write = write_explained  # type: ignore[method-assign]
         super().handle_stream(stream, address)
 
 
-def _explain(data: bytes | memoryview) -> bytes | memoryview:
+def _explain_refusal(data: bytes | memoryview) -> bytes | memoryview:
     if data != _BARE_REFUSAL:
         return data
     body = _MALFORMED.body()
--- a/packages/router/chervilwall_router/cell_host.py
+++ b/packages/router/chervilwall_router/cell_host.py
@@ -165,7 +165,7 @@
         elif isinstance(msg, message.Room):
             out = scheduler.offer(msg, now)
         elif isinstance(msg, message.CellService):
-            scheduler.add_given(msg)
+            scheduler.add_remote_service(msg)
         elif isinstance(msg, message.Handover):
             scheduler.take_over(msg)
         self._send(out)
@@ -188,16 +188,16 @@
         for scheduler in list(self._schedulers.values()):
             self._send(scheduler.tick(now))
             siblings = siblings_of(self.cells, scheduler.cell)
-            room = scheduler.call_for_work(siblings, now)
+            room = scheduler.announce_room(siblings, now)
             if room is not None:
                 self._send_to_cell(room.cell, room)
 
     def exchange_service(self) -> None:
         """Tells hubs what cells here gave, and cells what others gave."""
         for scheduler in list(self._schedulers.values()):
-            given = scheduler.take_given()
-            if given and siblings_of(self.cells, scheduler.cell):
-                self._send_to_hub(scheduler.service, given)
+            served = scheduler.drain_service()
+            if served and siblings_of(self.cells, scheduler.cell):
+                self._send_to_hub(scheduler.service, served)
         for service, hub in self._hubs.items():
             for told in hub.drain(cells_of(self.cells, service)):
                 self._send_to_cell(told.cell, told)
--- a/packages/router/chervilwall_router/fleet.py
+++ b/packages/router/chervilwall_router/fleet.py
@@ -56,7 +56,7 @@
         self._rng = random.Random()
         self._pulled_at = 0.0
         membership.config_version = lambda: keeper.version
-        membership.suspicions = lambda: quarantine.news(time.monotonic())
+        membership.suspicions = lambda: quarantine.recent(time.monotonic())
 
     def __repr__(self) -> str:
         return f"Fleet({self.membership!r})"
--- a/packages/router/chervilwall_router/router.py
+++ b/packages/router/chervilwall_router/router.py
@@ -160,7 +160,7 @@
         self._fleet.leave()
         self._elect()
         # Callers may use an address for as long as they were told to keep it.
-        await asyncio.sleep(self._cfg.timing.answers_keep_s)
+        await asyncio.sleep(self._cfg.timing.address_ttl_s)
         self._server.stop()
         await self._finish_held(limit)
         await self._keep_state(limit)
--- a/packages/router/chervilwall_router/settings.py
+++ b/packages/router/chervilwall_router/settings.py
@@ -101,7 +101,7 @@
         counters_flush_s (float): Between writes of counters.
         rows_copy_s (float): Between copies of counters to peers.
         platform_timeout_s (float): To wait for a platform call.
-        answers_keep_s (int): For which callers may keep the address list.
+        address_ttl_s (int): For which callers may keep the address list.
         stop_limit_s (float): Within which a planned stop must end.
     """
 
@@ -114,7 +114,7 @@
     counters_flush_s: Seconds = 2.0
     rows_copy_s: Seconds = 0.2
     platform_timeout_s: Seconds = 2.0
-    answers_keep_s: Count = 5
+    address_ttl_s: Count = 5
     stop_limit_s: Seconds = 120.0
 
 
--- a/packages/standins/chervilwall_standins/caller.py
+++ b/packages/standins/chervilwall_standins/caller.py
@@ -75,7 +75,7 @@
                 continue
             found = json.loads(response.body)
             self._routers = [r["address"] for r in found["routers"]]
-            self._kept_until = time.monotonic() + found["keep_s"]
+            self._kept_until = time.monotonic() + found["ttl_s"]
             if self._routers:
                 break
         return self._routers
--- a/packages/standins/chervilwall_standins/fleet.py
+++ b/packages/standins/chervilwall_standins/fleet.py
@@ -219,7 +219,7 @@
             "fleet_keys": [FLEET_KEY],
             "operator_key_hashes": [hash_key(OPERATOR_KEY)],
             "seeds": seeds,
-            "timing": {"answers_keep_s": 1},
+            "timing": {"address_ttl_s": 1},
         }
         settings.update(self._overrides)
         settings.update(extra)
--- a/packages/standins/chervilwall_standins/memory_platform.py
+++ b/packages/standins/chervilwall_standins/memory_platform.py
@@ -21,8 +21,7 @@
     async def get(self, key: str) -> PlatformObject | None:
         """Returns an object, or None where there is none."""
         self._check()
-        found = self.store.get(key)
-        return PlatformObject(*found) if found else None
+        return self.store.get(key)
 
     async def put(
         self, key: str, value: bytes, *, if_version: int | None
@@ -49,16 +48,15 @@
     async def list(self, prefix: str) -> tuple[PlatformObject, ...]:
         """Returns the objects whose key starts with a prefix."""
         self._check()
-        return tuple(PlatformObject(*s) for s in self.store.list(prefix))
+        return tuple(self.store.list(prefix))
 
     async def watch(
         self, prefix: str, since: int, timeout_s: float
     ) -> WatchResult:
         """Returns what changed, without waiting."""
         self._check()
-        found = self.store.list(prefix, since)
-        objects = tuple(PlatformObject(*s) for s in found)
-        return WatchResult(self.store.revision, objects)
+        found = tuple(self.store.list(prefix, since))
+        return WatchResult(self.store.revision, found)
 
     async def hosts(self) -> tuple[HostEntry, ...]:
         """Returns an empty host list."""
--- a/packages/standins/chervilwall_standins/object_store.py
+++ b/packages/standins/chervilwall_standins/object_store.py
@@ -2,23 +2,10 @@
 
 import asyncio
 from collections.abc import Iterator
-from typing import NamedTuple
 
-MAX_VALUE_BYTES = 1_000_000
-
-
-class Stored(NamedTuple):
-    """An object.
+from chervilwall.protocol import PlatformObject
 
-    Args:
-        key (str): Its name.
-        version (int): Revision of its last change.
-        value (bytes): Its value.
-    """
-
-    key: str
-    version: int
-    value: bytes
+MAX_VALUE_BYTES = 1_000_000
 
 
 class ConflictError(Exception):
@@ -30,13 +17,13 @@
 
     def __init__(self) -> None:
         self.revision = 0
-        self._objects: dict[str, Stored] = {}
+        self._objects: dict[str, PlatformObject] = {}
         self._changed = asyncio.Event()
 
     def __repr__(self) -> str:
         return f"ObjectStore(objects={len(self._objects)})"
 
-    def get(self, key: str) -> Stored | None:
+    def get(self, key: str) -> PlatformObject | None:
         """Returns an object, if there is one."""
         return self._objects.get(key)
 
@@ -46,7 +33,7 @@
         version = old.version if old else 0
         if if_version is not None and if_version != version:
             raise ConflictError(key)
-        self._objects[key] = Stored(key, self._advance(), value)
+        self._objects[key] = PlatformObject(key, self._advance(), value)
         return self.revision
 
     def delete(self, key: str, if_version: int | None) -> None:
@@ -57,7 +44,7 @@
         del self._objects[key]
         self._advance()
 
-    def list(self, prefix: str, since: int = 0) -> Iterator[Stored]:
+    def list(self, prefix: str, since: int = 0) -> Iterator[PlatformObject]:
         """Yields the objects below a prefix that changed after a revision."""
         for stored in self._objects.values():
             if stored.key.startswith(prefix) and stored.version > since:
--- a/packages/standins/chervilwall_standins/platform.py
+++ b/packages/standins/chervilwall_standins/platform.py
@@ -7,13 +7,13 @@
 from typing import Any
 
 import msgspec
+from chervilwall.protocol import PlatformObject
 from tornado.web import Application, RequestHandler
 
 from chervilwall_standins.object_store import (
     MAX_VALUE_BYTES,
     ConflictError,
     ObjectStore,
-    Stored,
 )
 
 MAX_WATCH_S = 60.0
@@ -243,6 +243,6 @@
     return json.dumps(body).encode()
 
 
-def _encode(stored: Stored) -> list[Any]:
+def _encode(stored: PlatformObject) -> list[Any]:
     value = base64.b64encode(stored.value).decode()
     return [stored.key, stored.version, value]
--- a/packages/standins/chervilwall_standins/policies.py
+++ b/packages/standins/chervilwall_standins/policies.py
@@ -176,7 +176,7 @@
         for scheduler in self.schedulers.values():
             self._take(scheduler.tick(now))
             siblings = siblings_of(self._cells, scheduler.cell)
-            room = scheduler.call_for_work(siblings, now)
+            room = scheduler.announce_room(siblings, now)
             if room is not None:
                 self._count("", room.cell, room)
                 self._take(self.schedulers[room.cell].offer(room, now))
@@ -200,14 +200,14 @@
 
     def _exchange_service(self) -> None:
         for scheduler in self.schedulers.values():
-            given = scheduler.take_given()
-            if given and siblings_of(self._cells, scheduler.cell):
-                self._count("", f"{scheduler.service}#0", given)
-                self._hubs[scheduler.service].add(given)
+            served = scheduler.drain_service()
+            if served and siblings_of(self._cells, scheduler.cell):
+                self._count("", f"{scheduler.service}#0", served)
+                self._hubs[scheduler.service].add(served)
         for service, hub in self._hubs.items():
             for told in hub.drain(cells_of(self._cells, service)):
                 self._count("", told.cell, told)
-                self.schedulers[told.cell].add_given(told)
+                self.schedulers[told.cell].add_remote_service(told)
 
     def _move(self, now: float) -> None:
         moves, self._moves = self._moves, []
--- a/packages/standins/tests/test_answers.py
+++ b/packages/standins/tests/test_answers.py
@@ -150,7 +150,7 @@
         self.assertEqual(len(call_json(url)["routers"]), 3)
 
     settings = {
-        "timing": {"answers_keep_s": 1},
+        "timing": {"address_ttl_s": 1},
         "limits": {"body_timeout_s": 1.0},
     }
 
--- a/packages/standins/tests/test_model_orders.py
+++ b/packages/standins/tests/test_model_orders.py
@@ -18,7 +18,7 @@
     engine_args = ("--fencing",)
     routers = 3
     settings = {
-        "timing": {"answers_keep_s": 1},
+        "timing": {"address_ttl_s": 1},
         "limits": {"weight_loads_per_s": LOADS_PER_S},
     }
 
--- a/packages/standins/tests/test_refusals.py
+++ b/packages/standins/tests/test_refusals.py
@@ -16,7 +16,7 @@
 class RefusalsTest(FleetCase):
     engine_args = ("--token-s", "0.05", "--slots", "1")
     settings = {
-        "timing": {"answers_keep_s": 1},
+        "timing": {"address_ttl_s": 1},
         "limits": {"target_idle_s": 4.0, "max_held_per_team": 40},
     }
 
