--- a/packages/core/chervilwall/archive.py
+++ b/packages/core/chervilwall/archive.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from chervilwall.errors import PlatformError
+from chervilwall._value import decode_value
 from chervilwall.ledger import LOST_MARK, Ledger, sum_rows
 from chervilwall.message import KeyedRow, Row, RowKey
 from chervilwall.report import report_lines
@@ -46,10 +46,7 @@
     """
     if value is None:
         return Archive()
-    try:
-        return _DECODER.decode(value)
-    except msgspec.MsgspecError as exc:
-        raise PlatformError(str(exc), step="decode archive") from exc
+    return decode_value(_DECODER, value, "decode archive")
 
 
 def base_incarnation(incarnation: str) -> str:
--- a/packages/core/chervilwall/config.py
+++ b/packages/core/chervilwall/config.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from chervilwall.errors import PlatformError
+from chervilwall._value import decode_value
 
 MEASURE_WORK = "work"
 MEASURE_WORTH = "worth"
@@ -163,7 +163,4 @@
     Raises:
         PlatformError: The value does not decode.
     """
-    try:
-        return _DECODER.decode(value)
-    except msgspec.MsgspecError as exc:
-        raise PlatformError(str(exc), step="decode configuration") from exc
+    return decode_value(_DECODER, value, "decode configuration")
--- a/packages/core/chervilwall/report.py
+++ b/packages/core/chervilwall/report.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from chervilwall.errors import PlatformError
+from chervilwall._value import decode_value
 from chervilwall.ledger import (
     CLOSED_CLASS,
     LOST_MARK,
@@ -45,10 +45,7 @@
     Raises:
         PlatformError: The value does not decode.
     """
-    try:
-        return _ROWS.decode(value)
-    except msgspec.MsgspecError as exc:
-        raise PlatformError(str(exc), step="decode counters") from exc
+    return decode_value(_ROWS, value, "decode counters")
 
 
 def merge_copies(copies: Iterable[Iterable[KeyedRow]]) -> Ledger:
