--- a/packages/core/chervilwall/codec.py
+++ b/packages/core/chervilwall/codec.py
@@ -38,6 +38,12 @@
     message.CellService,
     message.Handover,
     message.EdgeReport,
+    message.Place,
+    message.PlaceQueued,
+    message.PlaceGranted,
+    message.PlaceRefused,
+    message.PlaceRead,
+    message.PlaceEnded,
     message.SnapshotPull,
     message.StoreSnapshot,
 )
--- a/packages/core/chervilwall/fair_share.py
+++ b/packages/core/chervilwall/fair_share.py
@@ -9,6 +9,8 @@
 
 # The users' quota window: shares are owed over spans of this length.
 WINDOW_S = 4.0
+# Sums of hundreds of teams and routers are added up this often at most.
+REFRESH_S = 0.01
 
 
 def max_min_level(demands: Mapping[str, float], capacity: float) -> float:
@@ -71,6 +73,9 @@
         self._asked = TeamUsage()
         self._got = TeamUsage()
         self._peers: dict[str, tuple[float, dict[str, float], dict]] = {}
+        self._over: frozenset[str] = frozenset()
+        self._over_at = -REFRESH_S
+        self._had: dict[str, float] = {}
 
     def __repr__(self) -> str:
         return f"FairShare(peers={len(self._peers)})"
@@ -101,20 +106,29 @@
         """Forgets a peer."""
         self._peers.pop(peer, None)
 
-    def is_over(self, team: str, capacity_per_s: float, now: float) -> bool:
-        """Tells whether a team got all that it is owed in this window.
+    def over_teams(self, capacity_per_s: float, now: float) -> frozenset[str]:
+        """Returns the teams that got all that they are owed in this window.
 
         Args:
-            team (str): Team.
             capacity_per_s (float): What the engines produce in a second; 0
                 where it is not known.
             now (float): Monotonic time.
         """
-        if capacity_per_s <= 0:
-            return False
-        asked, got = self._totals(now)
-        level = max_min_level(asked, capacity_per_s * WINDOW_S)
-        return got.get(team, 0.0) >= level
+        if now - self._over_at < REFRESH_S:
+            return self._over
+        asked, self._had = self._totals(now)
+        self._over_at = now
+        self._over = frozenset()
+        if capacity_per_s > 0:
+            level = max_min_level(asked, capacity_per_s * WINDOW_S)
+            self._over = frozenset(
+                t for t, n in self._had.items() if n >= level
+            )
+        return self._over
+
+    def had(self) -> Mapping[str, float]:
+        """Returns what teams had when over_teams() last added it up."""
+        return self._had
 
     def _totals(self, now: float) -> tuple[dict[str, float], dict[str, float]]:
         own_asked, own_got = self.own(now)
--- a/packages/core/chervilwall/load_view.py
+++ b/packages/core/chervilwall/load_view.py
@@ -5,6 +5,8 @@
 
 # A router that is silent for this long has stopped or is cut off.
 PEER_TTL_S = 1.5
+# Part of a prompt's work that counts until its first token is seen.
+OVERDUE_PART = 0.15
 
 
 class TargetLoad(NamedTuple):
@@ -12,19 +14,19 @@
 
     Args:
         running (int): Requests sent and not yet ended.
-        prefill_tokens (int): Prompt tokens sent whose first event is awaited.
+        prefill_s (float): Time that it still reads prompts.
         kv_tokens (int): Tokens that its requests occupy in its cache.
     """
 
     running: int = 0
-    prefill_tokens: int = 0
+    prefill_s: float = 0.0
     kv_tokens: int = 0
 
     def plus(self, other: "TargetLoad") -> "TargetLoad":
         """Returns the sum of two loads."""
         return TargetLoad(
             self.running + other.running,
-            self.prefill_tokens + other.prefill_tokens,
+            self.prefill_s + other.prefill_s,
             self.kv_tokens + other.kv_tokens,
         )
 
@@ -32,34 +34,88 @@
 IDLE = TargetLoad()
 
 
+class _Prefill(NamedTuple):
+    work_s: float
+    done_at: float
+
+    def left_s(self, now: float) -> float:
+        """Returns the work that is left, by the prediction."""
+        least = OVERDUE_PART * self.work_s
+        return min(self.work_s, max(least, self.done_at - now))
+
+
+class _OwnLoad:
+    def __init__(self) -> None:
+        self.running = 0
+        self.kv_tokens = 0
+        self.prefills: dict[int, _Prefill] = {}
+
+    def load(self, now: float) -> TargetLoad:
+        prefill_s = sum(p.left_s(now) for p in self.prefills.values())
+        return TargetLoad(self.running, prefill_s, self.kv_tokens)
+
+
 class LoadView:
     """Sum this router's load with the newest report of each peer."""
 
     def __init__(self) -> None:
-        self._own: dict[str, TargetLoad] = {}
+        self._own: dict[str, _OwnLoad] = {}
         self._peers: dict[str, tuple[float, Mapping[str, TargetLoad]]] = {}
+        self._next = 0
 
     def __repr__(self) -> str:
         return f"LoadView(peers={len(self._peers)})"
 
-    def add_own(
-        self, target_id: str, running: int, prefill_tokens: int, kv_tokens: int
-    ) -> None:
-        """Adds to this router's load on a target; negative amounts take off."""
-        change = TargetLoad(running, prefill_tokens, kv_tokens)
-        total = self._own.get(target_id, IDLE).plus(change)
-        if total == IDLE:
-            self._own.pop(target_id, None)
-        else:
-            self._own[target_id] = total
-
-    def own(self) -> Mapping[str, TargetLoad]:
+    def start(
+        self, target_id: str, *, work_s: float, kv_tokens: int, now: float
+    ) -> int:
+        """Counts a request of this router; returns its number.
+
+        Args:
+            target_id (str): Where it runs.
+            work_s (float): Time for which the target reads its prompt.
+            kv_tokens (int): Tokens that it occupies.
+            now (float): Monotonic time.
+        """
+        self._next += 1
+        ahead_s = self.total(target_id, now).prefill_s
+        own = self._own.setdefault(target_id, _OwnLoad())
+        own.running += 1
+        own.kv_tokens += kv_tokens
+        if work_s > 0:
+            prefill = _Prefill(work_s, now + ahead_s + work_s)
+            own.prefills[self._next] = prefill
+        return self._next
+
+    def note_read(self, target_id: str, number: int) -> None:
+        """Notes that a request's prompt was read."""
+        own = self._own.get(target_id)
+        if own is not None:
+            own.prefills.pop(number, None)
+
+    def end(self, target_id: str, number: int, kv_tokens: int) -> None:
+        """Takes off a request that ended."""
+        own = self._own.get(target_id)
+        if own is None:
+            return
+        own.prefills.pop(number, None)
+        own.running -= 1
+        own.kv_tokens -= kv_tokens
+        if own.running <= 0:
+            del self._own[target_id]
+
+    def own(self, now: float) -> dict[str, TargetLoad]:
         """Returns this router's load by target."""
-        return self._own
+        return {t: own.load(now) for t, own in self._own.items()}
+
+    def is_reading(self) -> bool:
+        """Tells whether a prompt of this router is being read."""
+        return any(own.prefills for own in self._own.values())
 
     def own_running(self, target_id: str) -> int:
         """Returns how many of this router's requests a target runs."""
-        return self._own.get(target_id, IDLE).running
+        own = self._own.get(target_id)
+        return own.running if own else 0
 
     def set_peer(
         self, peer: str, loads: Iterable[tuple[str, TargetLoad]], now: float
@@ -73,7 +129,8 @@
 
     def total(self, target_id: str, now: float) -> TargetLoad:
         """Returns the load of a target over all routers."""
-        load = self._own.get(target_id, IDLE)
+        own = self._own.get(target_id)
+        load = own.load(now) if own else IDLE
         for at, loads in self._peers.values():
             if now - at <= PEER_TTL_S and target_id in loads:
                 load = load.plus(loads[target_id])
--- a/packages/core/chervilwall/peers.py
+++ b/packages/core/chervilwall/peers.py
@@ -5,12 +5,8 @@
 from chervilwall.load_view import PEER_TTL_S
 from chervilwall.message import EdgeReport
 
-# Reports are sent this often while load changes.
-BUSY_INTERVAL_S = 0.04
-# Reports are sent this often at least.
-IDLE_INTERVAL_S = 0.4
-# Reports that all routers together send to one of them in a second.
-REPORTS_PER_S = 200.0
+# Pause between reports; several may be lost before a peer counts as silent.
+REPORT_INTERVAL_S = 0.25
 # Ended incarnations whose late reports are told apart from new ones.
 MAX_ENDED = 64
 
@@ -106,11 +102,3 @@
         self._ended[(name, incarnation)] = None
         while len(self._ended) > MAX_ENDED:
             del self._ended[next(iter(self._ended))]
-
-
-def report_interval_s(peers: int) -> float:
-    """Returns the pause between reports while load changes.
-
-    Each router hears all others, so the pause grows with the fleet.
-    """
-    return max(BUSY_INTERVAL_S, peers / REPORTS_PER_S)
--- a/packages/core/chervilwall/placement.py
+++ b/packages/core/chervilwall/placement.py
@@ -1,42 +1,54 @@
-"""Which target runs a request.
+"""Which target runs a request, and whether it should wait for a better one.
 
 Answers the load pattern of long prompts beside short ones: the time to a first
-token is the prompt tokens queued before it, and a prompt whose shared parts
-are cached costs a part of its length.
+token is the prompt work queued before it, and a prompt whose shared parts are
+cached costs a part of its length.
 """
 
-import statistics
+import enum
 from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
 from chervilwall.load_view import LoadView, TargetLoad
+from chervilwall.prefill import PrefillModel
 from chervilwall.prefix import PrefixMap, PromptPart
 from chervilwall.registry import RegisteredTarget
 from chervilwall.rendezvous import score
 
 
+class Urgency(enum.IntEnum):
+    """How much room a request may claim; lower ones go first."""
+
+    IN_TIME = 0
+    LATE = 1
+    BEYOND_SHARE = 2
+
+
 class PlacementSettings(NamedTuple):
     """Limits of placement.
 
     Args:
-        prefill_window_s (float): Prompt work that may be queued at an engine.
+        windows_s (tuple): Prompt work that may be queued at an engine before
+            a request of each urgency is added.
+        idle_s (float): Prompt work below which an engine is idle enough to
+            read parts again that another one holds.
         slot_fraction (float): Portion of an engine's slots that is filled.
         plain_queue (float): Requests queued at a plain target, as a portion of
             its slots.
-        miss_weight (float): Weight of re-reading cached parts against waiting.
-        away_weight (float): Weight of leaving a session's home, against
-            re-reading its parts.
-        prefill_rate (float): Prompt tokens a second before it is learned.
+        reread_weight (float): Weight of the time for which cached parts are
+            read again, against waiting.
+        stray_s (float): Handicap of a target that is not the home of a session
+            that no target holds.
         cross_zone_s (float): Handicap of a target in another zone.
     """
 
-    prefill_window_s: float = 0.14
+    windows_s: tuple[float, float, float] = (0.06, 0.05, 0.045)
+    idle_s: float = 0.015
     slot_fraction: float = 0.85
     plain_queue: float = 1.0
-    miss_weight: float = 1.0
-    away_weight: float = 0.5
-    prefill_rate: float = 50_000.0
-    cross_zone_s: float = 0.003
+    reread_weight: float = 3.0
+    stray_s: float = 0.05
+    cross_zone_s: float = 0.002
 
 
 class Demand(NamedTuple):
@@ -46,8 +58,8 @@
         service (str): Its service.
         prompt_tokens (int): Length of its prompt, 0 for a plain request.
         output_tokens (int): Most tokens that it generates.
-        parts (tuple): Shared parts of its prompt, in order.
-        session (str): The last shared part, or "".
+        parts (tuple): Parts of its prompt, in order.
+        session (str): The last part that other requests share, or "".
     """
 
     service: str
@@ -68,38 +80,21 @@
     Args:
         target (RegisteredTarget): Where the request goes.
         miss_tokens (int): Prompt tokens that it must read.
-        first_token_s (float): Predicted time to the first token or answer.
+        work_s (float): Time for which the target reads its prompt.
+        first_token_s (float): Predicted time to the first token.
     """
 
     target: RegisteredTarget
-    miss_tokens: int
-    first_token_s: float
-
+    miss_tokens: int = 0
+    work_s: float = 0.0
+    first_token_s: float = 0.0
 
-class PrefillRate:
-    """Learn how fast a target reads prompts, from its first-token times.
 
-    Args:
-        initial (float): Tokens a second before anything is known.
-    """
-
-    WEIGHT = 0.1
-    LEAST = 5_000.0
-    MOST = 200_000.0
-    MIN_SAMPLE_TOKENS = 2_000
-
-    def __init__(self, initial: float) -> None:
-        self.tokens_per_s = initial
-
-    def __repr__(self) -> str:
-        return f"PrefillRate(tokens_per_s={self.tokens_per_s:.0f})"
-
-    def observe(self, tokens_ahead: int, first_token_s: float) -> None:
-        """Takes in one request's first token."""
-        if tokens_ahead < self.MIN_SAMPLE_TOKENS or first_token_s <= 0:
-            return
-        seen = min(self.MOST, max(self.LEAST, tokens_ahead / first_token_s))
-        self.tokens_per_s += self.WEIGHT * (seen - self.tokens_per_s)
+class _Option(NamedTuple):
+    cost: float
+    wait_s: float
+    queued_s: float
+    choice: Choice
 
 
 class Placement:
@@ -110,6 +105,7 @@
         zone (str): This router's availability zone.
         load (LoadView): Load of the targets.
         prefixes (PrefixMap): Cached parts.
+        model (PrefillModel): Speed of the targets.
         usable (Callable): Tells whether a target is healthy enough.
     """
 
@@ -119,49 +115,37 @@
         zone: str,
         load: LoadView,
         prefixes: PrefixMap,
+        model: PrefillModel,
         usable: Callable[[RegisteredTarget], bool],
     ) -> None:
         self._cfg = settings
         self._zone = zone
         self._load = load
         self._prefixes = prefixes
+        self._model = model
         self._usable = usable
-        self._rates: dict[str, PrefillRate] = {}
 
     def __repr__(self) -> str:
         return f"Placement(zone={self._zone!r})"
 
-    def rate(self, target_id: str) -> PrefillRate:
-        """Returns what is known of a target's reading speed."""
-        rate = self._rates.get(target_id)
-        if rate is None:
-            rate = PrefillRate(self._cfg.prefill_rate)
-            self._rates[target_id] = rate
-        return rate
-
-    def mean_rate(self) -> float:
-        """Returns the mean reading speed of the known targets."""
-        known = [rate.tokens_per_s for rate in self._rates.values()]
-        return statistics.fmean(known) if known else self._cfg.prefill_rate
-
-    def forget(self, target_id: str) -> None:
-        """Forgets a target."""
-        self._rates.pop(target_id, None)
-
     def choose(
         self,
         demand: Demand,
         targets: Sequence[RegisteredTarget],
         now: float,
         *,
+        slack_s: float = 0.0,
+        urgency: Urgency = Urgency.IN_TIME,
         excluded: Iterable[str] = (),
     ) -> Choice | None:
-        """Returns the best target with room, or None where all are taken.
+        """Returns the best target, or None where the request should wait.
 
         Args:
             demand (Demand): What is needed.
             targets (Sequence): Targets of the service.
             now (float): Monotonic time.
+            slack_s (float): Time until the first token is due.
+            urgency (Urgency): How much room it may claim.
             excluded (Iterable): Ids of targets that were tried already.
         """
         left_out = set(excluded)
@@ -172,7 +156,20 @@
             return None
         if not demand.is_generation:
             return self._choose_plain(usable, now)
-        return self._choose_engine(demand, usable, now)
+        return self._choose_engine(demand, usable, now, slack_s, urgency)
+
+    def least_work_s(
+        self, demand: Demand, targets: Sequence[RegisteredTarget], now: float
+    ) -> float:
+        """Returns how long the best target would read a prompt."""
+        if not demand.is_generation or not targets:
+            return 0.0
+        cached = max(
+            self._prefixes.cached_tokens(t.id, demand.parts, now)
+            for t in targets
+        )
+        miss = max(1, demand.prompt_tokens - cached)
+        return self._model.typical_work_s(miss)
 
     def _choose_plain(
         self, targets: list[RegisteredTarget], now: float
@@ -187,56 +184,71 @@
             cost += 0.0 if target.zone == self._zone else self._cfg.cross_zone_s
             if best is None or cost < best[0]:
                 best = (cost, target)
-        return Choice(best[1], 0, 0.0) if best else None
+        return Choice(best[1]) if best else None
 
     def _choose_engine(
-        self, demand: Demand, targets: list[RegisteredTarget], now: float
+        self,
+        demand: Demand,
+        targets: list[RegisteredTarget],
+        now: float,
+        slack_s: float,
+        urgency: Urgency,
     ) -> Choice | None:
-        home = self._home(demand.session, targets)
-        best: tuple[float, Choice] | None = None
+        options = self._options(demand, targets, now, urgency)
+        best = min(options, key=lambda o: o.cost)
+        if best.wait_s <= 0:
+            return best.choice
+        if best.wait_s + best.choice.first_token_s <= slack_s:
+            return None
+        # The best one has no room in time. Under load another one would read
+        # parts again at the cost of the requests that it could start.
+        idle = [o for o in options if o.queued_s <= self._cfg.idle_s]
+        idle = [o for o in idle if o.wait_s <= 0]
+        return min(idle, key=lambda o: o.cost).choice if idle else None
+
+    def _options(
+        self,
+        demand: Demand,
+        targets: list[RegisteredTarget],
+        now: float,
+        urgency: Urgency,
+    ) -> list[_Option]:
+        cached = {
+            t.id: self._prefixes.cached_tokens(t.id, demand.parts, now)
+            for t in targets
+        }
+        most = max(cached.values())
+        home = self._home(demand, targets) if not most else ""
+        window_s = self._cfg.windows_s[urgency]
+        options = []
         for target in targets:
             load = self._load.total(target.id, now)
-            if not self._has_room(target, load):
-                continue
-            choice = self._predict(demand, target, load, now)
-            cost = self._cost(demand, choice, home)
-            if best is None or cost < best[0]:
-                best = (cost, choice)
-        return best[1] if best else None
-
-    def _has_room(self, target: RegisteredTarget, load: TargetLoad) -> bool:
+            wait_s = self._wait_s(target, load, window_s)
+            miss = max(1, demand.prompt_tokens - cached[target.id])
+            work_s = self._model.work_s(target.id, miss)
+            choice = Choice(target, miss, work_s, load.prefill_s + work_s)
+            reread = most - cached[target.id]
+            reread_s = reread / self._model.tokens_per_s(target.id)
+            cost = choice.first_token_s + self._cfg.reread_weight * reread_s
+            if home and target.id != home:
+                cost += self._cfg.stray_s
+            if target.zone != self._zone:
+                cost += self._cfg.cross_zone_s
+            options.append(_Option(cost, wait_s, load.prefill_s, choice))
+        return options
+
+    def _wait_s(
+        self, target: RegisteredTarget, load: TargetLoad, window_s: float
+    ) -> float:
+        """Returns how long it takes until a target has room, 0 for none."""
         if target.slots:
             limit = max(1, int(target.slots * self._cfg.slot_fraction))
             if load.running >= limit:
-                return False
-        rate = self.rate(target.id).tokens_per_s
-        return load.prefill_tokens < self._cfg.prefill_window_s * rate
+                return max(window_s, load.prefill_s)
+        return max(0.0, load.prefill_s - window_s)
 
-    def _predict(
-        self,
-        demand: Demand,
-        target: RegisteredTarget,
-        load: TargetLoad,
-        now: float,
-    ) -> Choice:
-        cached = self._prefixes.cached_tokens(target.id, demand.parts, now)
-        miss = max(1, demand.prompt_tokens - cached)
-        rate = self.rate(target.id).tokens_per_s
-        return Choice(target, miss, (load.prefill_tokens + miss) / rate)
-
-    def _cost(self, demand: Demand, choice: Choice, home: str) -> float:
-        target = choice.target
-        rate = self.rate(target.id).tokens_per_s
-        cost = choice.first_token_s
-        cost += self._cfg.miss_weight * choice.miss_tokens / rate
-        if home and target.id != home:
-            shared = sum(part.tokens for part in demand.parts)
-            cost += self._cfg.away_weight * shared / rate
-        if target.zone != self._zone:
-            cost += self._cfg.cross_zone_s
-        return cost
-
-    def _home(self, session: str, targets: list[RegisteredTarget]) -> str:
+    def _home(self, demand: Demand, targets: list[RegisteredTarget]) -> str:
+        session = demand.session
         if not session:
             return ""
         return max(targets, key=lambda t: score(session, t.id)).id
--- /dev/null
+++ b/packages/core/chervilwall/prefill.py
@@ -0,0 +1,79 @@
+"""How long engines take to read prompts, learned from first tokens."""
+
+import math
+
+# Before anything is known. Learned factors replace both within seconds.
+TOKENS_PER_S = 60_000.0
+PER_PROMPT_S = 0.004
+# Time to a first token beside reading: the way there and back, one step.
+START_LATENCY_S = 0.012
+# Weight of one more sample of a target's factor.
+SAMPLE_WEIGHT = 0.08
+# Factors beyond these come from faults, not from speed.
+LEAST_FACTOR = 0.2
+MOST_FACTOR = 8.0
+# Shorter predictions are mostly network and step time, which tell nothing.
+LEAST_SAMPLE_S = 0.03
+
+
+class PrefillModel:
+    """Predict how long a target reads a prompt.
+
+    A prompt costs a fixed time and one for each token that is not cached; a
+    factor for each target follows the first-token times that are seen.
+    """
+
+    def __init__(self) -> None:
+        self._log_factors: dict[str, float] = {}
+
+    def __repr__(self) -> str:
+        return f"PrefillModel(targets={len(self._log_factors)})"
+
+    def factor(self, target_id: str) -> float:
+        """Returns how much slower a target is than the model's constants."""
+        return math.exp(self._log_factors.get(target_id, self._mean()))
+
+    def work_s(self, target_id: str, miss_tokens: int) -> float:
+        """Returns how long a target reads a prompt.
+
+        Args:
+            target_id (str): The target.
+            miss_tokens (int): Tokens of the prompt that are not cached.
+        """
+        work_s = PER_PROMPT_S + miss_tokens / TOKENS_PER_S
+        return work_s * self.factor(target_id)
+
+    def tokens_per_s(self, target_id: str) -> float:
+        """Returns how fast a target reads a long prompt."""
+        return TOKENS_PER_S / self.factor(target_id)
+
+    def typical_work_s(self, miss_tokens: int) -> float:
+        """Returns how long any target would read a prompt."""
+        work_s = PER_PROMPT_S + miss_tokens / TOKENS_PER_S
+        return work_s * math.exp(self._mean())
+
+    def observe(
+        self, target_id: str, predicted_s: float, first_token_s: float
+    ) -> None:
+        """Takes in one request's first token.
+
+        Args:
+            target_id (str): Where it ran.
+            predicted_s (float): Predicted reading, of queue and own prompt.
+            first_token_s (float): What it took.
+        """
+        first_token_s -= START_LATENCY_S
+        if predicted_s < LEAST_SAMPLE_S or first_token_s <= 0:
+            return
+        known = self._log_factors.get(target_id, self._mean())
+        seen = known + math.log(first_token_s / predicted_s)
+        seen = min(math.log(MOST_FACTOR), max(math.log(LEAST_FACTOR), seen))
+        self._log_factors[target_id] = known + SAMPLE_WEIGHT * (seen - known)
+
+    def forget(self, target_id: str) -> None:
+        """Forgets a target that ended."""
+        self._log_factors.pop(target_id, None)
+
+    def _mean(self) -> float:
+        known = self._log_factors.values()
+        return sum(known) / len(known) if known else 0.0
--- a/packages/core/chervilwall/prefix.py
+++ b/packages/core/chervilwall/prefix.py
@@ -21,6 +21,45 @@
     tokens: int
 
 
+class SessionFinder:
+    """Tell which part of a prompt is the session that others share.
+
+    The last part may belong to the request alone; then the one before it is
+    the longest that comes again. Which it is shows in how often ids recur.
+    """
+
+    # Weight of one more prompt in the measured recurrence.
+    WEIGHT = 0.02
+    # A part recurs if at least this portion of its ids was seen before.
+    LEAST_RECURRENCE = 0.3
+    MAX_IDS = 4096
+
+    def __init__(self) -> None:
+        self._seen: OrderedDict[str, None] = OrderedDict()
+        self._recurrence = 0.0
+
+    def __repr__(self) -> str:
+        return f"SessionFinder(recurrence={self._recurrence:.2f})"
+
+    def observe(self, parts: Sequence[PromptPart]) -> None:
+        """Takes in a prompt that a caller sends for the first time."""
+        if not parts:
+            return
+        last = parts[-1].id
+        seen = 1.0 if last in self._seen else 0.0
+        self._recurrence += self.WEIGHT * (seen - self._recurrence)
+        self._seen[last] = None
+        self._seen.move_to_end(last)
+        if len(self._seen) > self.MAX_IDS:
+            self._seen.popitem(last=False)
+
+    def shared(self, parts: Sequence[PromptPart]) -> Sequence[PromptPart]:
+        """Returns the parts that other requests share."""
+        if len(parts) < 2 or self._recurrence >= self.LEAST_RECURRENCE:
+            return parts
+        return parts[:-1]
+
+
 class PrefixMap:
     """Remember which targets were sent which chains of prompt parts.
 
--- /dev/null
+++ b/packages/core/chervilwall/route_memory.py
@@ -0,0 +1,72 @@
+"""What the requests of each route have in common, learned as they pass."""
+
+from chervilwall.inbound import InboundRequest
+from chervilwall.prefix import SessionFinder
+from chervilwall.routing import Route
+
+# A caller that has spent this much of its time limit was refused before.
+RETURN_AFTER_S = 0.05
+# Weight of one more answer in a route's mean length.
+LENGTH_WEIGHT = 0.05
+
+
+class RouteMemory:
+    """Learn time limits, lengths of answers and sessions by route."""
+
+    def __init__(self) -> None:
+        self._time_limits: dict[str, float] = {}
+        self._events: dict[str, float] = {}
+        self._sessions: dict[str, SessionFinder] = {}
+
+    def __repr__(self) -> str:
+        return f"RouteMemory(routes={len(self._time_limits)})"
+
+    def note_arrival(self, req: InboundRequest, route: Route) -> None:
+        """Takes in a request."""
+        if self.spent_s(req, route) == 0.0:
+            self._finder(route).observe(req.parts)
+
+    def note_events(self, route: Route, events: int) -> None:
+        """Takes in the number of events of a whole stream."""
+        known = self._events.get(route.name, float(events))
+        mean = known + LENGTH_WEIGHT * (events - known)
+        self._events[route.name] = mean
+
+    def spent_s(self, req: InboundRequest, route: Route) -> float:
+        """Returns how long ago the caller first sent a request.
+
+        Callers of a route have the same time limit, so one with less left
+        than the others was refused before.
+        """
+        if req.remaining_s is None:
+            return 0.0
+        most = max(self._time_limits.get(route.name, 0.0), req.remaining_s)
+        self._time_limits[route.name] = most
+        spent_s = most - req.remaining_s
+        return spent_s if spent_s > RETURN_AFTER_S else 0.0
+
+    def output_tokens(
+        self, req: InboundRequest, route: Route, event_tokens: int
+    ) -> int:
+        """Returns how many tokens a request will probably generate.
+
+        Args:
+            req (InboundRequest): The request.
+            route (Route): Its route.
+            event_tokens (int): Tokens of one event.
+        """
+        mean = self._events.get(route.name)
+        if mean is None:
+            return req.output_tokens
+        return min(req.output_tokens, round(mean * event_tokens))
+
+    def session(self, req: InboundRequest, route: Route) -> str:
+        """Returns the last part of a prompt that others share, or ""."""
+        shared = self._finder(route).shared(req.parts)
+        return shared[-1].id if shared else ""
+
+    def _finder(self, route: Route) -> SessionFinder:
+        finder = self._sessions.get(route.name)
+        if finder is None:
+            finder = self._sessions[route.name] = SessionFinder()
+        return finder
--- a/packages/core/chervilwall/routing.py
+++ b/packages/core/chervilwall/routing.py
@@ -95,6 +95,7 @@
         is_engine (bool): Whether its targets are model engines.
         slots (int): Requests that an engine runs at once, 0 if not told.
         kv_tokens (int): Tokens that an engine's KV cache holds, 0 if not told.
+        event_tokens (int): Generated tokens that one event of a stream holds.
     """
 
     name: str
@@ -102,6 +103,7 @@
     is_engine: bool = False
     slots: int = 0
     kv_tokens: int = 0
+    event_tokens: int = 1
 
 
 class CallerLimits(NamedTuple):
--- a/packages/core/chervilwall/wait_queue.py
+++ b/packages/core/chervilwall/wait_queue.py
@@ -1,32 +1,44 @@
 """Requests that wait in a router for room on a target.
 
-Answers the load pattern of more work than the targets can start in time:
-targets admit in order of arrival, so the order is chosen here, and what will
-not be served while its caller waits is refused at once.
+Answers the load pattern of more work than the targets can start in time.
+Targets admit in order of arrival, so the order is chosen here: what can still
+be answered in time goes first, and what will not be served while its caller
+waits is refused.
 """
 
-import heapq
-import itertools
+from collections.abc import Mapping
 from typing import NamedTuple
 
-from chervilwall.placement import Demand
+from chervilwall.placement import Demand, Urgency
+
+# Benefit of a generated token, in tokens that are read.
+OUTPUT_WEIGHT = 10.0
+LEAST_WORK_S = 0.002
+# Keeps the boost of a route of which nothing is served bounded.
+PORTION_BASE = 0.25
+# A late request waits this long for room that is just becoming free.
+LEAST_HOLD_S = 0.03
+# Weight of one more late request in the portion of those that are started.
+LATE_WEIGHT = 0.05
+# Late requests are kept waiting while at least this portion is started.
+LEAST_LATE_PORTION = 0.3
 
 
 class WaitSettings(NamedTuple):
     """Limits of waiting.
 
     Args:
-        refuse_objectives (float): A request that is expected to wait longer
-            than this many of its latency objectives is refused at once.
-        hold_objectives (float): Longest wait, in latency objectives.
+        late_objectives (float): Longest wait of a request that is late, in
+            latency objectives.
+        late_s (float): Longest wait of a request that is late.
         deadline_fraction (float): Longest wait, as a portion of the time left.
         least_retry_s (float): Shortest Retry-After.
         most_retry_s (float): Longest Retry-After.
     """
 
-    refuse_objectives: float = 1.0
-    hold_objectives: float = 1.0
-    deadline_fraction: float = 0.4
+    late_objectives: float = 1.5
+    late_s: float = 1.0
+    deadline_fraction: float = 0.5
     least_retry_s: float = 0.3
     most_retry_s: float = 4.0
 
@@ -36,63 +48,110 @@
 
     Args:
         number (int): Unique number in this router.
+        team (str): Team that pays.
         demand (Demand): What it needs.
-        objective_s (float): Its latency objective.
-        enqueued_at (float): Monotonic time of its arrival.
-        deadline_at (float): Monotonic time after which nobody waits for it.
-        returner (bool): Whether it was refused before.
-        over_share (bool): Whether its team has had its share of late.
-        work_s (float): Target time that it takes to start.
+        due_at (float): Monotonic time by which its first token is due.
+        enqueued_at (float): Monotonic time of its arrival at this router.
+        give_up_at (float): Monotonic time until which it may wait.
+        work_s (float): Time for which a target reads its prompt.
+        route (str): Its route.
     """
 
     number: int
+    team: str
     demand: Demand
-    objective_s: float
+    due_at: float
     enqueued_at: float
-    deadline_at: float
-    returner: bool = False
-    over_share: bool = False
+    give_up_at: float
     work_s: float = 0.0
+    route: str = ""
 
-    def latest_start(self, cfg: WaitSettings) -> float:
-        """Returns the monotonic time until which it may wait."""
-        left_s = self.deadline_at - self.enqueued_at
-        held_s = min(
-            cfg.hold_objectives * self.objective_s,
-            cfg.deadline_fraction * left_s,
-        )
-        return self.enqueued_at + max(held_s, 0.0)
+    @property
+    def density(self) -> float:
+        """Benefit for the time of a target that it takes.
+
+        A generated token is worth about ten that are read.
+        """
+        demand = self.demand
+        size = demand.prompt_tokens + OUTPUT_WEIGHT * demand.output_tokens
+        return size / max(self.work_s, LEAST_WORK_S)
 
-    def rank(self) -> tuple[bool, float, int]:
-        """Returns its place in the order, the lowest first.
+    def latest_start(self) -> float:
+        """Returns the monotonic time until which it can start in time."""
+        return self.due_at - self.work_s
 
-        A team within its share goes before one beyond it. Then the request
-        goes first whose start is due first; a longer start is due earlier.
+    def last_useful_at(self) -> float:
+        """Returns until when it may wait if late requests get no turn."""
+        return max(self.latest_start(), self.enqueued_at + LEAST_HOLD_S)
+
+    def urgency(self, now: float, over: frozenset[str]) -> Urgency:
+        """Returns how much room it may claim.
+
+        Args:
+            now (float): Monotonic time.
+            over (frozenset): Teams that had their share of late.
         """
-        due_at = self.enqueued_at + self.objective_s - self.work_s
-        if self.returner:
-            due_at -= self.objective_s
-        return (self.over_share, due_at, self.number)
+        if self.team in over and self.demand.is_generation:
+            return Urgency.BEYOND_SHARE
+        if now > self.latest_start():
+            return Urgency.LATE
+        return Urgency.IN_TIME
 
 
-class WaitQueue:
-    """Order the waiting requests of one service.
+class Had(NamedTuple):
+    """What teams had in the last window.
 
     Args:
-        settings (WaitSettings): Limits.
+        over (frozenset): Teams that had their share.
+        got (Mapping): Tokens by team.
     """
 
+    over: frozenset[str]
+    got: Mapping[str, float]
+
+
+Rank = tuple[Urgency, float, float, int]
+
+
+class ServedPortions:
+    """Follow which portion of each route's requests starts in time."""
+
+    # Weight of one more request in a route's portion.
+    WEIGHT = 0.03
+
+    def __init__(self) -> None:
+        self._portions: dict[str, float] = {}
+
+    def __repr__(self) -> str:
+        return f"ServedPortions({self._portions})"
+
+    def note(self, route: str, started: bool) -> None:
+        """Takes in a request that was started in time, or was not."""
+        known = self._portions.get(route, 1.0)
+        self._portions[route] = known + self.WEIGHT * (started - known)
+
+    def mean(self) -> float:
+        """Returns the mean portion of all routes."""
+        known = self._portions.values()
+        return sum(known) / len(known) if known else 1.0
+
+    def boost(self, route: str) -> float:
+        """Returns a factor that lifts routes of which little is served."""
+        return (PORTION_BASE + self._portions.get(route, 1.0)) ** -2
+
+
+class WaitQueue:
+    """Order the waiting requests of one service."""
+
     # Starts are counted over about this time to tell how fast it drains.
     RATE_TAU_S = 2.0
 
-    def __init__(self, settings: WaitSettings) -> None:
-        self._cfg = settings
-        self._heap: list[tuple[tuple[bool, float, int], Ticket]] = []
-        self._gone: set[int] = set()
+    def __init__(self) -> None:
         self._live: dict[int, Ticket] = {}
-        self._numbers = itertools.count(1)
         self._started_work_s = 0.0
         self._rate_at = 0.0
+        self._portions = ServedPortions()
+        self._late_portion = 1.0
 
     def __repr__(self) -> str:
         return f"WaitQueue(waiting={len(self._live)})"
@@ -100,72 +159,94 @@
     def __len__(self) -> int:
         return len(self._live)
 
-    def next_number(self) -> int:
-        """Returns a number for a new ticket."""
-        return next(self._numbers)
-
     def push(self, ticket: Ticket) -> None:
         """Adds a request."""
-        heapq.heappush(self._heap, (ticket.rank(), ticket))
         self._live[ticket.number] = ticket
 
     def discard(self, number: int) -> None:
         """Takes out a request that left or was refused."""
-        if self._live.pop(number, None) is not None:
-            self._gone.add(number)
+        self._live.pop(number, None)
+
+    def rank(self, ticket: Ticket, now: float, had: Had) -> Rank:
+        """Returns a request's place in the order, the lowest first.
 
-    def in_order(self) -> list[Ticket]:
+        Requests beyond their team's share go by what the team had; all others
+        by benefit for the time that they take, lifted where little of their
+        route is served.
+        """
+        urgency = ticket.urgency(now, had.over)
+        got = 0.0
+        if urgency is Urgency.BEYOND_SHARE:
+            got = had.got.get(ticket.team, 0.0)
+        worth = ticket.density * self._portions.boost(ticket.route)
+        return (urgency, got, -worth, ticket.number)
+
+    def in_order(self, now: float, had: Had) -> list[Ticket]:
         """Returns the waiting requests, the first to start first."""
-        self._sweep()
-        return [
-            ticket
-            for _, ticket in sorted(self._heap)
-            if ticket.number in self._live
-        ]
+        return sorted(self._live.values(), key=lambda t: self.rank(t, now, had))
 
     def expired(self, now: float) -> list[Ticket]:
         """Returns the requests that have waited as long as they may."""
+        late_pays = self.late_pays()
         return [
-            ticket
-            for ticket in self._live.values()
-            if now >= ticket.latest_start(self._cfg)
+            t
+            for t in self._live.values()
+            if now >= (t.give_up_at if late_pays else t.last_useful_at())
         ]
 
+    def late_pays(self) -> bool:
+        """Tells whether late requests still get their turn."""
+        return self._late_portion >= LEAST_LATE_PORTION
+
+    def note_end(self, ticket: Ticket, now: float, started: bool) -> None:
+        """Takes in how a request's wait ended."""
+        in_time = now <= ticket.latest_start()
+        self._portions.note(ticket.route, started and in_time)
+        if not in_time:
+            change = LATE_WEIGHT * (started - self._late_portion)
+            self._late_portion += change
+
     def note_start(self, work_s: float, now: float) -> None:
         """Counts work that was started, whether it waited or not."""
         self._decay(now)
         self._started_work_s += work_s
 
-    def expected_wait_s(self, ticket: Ticket, now: float) -> float:
-        """Returns how long a request would wait behind those before it."""
-        rank = ticket.rank()
+    def expected_wait_s(
+        self,
+        ticket: Ticket,
+        now: float,
+        had: Had,
+        least_rate: float,
+    ) -> float:
+        """Returns how long a request would wait behind those before it.
+
+        Args:
+            ticket (Ticket): The request.
+            now (float): Monotonic time.
+            had (Had): What teams had of late.
+            least_rate (float): Work started in a second at least, while there
+                is enough of it.
+        """
+        rank = self.rank(ticket, now, had)
         ahead_s = sum(
-            other.work_s for other in self._live.values() if other.rank() < rank
+            other.work_s
+            for other in self._live.values()
+            if self.rank(other, now, had) < rank
         )
         self._decay(now)
         rate = self._started_work_s / self.RATE_TAU_S
-        return ahead_s / max(rate, 0.05)
+        return ahead_s / max(rate, least_rate)
 
-    def is_hopeless(self, ticket: Ticket, now: float) -> bool:
-        """Tells whether a request would wait too long to be of use."""
-        wait_s = self.expected_wait_s(ticket, now)
-        return wait_s > self._cfg.refuse_objectives * ticket.objective_s
+    def retry_after_s(self, wait_s: float, cfg: WaitSettings) -> float:
+        """Returns when a refused caller should come back.
 
-    def retry_after_s(self, ticket: Ticket, now: float) -> float:
-        """Returns when the caller should come back."""
-        wait_s = self.expected_wait_s(ticket, now)
-        cfg = self._cfg
+        The more is refused, the longer the load will probably last.
+        """
+        refused = 1.0 - self._portions.mean()
+        wait_s = max(wait_s, refused * cfg.most_retry_s)
         return min(cfg.most_retry_s, max(cfg.least_retry_s, wait_s))
 
     def _decay(self, now: float) -> None:
         passed_s = max(0.0, now - self._rate_at)
         self._started_work_s *= 2.0 ** (-passed_s / self.RATE_TAU_S)
         self._rate_at = now
-
-    def _sweep(self) -> None:
-        if len(self._gone) * 2 > len(self._heap):
-            self._heap = [
-                item for item in self._heap if item[1].number in self._live
-            ]
-            heapq.heapify(self._heap)
-            self._gone.clear()
--- a/packages/core/tests/test_budget.py
+++ b/packages/core/tests/test_budget.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from chervilwall.budget import RetryBudget
+from chervilwall.budget import RetryBudget, RetryWindow
 
 
 class BudgetTest(unittest.TestCase):
@@ -13,3 +13,26 @@
             budget.succeed()
             spent += budget.spend()
         self.assertLessEqual(spent, 1000 * 0.1 + 3)
+
+
+class RetryWindowTest(unittest.TestCase):
+    def test_the_whole_fleet_keeps_the_bound_in_every_window(self):
+        routers = [RetryWindow(0.2, 10.0, 56.0) for _ in range(8)]
+        spent, requests = [], []
+        for tick in range(4000):
+            now = tick * 0.01
+            window = routers[tick % 8]
+            if tick % 3 == 0:
+                window.note_request(now)
+                requests.append(now)
+            if window.spend(now, 8):
+                spent.append(now)
+            recent = sum(now - at <= 10.0 for at in spent)
+            asked = sum(now - at <= 10.0 for at in requests)
+            self.assertLessEqual(recent, 0.2 * asked + 56.0)
+        self.assertGreater(len(spent), 0.2 * len(requests))
+
+    def test_a_lone_request_may_be_retried(self):
+        window = RetryWindow(0.2, 10.0, 56.0)
+        window.note_request(0.0)
+        self.assertTrue(window.spend(0.1, 8))
--- /dev/null
+++ b/packages/core/tests/test_event_stream.py
@@ -0,0 +1,40 @@
+"""Tests of the cutting of event streams."""
+
+import unittest
+
+from chervilwall.event_stream import EventSplitter
+from hypothesis import given
+from hypothesis import strategies as st
+
+BODY = b"".join(b"id: %d\ndata: x%d\n\n" % (i, i) for i in range(1, 9))
+
+
+class EventSplitterTest(unittest.TestCase):
+    def test_events_have_their_ids(self):
+        events = EventSplitter().feed(BODY)
+        self.assertEqual([e.id for e in events], list(range(1, 9)))
+        self.assertEqual(b"".join(e.raw for e in events), BODY)
+
+    def test_a_torn_event_is_kept_back(self):
+        splitter = EventSplitter()
+        self.assertEqual(splitter.feed(b"id: 1\ndata: x"), [])
+        self.assertEqual(splitter.rest, b"id: 1\ndata: x")
+
+    def test_carriage_returns_and_leading_fields_are_understood(self):
+        raw = b"weight-versions: 3\r\nid: 7\r\ndata: a\r\n\r\n"
+        (event,) = EventSplitter().feed(raw)
+        self.assertEqual((event.id, event.raw), (7, raw))
+
+    def test_an_id_inside_data_is_not_the_events_id(self):
+        (event,) = EventSplitter().feed(b"data: id: 5\n\n")
+        self.assertEqual(event.id, 0)
+
+    @given(st.lists(st.integers(1, len(BODY) - 1), max_size=12))
+    def test_it_does_not_matter_how_bytes_arrive(self, cuts):
+        splitter = EventSplitter()
+        at, found = 0, []
+        for cut in [*sorted(cuts), len(BODY)]:
+            found += splitter.feed(BODY[at:cut])
+            at = cut
+        self.assertEqual([e.id for e in found], list(range(1, 9)))
+        self.assertEqual(b"".join(e.raw for e in found), BODY)
--- /dev/null
+++ b/packages/core/tests/test_fair_share.py
@@ -0,0 +1,63 @@
+"""Tests of max-min shares."""
+
+import unittest
+
+from chervilwall.fair_share import WINDOW_S, FairShare, max_min_level
+from hypothesis import given
+from hypothesis import strategies as st
+
+
+class MaxMinTest(unittest.TestCase):
+    def test_small_demands_are_met_and_the_rest_is_even(self):
+        level = max_min_level({"a": 10, "b": 100, "c": 200}, 150)
+        self.assertAlmostEqual(level, 70)
+
+    def test_there_is_no_limit_while_all_is_met(self):
+        self.assertEqual(max_min_level({"a": 10}, 100), float("inf"))
+        self.assertEqual(max_min_level({}, 100), float("inf"))
+
+    @given(
+        st.lists(st.floats(0.1, 1e6), min_size=1, max_size=30),
+        st.floats(1.0, 1e6),
+    )
+    def test_no_more_than_the_capacity_is_given(self, demands, capacity):
+        asked = {str(i): d for i, d in enumerate(demands)}
+        level = max_min_level(asked, capacity)
+        given_out = sum(min(d, level) for d in demands)
+        self.assertLessEqual(given_out, capacity * (1 + 1e-6))
+
+
+class FairShareTest(unittest.TestCase):
+    def test_a_flood_is_over_its_share_and_its_neighbours_are_not(self):
+        shares = FairShare()
+        for _ in range(100):
+            shares.ask("flood", 1000, 0.0)
+            shares.give("flood", 700, 0.0)
+        shares.ask("small", 5000, 0.0)
+        shares.give("small", 5000, 0.0)
+        self.assertEqual(shares.over_teams(10_000, 0.1), {"flood"})
+
+    def test_what_peers_gave_counts_until_the_window_has_passed(self):
+        shares = FairShare()
+        shares.set_peer("p", {"a": 9e4, "b": 9e4}, {"a": 5e4}, 0.0)
+        self.assertEqual(shares.over_teams(10_000, 0.1), {"a"})
+        self.assertEqual(shares.over_teams(10_000, WINDOW_S + 1), frozenset())
+
+    def test_the_window_slides(self):
+        shares = FairShare()
+        shares.ask("a", 9e4, 0.0)
+        shares.ask("b", 9e4, 3.9)
+        shares.give("a", 5e4, 0.0)
+        self.assertEqual(shares.over_teams(10_000, 3.9), {"a"})
+        self.assertEqual(shares.over_teams(10_000, 4.5), frozenset())
+
+    def test_an_unknown_capacity_limits_nobody(self):
+        shares = FairShare()
+        shares.give("a", 1e9, 0.0)
+        self.assertEqual(shares.over_teams(0.0, 0.1), frozenset())
+
+    def test_requests_without_tokens_leave_no_trace(self):
+        shares = FairShare()
+        shares.ask("a", 0.0, 0.0)
+        shares.ask("a", 0.0, 0.0)
+        self.assertEqual(shares.own(10.0), ({}, {}))
--- /dev/null
+++ b/packages/core/tests/test_peers.py
@@ -0,0 +1,44 @@
+"""Tests of the table of peers."""
+
+import unittest
+
+from chervilwall.load_view import PEER_TTL_S
+from chervilwall.message import EdgeReport
+from chervilwall.peers import PeerTable
+
+
+def make_report(sequence, **changes):
+    report = EdgeReport(sequence, "c", "k", "d", "z", True, 1, 1)
+    return report._replace(**changes)
+
+
+class PeerTableTest(unittest.TestCase):
+    def setUp(self):
+        self.peers = PeerTable("me")
+
+    def test_late_and_own_reports_change_nothing(self):
+        self.assertTrue(self.peers.receive("p", 1, make_report(2), 0.0))
+        self.assertFalse(self.peers.receive("p", 1, make_report(1), 0.0))
+        self.assertFalse(self.peers.receive("me", 1, make_report(9), 0.0))
+
+    def test_a_report_of_an_ended_incarnation_changes_nothing(self):
+        self.peers.receive("p", 1, make_report(5), 0.0)
+        self.assertTrue(self.peers.receive("p", 2, make_report(1), 0.0))
+        self.assertFalse(self.peers.receive("p", 1, make_report(6), 0.0))
+        self.assertEqual(self.peers.alive(0.0)["p"].incarnation, 2)
+
+    def test_a_silent_peer_is_not_offered_to_callers(self):
+        self.peers.receive("p", 1, make_report(1), 0.0)
+        self.assertEqual(self.peers.open_to_callers(1.0), ["c"])
+        self.assertEqual(self.peers.open_to_callers(PEER_TTL_S + 0.1), [])
+        self.assertEqual(self.peers.expire(PEER_TTL_S + 0.1), ["p"])
+
+    def test_a_leaving_peer_is_not_offered_to_callers(self):
+        self.peers.receive("p", 1, make_report(1, ready=False), 0.0)
+        self.assertEqual(self.peers.open_to_callers(0.1), [])
+
+    def test_the_newest_peer_has_read_most_of_the_store(self):
+        self.peers.receive("p", 1, make_report(1, config_version=3), 0.0)
+        self.peers.receive("q", 1, make_report(1, config_version=7), 0.0)
+        newest = self.peers.newest(0.1)
+        self.assertEqual(newest.report.config_version, 7)
--- /dev/null
+++ b/packages/core/tests/test_prefill.py
@@ -0,0 +1,34 @@
+"""Tests of the model of prompt reading."""
+
+import unittest
+
+from chervilwall.prefill import (
+    MOST_FACTOR,
+    START_LATENCY_S,
+    PrefillModel,
+)
+
+
+class PrefillModelTest(unittest.TestCase):
+    def test_it_learns_that_a_target_is_slow(self):
+        model = PrefillModel()
+        for _ in range(100):
+            for target, factor in (("fast", 1.0), ("slow", 4.0)):
+                predicted_s = model.work_s(target, 6000)
+                true_s = 0.1 * factor + START_LATENCY_S
+                model.observe(target, predicted_s, true_s)
+        self.assertAlmostEqual(model.work_s("fast", 6000), 0.1, delta=0.01)
+        self.assertAlmostEqual(model.work_s("slow", 6000), 0.4, delta=0.04)
+
+    def test_an_unknown_target_is_taken_for_a_mean_one(self):
+        model = PrefillModel()
+        for _ in range(100):
+            model.observe("t", model.work_s("t", 6000), 0.2)
+        self.assertAlmostEqual(
+            model.work_s("new", 6000), model.work_s("t", 6000)
+        )
+
+    def test_one_hanging_request_does_not_spoil_a_target(self):
+        model = PrefillModel()
+        model.observe("t", 0.1, 1000.0)
+        self.assertLess(model.factor("t"), MOST_FACTOR / 4)
--- /dev/null
+++ b/packages/core/tests/test_prefix.py
@@ -0,0 +1,65 @@
+"""Tests of cached prompt parts."""
+
+import unittest
+
+from chervilwall.prefix import (
+    PART_TTL_S,
+    PrefixMap,
+    PromptPart,
+    SessionFinder,
+)
+
+A, B, C = PromptPart("a", 100), PromptPart("b", 50), PromptPart("c", 25)
+
+
+class PrefixMapTest(unittest.TestCase):
+    def test_only_an_unbroken_chain_counts(self):
+        prefixes = PrefixMap()
+        prefixes.record("t", [A, B], 0.0)
+        self.assertEqual(prefixes.cached_tokens("t", [A, B, C], 1.0), 150)
+        self.assertEqual(prefixes.cached_tokens("t", [C, A], 1.0), 0)
+        self.assertEqual(prefixes.cached_tokens("other", [A], 1.0), 0)
+
+    def test_the_least_recently_used_parts_give_way(self):
+        prefixes = PrefixMap(160)
+        prefixes.record("t", [A], 0.0)
+        prefixes.record("t", [B], 1.0)
+        prefixes.record("t", [C], 2.0)
+        self.assertEqual(prefixes.cached_tokens("t", [A], 3.0), 0)
+        self.assertEqual(prefixes.cached_tokens("t", [B, C], 3.0), 75)
+
+    def test_a_part_sent_twice_counts_once(self):
+        prefixes = PrefixMap(160)
+        for _ in range(5):
+            prefixes.record("t", [A, B], 0.0)
+        self.assertEqual(prefixes.cached_tokens("t", [A, B], 1.0), 150)
+
+    def test_old_parts_and_ended_targets_are_forgotten(self):
+        prefixes = PrefixMap()
+        prefixes.record("t", [A], 0.0)
+        self.assertEqual(prefixes.cached_tokens("t", [A], PART_TTL_S + 1), 0)
+        prefixes.record("t", [A], 0.0)
+        prefixes.forget("t")
+        self.assertEqual(prefixes.cached_tokens("t", [A], 0.0), 0)
+
+
+class SessionFinderTest(unittest.TestCase):
+    def test_a_last_part_that_never_recurs_is_the_requests_own(self):
+        finder = SessionFinder()
+        for number in range(200):
+            parts = [A, B, PromptPart(f"own{number}", 10)]
+            finder.observe(parts)
+        self.assertEqual(list(finder.shared(parts)), [A, B])
+
+    def test_a_last_part_that_recurs_is_the_session(self):
+        finder = SessionFinder()
+        for number in range(200):
+            parts = [A, PromptPart(f"session{number % 20}", 10)]
+            finder.observe(parts)
+        self.assertEqual(list(finder.shared(parts)), parts)
+
+    def test_its_memory_is_bounded(self):
+        finder = SessionFinder()
+        for number in range(3 * finder.MAX_IDS):
+            finder.observe([PromptPart(str(number), 1)])
+        self.assertLessEqual(len(finder._seen), finder.MAX_IDS)
--- /dev/null
+++ b/packages/core/tests/test_route_memory.py
@@ -0,0 +1,52 @@
+"""Tests of what is learned by route."""
+
+import unittest
+
+from chervilwall.inbound import InboundRequest
+from chervilwall.prefix import PromptPart
+from chervilwall.route_memory import RouteMemory
+from chervilwall.routing import Route, RouteKind, WeightedService
+
+ROUTE = Route(
+    "r", "h", "/", RouteKind.STREAMING, 15.0, 0.3, 0,
+    (WeightedService("s", 1.0),), 1,
+)  # fmt: skip
+
+
+def make_request(remaining_s, output_tokens=1000):
+    return InboundRequest(
+        "id", "POST", "h", "/", (), b"", 0.0,
+        remaining_s=remaining_s, output_tokens=output_tokens,
+    )  # fmt: skip
+
+
+class RouteMemoryTest(unittest.TestCase):
+    def test_a_caller_with_less_time_than_others_was_here_before(self):
+        memory = RouteMemory()
+        self.assertEqual(memory.spent_s(make_request(15.0), ROUTE), 0.0)
+        self.assertEqual(memory.spent_s(make_request(14.99), ROUTE), 0.0)
+        self.assertAlmostEqual(memory.spent_s(make_request(13.5), ROUTE), 1.5)
+
+    def test_a_caller_without_a_limit_is_new(self):
+        memory = RouteMemory()
+        memory.spent_s(make_request(15.0), ROUTE)
+        self.assertEqual(memory.spent_s(make_request(None), ROUTE), 0.0)
+
+    def test_lengths_of_answers_are_learned(self):
+        memory = RouteMemory()
+        req = make_request(15.0)
+        self.assertEqual(memory.output_tokens(req, ROUTE, 5), 1000)
+        for _ in range(10):
+            memory.note_events(ROUTE, 40)
+        self.assertEqual(memory.output_tokens(req, ROUTE, 5), 200)
+
+    def test_retries_do_not_make_an_own_part_look_shared(self):
+        memory = RouteMemory()
+        for number in range(100):
+            part = PromptPart(str(number), 1)
+            for left_s in (15.0, 12.0, 10.0):
+                req = make_request(left_s)._replace(
+                    parts=(PromptPart("top", 9), part)
+                )
+                memory.note_arrival(req, ROUTE)
+        self.assertEqual(memory.session(req, ROUTE), "top")
--- /dev/null
+++ b/packages/core/tests/test_wait_queue.py
@@ -0,0 +1,106 @@
+"""Tests of the wait queue."""
+
+import unittest
+
+from chervilwall.placement import Demand, Urgency
+from chervilwall.wait_queue import (
+    Had,
+    ServedPortions,
+    Ticket,
+    WaitQueue,
+    WaitSettings,
+)
+
+NOBODY = Had(frozenset(), {})
+
+
+def make_ticket(number, *, prompt=1000, output=100, work_s=0.05, **changes):
+    ticket = Ticket(
+        number=number,
+        team="a",
+        demand=Demand("s", prompt, output),
+        due_at=1.0,
+        enqueued_at=0.0,
+        give_up_at=2.0,
+        work_s=work_s,
+        route="r",
+    )
+    return ticket._replace(**changes)
+
+
+class WaitQueueTest(unittest.TestCase):
+    def setUp(self):
+        self.queue = WaitQueue()
+
+    def order(self, now=0.0, had=NOBODY):
+        return [t.number for t in self.queue.in_order(now, had)]
+
+    def test_more_benefit_for_the_time_goes_first(self):
+        self.queue.push(make_ticket(1, work_s=0.2))
+        self.queue.push(make_ticket(2, work_s=0.05))
+        self.assertEqual(self.order(), [2, 1])
+
+    def test_what_can_still_be_in_time_goes_before_what_is_late(self):
+        self.queue.push(make_ticket(1, work_s=0.01, due_at=0.1))
+        self.queue.push(make_ticket(2, work_s=0.2))
+        self.assertEqual(self.order(now=0.5), [2, 1])
+
+    def test_a_team_beyond_its_share_goes_last_and_least_served_first(self):
+        self.queue.push(make_ticket(1, team="flood", work_s=0.01))
+        self.queue.push(make_ticket(2, team="large", work_s=0.5))
+        self.queue.push(make_ticket(3, team="small", work_s=0.9))
+        had = Had(frozenset({"flood", "large"}), {"flood": 9e5, "large": 3e5})
+        self.assertEqual(self.order(had=had), [3, 2, 1])
+
+    def test_plain_requests_know_no_shares(self):
+        ticket = make_ticket(1, prompt=0, team="flood")
+        self.assertEqual(
+            ticket.urgency(0.0, frozenset({"flood"})), Urgency.IN_TIME
+        )
+
+    def test_a_route_of_which_little_is_served_is_lifted(self):
+        for _ in range(200):
+            late = make_ticket(0, route="starved")
+            self.queue.note_end(late, 0.0, False)
+        self.queue.push(make_ticket(1, work_s=0.05, route="served"))
+        self.queue.push(make_ticket(2, work_s=0.15, route="starved"))
+        self.assertEqual(self.order(), [2, 1])
+
+    def test_late_requests_are_let_go_when_none_gets_its_turn(self):
+        ticket = make_ticket(1, due_at=0.5)
+        self.queue.push(ticket)
+        self.assertEqual(self.queue.expired(1.0), [])
+        for _ in range(100):
+            self.queue.note_end(make_ticket(0, due_at=0.5), 1.0, False)
+        self.assertEqual(self.queue.expired(1.0), [ticket])
+
+    def test_the_expected_wait_counts_only_what_goes_before(self):
+        self.queue.push(make_ticket(1, work_s=0.2))
+        self.queue.push(make_ticket(2, work_s=4.0))
+        ticket = make_ticket(3, work_s=0.3)
+        wait_s = self.queue.expected_wait_s(ticket, 0.0, NOBODY, 1.0)
+        self.assertAlmostEqual(wait_s, 0.2)
+
+    def test_the_more_is_refused_the_later_callers_should_return(self):
+        cfg = WaitSettings()
+        calm_s = self.queue.retry_after_s(0.0, cfg)
+        for _ in range(100):
+            self.queue.note_end(make_ticket(0), 0.0, False)
+        busy_s = self.queue.retry_after_s(0.0, cfg)
+        self.assertEqual(calm_s, cfg.least_retry_s)
+        self.assertGreater(busy_s, 3 * calm_s)
+        self.assertLessEqual(busy_s, cfg.most_retry_s)
+
+    def test_a_request_that_left_is_not_started(self):
+        self.queue.push(make_ticket(1))
+        self.queue.discard(1)
+        self.assertEqual(self.order(), [])
+
+
+class ServedPortionsTest(unittest.TestCase):
+    def test_the_boost_is_bounded(self):
+        portions = ServedPortions()
+        for _ in range(1000):
+            portions.note("r", False)
+        self.assertLess(portions.boost("r"), 20)
+        self.assertLess(portions.boost("other"), 1.0)
--- a/packages/router/chervilwall_router/edge/dispatcher.py
+++ b/packages/router/chervilwall_router/edge/dispatcher.py
@@ -1,6 +1,7 @@
 """Grants of targets to waiting requests."""
 
 import asyncio
+import itertools
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -8,14 +9,15 @@
 from chervilwall.fair_share import FairShare
 from chervilwall.load_view import LoadView
 from chervilwall.placement import Choice, Demand, Placement
+from chervilwall.prefill import PrefillModel
 from chervilwall.prefix import PrefixMap, PromptPart
 from chervilwall.registry import TargetRegistry
-from chervilwall.wait_queue import Ticket, WaitQueue, WaitSettings
+from chervilwall.wait_queue import Had, Ticket, WaitQueue, WaitSettings
 
 # Waiting requests are looked at this often beside all other occasions.
 PUMP_INTERVAL_S = 0.02
 # Waiting requests that are tried when the first ones find no room.
-LOOK_AHEAD = 6
+LOOK_AHEAD = 8
 
 
 class Wish(NamedTuple):
@@ -25,19 +27,23 @@
         demand (Demand): What it needs.
         team (str): Team that pays.
         objective_s (float): Its latency objective.
+        due_at (float): Monotonic time by which its first token is due.
         deadline_at (float): Monotonic time after which nobody waits for it.
+        arrived_at (float): Monotonic time of its arrival at this router.
         excluded (frozenset): Targets that were tried already.
-        returner (bool): Whether it was refused or tried before.
-        started_at (float): Monotonic time of its arrival.
+        first (bool): Whether this is the caller's first attempt.
+        route (str): Its route.
     """
 
     demand: Demand
     team: str
     objective_s: float
+    due_at: float
     deadline_at: float
-    started_at: float
+    arrived_at: float
     excluded: frozenset[str] = frozenset()
-    returner: bool = False
+    first: bool = True
+    route: str = ""
 
     @property
     def tokens(self) -> float:
@@ -52,9 +58,9 @@
         choice (Choice): Where it runs.
         demand (Demand): What it needs.
         load (LoadView): Where its load is counted.
+        model (PrefillModel): Learns from its first token.
         released (Callable): Called when room becomes free.
         started_at (float): Monotonic time of the grant.
-        tokens_ahead (int): Prompt tokens queued at the target, with its own.
     """
 
     def __init__(
@@ -62,19 +68,24 @@
         choice: Choice,
         demand: Demand,
         load: LoadView,
+        model: PrefillModel,
         released: Callable[[], None],
         started_at: float,
-        tokens_ahead: int,
     ) -> None:
+        self.first_token_s = 0.0
+        self._model = model
         self.choice = choice
         self.started_at = started_at
-        self.tokens_ahead = tokens_ahead
         self._load = load
         self._released = released
-        self._prefill = choice.miss_tokens
         self._kv_tokens = demand.prompt_tokens + demand.output_tokens
         self._open = True
-        load.add_own(choice.target.id, 1, self._prefill, self._kv_tokens)
+        self._number = load.start(
+            choice.target.id,
+            work_s=choice.work_s,
+            kv_tokens=self._kv_tokens,
+            now=started_at,
+        )
 
     def __repr__(self) -> str:
         return f"Grant(target={self.choice.target.id!r})"
@@ -86,16 +97,20 @@
         if not self._open:
             return
         self._open = False
-        target_id = self.choice.target.id
-        self._load.add_own(target_id, -1, -self._prefill, -self._kv_tokens)
+        self._load.end(self.choice.target.id, self._number, self._kv_tokens)
         self._released()
 
-    def note_first_token(self) -> None:
-        """Notes that the prompt was read."""
-        if self._open and self._prefill:
-            self._load.add_own(self.choice.target.id, 0, -self._prefill, 0)
-            self._prefill = 0
-            self._released()
+    def note_first_token(self, first_token_s: float) -> None:
+        """Notes that the prompt was read, and how long that took."""
+        if not self._open or self.first_token_s:
+            return
+        self.first_token_s = first_token_s
+        choice = self.choice
+        self._load.note_read(choice.target.id, self._number)
+        self._model.observe(
+            choice.target.id, choice.first_token_s, first_token_s
+        )
+        self._released()
 
 
 class _Waiter(NamedTuple):
@@ -104,8 +119,8 @@
     future: "asyncio.Future[Grant]"
 
 
-class Dispatcher:
-    """Let requests wait until a target has room for them.
+class DispatcherParts(NamedTuple):
+    """What the dispatcher decides with.
 
     Args:
         settings (WaitSettings): Limits of waiting.
@@ -113,35 +128,42 @@
         registry (TargetRegistry): The targets.
         load (LoadView): Their load.
         prefixes (PrefixMap): Their caches.
+        model (PrefillModel): Their speed.
         shares (FairShare): What teams had of late.
         capacity (Callable): Returns the tokens a second of all engines.
+        routers (Callable): Returns how many routers there are.
+        granted (Callable): Called with the target and the prompt of a grant.
         clock (Callable): Returns the monotonic time.
     """
 
-    def __init__(
-        self,
-        settings: WaitSettings,
-        placement: Placement,
-        registry: TargetRegistry,
-        load: LoadView,
-        prefixes: PrefixMap,
-        shares: FairShare,
-        capacity: Callable[[], float],
-        clock: Callable[[], float],
-    ) -> None:
-        self._cfg = settings
-        self._placement = placement
-        self._registry = registry
-        self._load = load
-        self._prefixes = prefixes
-        self._shares = shares
-        self._capacity = capacity
-        self._clock = clock
+    settings: WaitSettings
+    placement: Placement
+    registry: TargetRegistry
+    load: LoadView
+    prefixes: PrefixMap
+    model: PrefillModel
+    shares: FairShare
+    capacity: Callable[[], float]
+    routers: Callable[[], int]
+    granted: Callable[[str, tuple[PromptPart, ...]], None]
+    clock: Callable[[], float]
+
+
+class Dispatcher:
+    """Let requests wait until a target has room for them.
+
+    Args:
+        parts (DispatcherParts): What it decides with.
+    """
+
+    def __init__(self, parts: DispatcherParts) -> None:
+        self._parts = parts
+        self._clock = parts.clock
+        self._numbers = itertools.count(1)
         self._queues: dict[str, WaitQueue] = {}
-        self._waiters: dict[tuple[str, int], _Waiter] = {}
+        self._waiters: dict[int, _Waiter] = {}
         self._timer: asyncio.TimerHandle | None = None
-        self._pending = False
-        self.granted: Callable[[str, tuple[PromptPart, ...]], None] = _ignore
+        self._pending: asyncio.Handle | None = None
 
     def __repr__(self) -> str:
         return f"Dispatcher(waiting={len(self._waiters)})"
@@ -157,76 +179,105 @@
             RequestRefusedError: The request would wait too long.
         """
         now = self._clock()
-        if not wish.returner:
-            self._shares.ask(wish.team, wish.tokens, now)
+        if wish.first:
+            self._parts.shares.ask(wish.team, wish.tokens, now)
         queue = self._queue(wish.demand.service)
-        ticket = self._ticket(queue, wish, now)
-        if not self._goes_behind(queue, ticket):
+        ticket = self._ticket(wish, now)
+        if not self._goes_behind(queue, ticket, now):
             grant = self._try(wish, queue, ticket, now)
             if grant is not None:
                 return grant
-        if self._is_hopeless(queue, ticket, wish, now):
-            raise self._refusal(queue, ticket, "would wait too long", now)
+        reason = self._why_hopeless(queue, ticket, now)
+        if reason:
+            queue.note_end(ticket, now, False)
+            raise self._refusal(queue, ticket, reason, now)
         return await self._wait(queue, ticket, wish)
 
     def pump(self) -> None:
-        """Starts waiting requests that find room, a moment later."""
-        if self._waiters and not self._pending:
-            self._pending = True
-            asyncio.get_running_loop().call_soon(self._pump_now)
+        """Starts waiting requests that find room, as soon as possible."""
+        if self._waiters:
+            self._schedule()
+
+    def _schedule(self) -> None:
+        if self._pending is None:
+            loop = asyncio.get_running_loop()
+            self._pending = loop.call_soon(self._pump_now)
 
     def _queue(self, service: str) -> WaitQueue:
         queue = self._queues.get(service)
         if queue is None:
-            queue = self._queues[service] = WaitQueue(self._cfg)
+            queue = self._queues[service] = WaitQueue()
         return queue
 
-    def _ticket(self, queue: WaitQueue, wish: Wish, now: float) -> Ticket:
-        over = self._shares.is_over(wish.team, self._capacity(), now)
+    def _ticket(self, wish: Wish, now: float) -> Ticket:
+        parts, demand = self._parts, wish.demand
+        targets = parts.registry.of_service(demand.service)
         return Ticket(
-            number=queue.next_number(),
-            demand=wish.demand,
-            objective_s=wish.objective_s,
-            enqueued_at=wish.started_at,
-            deadline_at=wish.deadline_at,
-            returner=wish.returner,
-            over_share=over and wish.demand.is_generation,
-            work_s=self._work_s(wish.demand),
+            number=next(self._numbers),
+            team=wish.team,
+            demand=demand,
+            due_at=wish.due_at,
+            enqueued_at=wish.arrived_at,
+            give_up_at=self._give_up_at(wish, now),
+            work_s=parts.placement.least_work_s(demand, targets, now),
+            route=wish.route,
         )
 
-    def _work_s(self, demand: Demand) -> float:
-        """Returns about how long a target is busy before the first token."""
-        shared = sum(part.tokens for part in demand.parts)
-        own = max(1, demand.prompt_tokens - shared)
-        return own / self._placement.mean_rate()
-
-    def _goes_behind(self, queue: WaitQueue, ticket: Ticket) -> bool:
-        rank = ticket.rank()
-        return any(other.rank() < rank for other in queue.in_order()[:1])
+    def _give_up_at(self, wish: Wish, now: float) -> float:
+        cfg = self._parts.settings
+        late_s = min(cfg.late_objectives * wish.objective_s, cfg.late_s)
+        until = max(wish.due_at, now) + late_s
+        left_s = wish.deadline_at - now
+        return min(until, now + cfg.deadline_fraction * left_s)
 
-    def _is_hopeless(
-        self, queue: WaitQueue, ticket: Ticket, wish: Wish, now: float
+    def _goes_behind(
+        self, queue: WaitQueue, ticket: Ticket, now: float
     ) -> bool:
-        if not self._registry.of_service(wish.demand.service):
-            return True
-        return queue.is_hopeless(ticket, now)
+        had = self._had(now)
+        first = queue.in_order(now, had)[:1]
+        rank = queue.rank(ticket, now, had)
+        return any(queue.rank(other, now, had) < rank for other in first)
+
+    def _had(self, now: float) -> Had:
+        shares = self._parts.shares
+        over = shares.over_teams(self._parts.capacity(), now)
+        return Had(over, shares.had())
+
+    def _why_hopeless(
+        self, queue: WaitQueue, ticket: Ticket, now: float
+    ) -> str:
+        if not self._parts.registry.of_service(ticket.demand.service):
+            return "no target takes requests"
+        start_at = now + self._expected_wait_s(queue, ticket, now)
+        limit = ticket.last_useful_at()
+        if queue.late_pays():
+            limit = ticket.give_up_at
+        return "would wait too long" if start_at > limit else ""
+
+    def _expected_wait_s(
+        self, queue: WaitQueue, ticket: Ticket, now: float
+    ) -> float:
+        targets = self._parts.registry.of_service(ticket.demand.service)
+        share = len(targets) / max(1, self._parts.routers())
+        return queue.expected_wait_s(
+            ticket, now, self._had(now), max(share, 0.1)
+        )
 
     def _refusal(
         self, queue: WaitQueue, ticket: Ticket, reason: str, now: float
     ) -> RequestRefusedError:
-        retry_s = queue.retry_after_s(ticket, now)
+        wait_s = self._expected_wait_s(queue, ticket, now)
+        retry_s = queue.retry_after_s(wait_s, self._parts.settings)
         service = ticket.demand.service
         return RequestRefusedError(reason, retry_s, step="wait", peer=service)
 
     async def _wait(
         self, queue: WaitQueue, ticket: Ticket, wish: Wish
     ) -> Grant:
-        future: asyncio.Future[Grant] = (
-            asyncio.get_running_loop().create_future()
-        )
-        key = (wish.demand.service, ticket.number)
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[Grant] = loop.create_future()
         queue.push(ticket)
-        self._waiters[key] = _Waiter(wish, ticket, future)
+        self._waiters[ticket.number] = _Waiter(wish, ticket, future)
         self._arm()
         try:
             return await future
@@ -236,33 +287,30 @@
             raise
         finally:
             queue.discard(ticket.number)
-            self._waiters.pop(key, None)
+            self._waiters.pop(ticket.number, None)
 
     def _try(
         self, wish: Wish, queue: WaitQueue, ticket: Ticket, now: float
     ) -> Grant | None:
-        demand = wish.demand
-        targets = self._registry.of_service(demand.service)
-        choice = self._placement.choose(
-            demand, targets, now, excluded=wish.excluded
+        parts, demand = self._parts, wish.demand
+        choice = parts.placement.choose(
+            demand,
+            parts.registry.of_service(demand.service),
+            now,
+            slack_s=ticket.due_at - now,
+            urgency=ticket.urgency(now, self._had(now).over),
+            excluded=wish.excluded,
         )
         if choice is None:
             return None
         target_id = choice.target.id
-        ahead = self._load.total(target_id, now).prefill_tokens
         if demand.is_generation:
-            self._prefixes.record(target_id, demand.parts, now)
-            self._shares.give(wish.team, wish.tokens, now)
+            parts.prefixes.record(target_id, demand.parts, now)
+            parts.shares.give(wish.team, wish.tokens, now)
         queue.note_start(ticket.work_s, now)
-        grant = Grant(
-            choice,
-            demand,
-            self._load,
-            self.pump,
-            now,
-            ahead + choice.miss_tokens,
-        )
-        self.granted(target_id, demand.parts)
+        queue.note_end(ticket, now, True)
+        grant = Grant(choice, demand, parts.load, parts.model, self.pump, now)
+        parts.granted(target_id, demand.parts)
         return grant
 
     def _arm(self) -> None:
@@ -277,15 +325,17 @@
         self._arm()
 
     def _pump_now(self) -> None:
-        self._pending = False
+        if self._pending is not None:
+            self._pending.cancel()
+            self._pending = None
         now = self._clock()
-        for service, queue in self._queues.items():
-            self._pump_queue(service, queue, now)
+        for queue in self._queues.values():
+            self._pump_queue(queue, now)
 
-    def _pump_queue(self, service: str, queue: WaitQueue, now: float) -> None:
+    def _pump_queue(self, queue: WaitQueue, now: float) -> None:
         misses = 0
-        for ticket in queue.in_order():
-            waiter = self._waiters.get((service, ticket.number))
+        for ticket in queue.in_order(now, self._had(now)):
+            waiter = self._waiters.get(ticket.number)
             if waiter is None or waiter.future.done():
                 continue
             grant = self._try(waiter.wish, queue, ticket, now)
@@ -299,20 +349,17 @@
 
     def _expire(self) -> None:
         now = self._clock()
-        for service, queue in self._queues.items():
+        for queue in self._queues.values():
             for ticket in queue.expired(now):
-                self._refuse_waiter(service, queue, ticket, now)
+                self._refuse_waiter(queue, ticket, now)
 
     def _refuse_waiter(
-        self, service: str, queue: WaitQueue, ticket: Ticket, now: float
+        self, queue: WaitQueue, ticket: Ticket, now: float
     ) -> None:
-        waiter = self._waiters.get((service, ticket.number))
+        waiter = self._waiters.get(ticket.number)
         if waiter is None or waiter.future.done():
             return
         refusal = self._refusal(queue, ticket, "waited in vain", now)
+        queue.note_end(ticket, now, False)
         waiter.future.set_exception(refusal)
         queue.discard(ticket.number)
-
-
-def _ignore(target_id: str, parts: tuple[PromptPart, ...]) -> None:
-    """Stands in until somebody wants to know of grants."""
--- a/packages/router/chervilwall_router/edge/edge.py
+++ b/packages/router/chervilwall_router/edge/edge.py
@@ -10,7 +10,7 @@
 
 import msgspec
 from chervilwall import events
-from chervilwall.codec import FrameCodec
+from chervilwall.codec import Frame, FrameCodec
 from chervilwall.errors import (
     CodecError,
     PlatformError,
@@ -18,9 +18,11 @@
 )
 from chervilwall.fair_share import FairShare
 from chervilwall.health import CellHealth
+from chervilwall.held import Granter, HeldRequests
 from chervilwall.load_view import LoadView, TargetLoad
 from chervilwall.message import (
     EdgeReport,
+    Message,
     RecentPrefix,
     SnapshotPull,
     StoreSnapshot,
@@ -28,19 +30,26 @@
 )
 from chervilwall.peers import PeerState, PeerTable
 from chervilwall.placement import Placement, PlacementSettings
+from chervilwall.prefill import PrefillModel
 from chervilwall.prefix import PrefixMap, PromptPart
 from chervilwall.protocol import ObjectStore, PlatformDecoder, WireFormat
 from chervilwall.registry import RegisteredTarget, TargetRegistry
+from chervilwall.rendezvous import owner
 from chervilwall.routing import RoutingTable
 from chervilwall.wait_queue import WaitSettings
 from tornado.httputil import HTTPServerRequest
 
 from chervilwall_router.edge._call import CallFailedError, DialError, call
 from chervilwall_router.edge.connections import TargetConnections
-from chervilwall_router.edge.dispatcher import Dispatcher
+from chervilwall_router.edge.dispatcher import Dispatcher, DispatcherParts
 from chervilwall_router.edge.flow import FlowParts, RequestFlow
 from chervilwall_router.edge.ingress import Ingress
 from chervilwall_router.edge.peer_link import PeerLink
+from chervilwall_router.edge.scheduling import (
+    Scheduler,
+    Scheduling,
+    SchedulingParts,
+)
 from chervilwall_router.edge.settings import EdgeSettings
 from chervilwall_router.edge.side_server import Reply, SideServer
 from chervilwall_router.edge.state import (
@@ -59,6 +68,8 @@
 KEY_KIND = "fleet-keys"
 KEY_NAME = "main"
 KEY_BYTES = 32
+# Portion of an engine's memory that running requests leave to cached parts.
+CACHED_PORTION = 0.6
 SETUP_PAUSE_S = 0.3
 HOUSEKEEPING_S = 0.1
 # A peer that has read more of the store is asked after this time, as this
@@ -100,6 +111,7 @@
         self._behind_since = 0.0
         self._snapshot_task: asyncio.Task[None] | None = None
         self._sequence = 0
+        self._me = Granter(settings.name, secrets.randbits(62))
         self._known_routers: dict[str, str] = {}
         self._recent_prefixes: list[RecentPrefix] = []
         self._build_state(decoder)
@@ -114,7 +126,9 @@
         self.registry = TargetRegistry()
         self.load = LoadView()
         self.prefixes = PrefixMap()
+        self.model = PrefillModel()
         self.shares = FairShare()
+        self.held = HeldRequests()
         self.peers = PeerTable(self._cfg.name)
         self._health: dict[str, CellHealth] = {}
         self.config = ConfigState(decoder, self._config_changed)
@@ -148,28 +162,45 @@
             self._cfg.zone,
             self.load,
             self.prefixes,
+            self.model,
             self._is_usable,
         )
         self.connections = TargetConnections(self._clock)
         self.dispatcher = Dispatcher(
-            WaitSettings(),
-            self.placement,
-            self.registry,
-            self.load,
-            self.prefixes,
-            self.shares,
-            self._capacity,
-            self._clock,
+            DispatcherParts(
+                settings=WaitSettings(),
+                placement=self.placement,
+                registry=self.registry,
+                load=self.load,
+                prefixes=self.prefixes,
+                model=self.model,
+                shares=self.shares,
+                capacity=self._capacity,
+                routers=self._router_count,
+                granted=self._note_grant,
+                clock=self._clock,
+            )
+        )
+        self.scheduling = Scheduling(
+            SchedulingParts(
+                me=self._me,
+                dispatcher=self.dispatcher,
+                registry=self.registry,
+                held=self.held,
+                model=self.model,
+                health=self.health,
+                find=self._find_scheduler,
+                send=self._send,
+                clock=self._clock,
+            )
         )
-        self.dispatcher.granted = self._note_grant
         self.flow = RequestFlow(
             FlowParts(
                 table=lambda: self.config.table,
                 registry=self.registry,
-                dispatcher=self.dispatcher,
-                placement=self.placement,
+                scheduling=self.scheduling,
+                waiting=self.dispatcher.waiting,
                 connections=self.connections,
-                health=self.health,
                 wire=wire,
                 retries=self._cfg.retries,
                 routers=self._router_count,
@@ -183,10 +214,10 @@
         self.ingress = Ingress(self.flow, wire, self._clock)
         self.link = PeerLink(
             self._cfg.name,
-            secrets.randbits(62),
+            self._me.incarnation,
             self._make_report,
             self._peer_addresses,
-            self._take_report,
+            self._take_frame,
         )
         self._side_servers = {
             self._cfg.listen.readiness: SideServer({"/ready": self._ready}),
@@ -281,12 +312,11 @@
         if parts and len(self._recent_prefixes) < MAX_REPORTED_PREFIXES:
             pairs = tuple((p.id, p.tokens) for p in parts)
             self._recent_prefixes.append(RecentPrefix(target_id, pairs))
-        self.link.note_change()
 
     def _config_changed(self, table: RoutingTable) -> None:
         tokens = [s.kv_tokens for s in table.services.values() if s.kv_tokens]
         if tokens:
-            self.prefixes.capacity_tokens = min(tokens) // 2
+            self.prefixes.capacity_tokens = int(min(tokens) * CACHED_PORTION)
         self.link.send_now()
 
     def _targets_changed(self) -> None:
@@ -299,7 +329,7 @@
 
     def _target_ended(self, target_id: str) -> None:
         self.prefixes.forget(target_id)
-        self.placement.forget(target_id)
+        self.model.forget(target_id)
         self.connections.close_all(target_id)
 
     # Reports between routers.
@@ -312,6 +342,22 @@
         found.discard(self._cfg.listen.peers)
         return found
 
+    def _send(self, address: str, item: Message) -> None:
+        self.link.send(address, item)
+
+    def _find_scheduler(self, service: str) -> Scheduler | None:
+        """Returns the router that schedules a service, None for this one."""
+        alive = self.peers.alive(self._clock())
+        ready = {n: s for n, s in alive.items() if s.report.ready}
+        names = set(ready)
+        if self._is_ready():
+            names.add(self._cfg.name)
+        found = owner(service, names)
+        if found is None or found not in ready:
+            return None
+        state = ready[found]
+        return Scheduler(found, state.incarnation, state.report.datagrams)
+
     def _is_ready(self) -> bool:
         return self.config.table is not None and not self._stopping.is_set()
 
@@ -320,7 +366,6 @@
         prefixes = tuple(self._recent_prefixes)
         self._recent_prefixes.clear()
         asked, got = self.shares.own(self._clock())
-        loads = self.load.own().items()
         return EdgeReport(
             sequence=self._sequence,
             callers=self._cfg.listen.callers,
@@ -330,31 +375,50 @@
             ready=self._is_ready(),
             config_version=self.config.version,
             registry_revision=self.targets.revision,
-            loads=tuple(TargetLoadItem(t, *load) for t, load in loads),
+            loads=self.held.loads(),
             prefixes=prefixes,
             asked={team: round(n) for team, n in asked.items()},
             got={team: round(n) for team, n in got.items()},
         )
 
+    def _take_frame(self, frame: Frame, address: str) -> None:
+        sender = Scheduler(frame.sender, frame.incarnation, address)
+        for item in frame.messages:
+            if isinstance(item, EdgeReport):
+                self._take_report(frame.sender, frame.incarnation, item)
+            else:
+                self.scheduling.receive(sender, item)
+
     def _take_report(
         self, name: str, incarnation: int, report: EdgeReport
     ) -> None:
         now = self._clock()
-        new = name not in self.peers.alive(now)
+        old = self.peers.alive(now).get(name)
         if not self.peers.receive(name, incarnation, report, now):
             return
-        if new:
+        if old is None:
             events.log_event(LOG, events.PEER_SEEN, peer=name)
-        loads = (
-            (item.target_id, TargetLoad(*item[1:])) for item in report.loads
-        )
-        self.load.set_peer(name, loads, now)
+        elif old.incarnation != incarnation:
+            self.scheduling.drop_peer(name)
+        self.scheduling.hear_held(name, report.loads)
+        self.load.set_peer(name, self._loads_of(report), now)
         self.shares.set_peer(name, report.asked, report.got, now)
         for prefix in report.prefixes:
             parts = [PromptPart(*pair) for pair in prefix.parts]
             self.prefixes.record(prefix.target_id, parts, now)
         self.dispatcher.pump()
 
+    def _loads_of(self, report: EdgeReport) -> Iterable[tuple[str, TargetLoad]]:
+        """Returns a peer's load but for what this router granted itself."""
+        found: dict[str, TargetLoad] = {}
+        for group in report.loads:
+            if (group.granter, group.incarnation) == self._me:
+                continue
+            for item in group.items:
+                load = found.get(item.target_id, TargetLoad())
+                found[item.target_id] = load.plus(_load_of(item))
+        return found.items()
+
     # Work in the background.
 
     async def _join(self) -> None:
@@ -415,6 +479,7 @@
             for name in self.peers.expire(self._clock()):
                 self.load.drop_peer(name)
                 self.shares.drop_peer(name)
+                self.scheduling.drop_peer(name)
                 events.log_event(LOG, events.PEER_LOST, peer=name)
             self._catch_up()
 
@@ -520,3 +585,7 @@
             labels += f'class="{row.key.cls}"}}'
             lines.append(f"{labels} {row.samples} {row.p50_ms} {row.p99_ms}")
         return Reply(200, "\n".join(lines).encode() + b"\n", "text/plain")
+
+
+def _load_of(item: TargetLoadItem) -> TargetLoad:
+    return TargetLoad(item.running, item.prefill_ms / 1000, item.kv_tokens)
--- a/packages/router/chervilwall_router/edge/flow.py
+++ b/packages/router/chervilwall_router/edge/flow.py
@@ -7,22 +7,23 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from chervilwall import events
+from chervilwall import events, message
 from chervilwall.budget import RetryWindow
 from chervilwall.errors import DialError, RequestRefusedError
-from chervilwall.health import CellHealth
 from chervilwall.inbound import AnswerHead, InboundRequest
-from chervilwall.placement import Demand, Placement
+from chervilwall.placement import Demand
 from chervilwall.protocol import Metrics, WireFormat
 from chervilwall.registry import RegisteredTarget, TargetRegistry
+from chervilwall.route_memory import RouteMemory
 from chervilwall.routing import CallerLimits, Route, RoutingTable
 
 from chervilwall_router.edge._dial import Connection
 from chervilwall_router.edge.connections import TargetConnections, most_kept
-from chervilwall_router.edge.dispatcher import Dispatcher, Grant, Wish
+from chervilwall_router.edge.dispatcher import Wish
 from chervilwall_router.edge.exchange import Exchange
 from chervilwall_router.edge.ingress import CallerAnswer
 from chervilwall_router.edge.relay import PlainRelay, StreamRelay, may_pass
+from chervilwall_router.edge.scheduling import Placed, Scheduling
 from chervilwall_router.edge.settings import RetrySettings
 from chervilwall_router.problem import EXECUTED_UNKNOWN, Problem
 
@@ -37,6 +38,7 @@
 SILENCE_GAPS = 5.0
 # Requests that targets disclaimed go to this many more of them.
 MAX_DISCLAIMED = 2
+SERVER_ERROR = 500
 NO_CONFIG_RETRY_S = 0.5
 LEAVING_RETRY_S = 0.1
 
@@ -52,6 +54,15 @@
     TIMED_OUT = "timed out"
 
 
+_OUTCOMES = {
+    Fate.NOT_SENT: message.OUTCOME_NOT_SENT,
+    Fate.NOT_EXECUTED: message.OUTCOME_REFUSED,
+    Fate.BROKEN: message.OUTCOME_BROKEN,
+    Fate.SILENT: message.OUTCOME_TIMEOUT,
+    Fate.TIMED_OUT: message.OUTCOME_TIMEOUT,
+}
+
+
 class Attempt(NamedTuple):
     """One attempt and how it ended.
 
@@ -77,6 +88,8 @@
         team (str): Its team, "" on an anonymous route.
         service (str): The service that runs it.
         deadline_at (float): Monotonic time by which it must have ended.
+        first_sent_at (float): Monotonic time at which the caller first sent
+            it, by the time that the caller has left.
     """
 
     req: InboundRequest
@@ -84,6 +97,12 @@
     team: str
     service: str
     deadline_at: float
+    first_sent_at: float
+
+    @property
+    def is_return(self) -> bool:
+        """Whether the caller has sent it before."""
+        return self.first_sent_at < self.req.received_at
 
 
 class FlowParts(NamedTuple):
@@ -92,10 +111,9 @@
     Args:
         table (Callable): Returns the configuration in force, or None.
         registry (TargetRegistry): The targets.
-        dispatcher (Dispatcher): Grants targets.
-        placement (Placement): Learns their speed.
+        scheduling (Scheduling): Places requests.
+        waiting (Callable): Returns how many requests wait here.
         connections (TargetConnections): Connections to them.
-        health (Callable): Returns the health of a service's targets.
         wire (WireFormat): Names of headers.
         retries (RetrySettings): Budget of retries.
         routers (Callable): Returns how many routers there are.
@@ -106,10 +124,9 @@
 
     table: Callable[[], RoutingTable | None]
     registry: TargetRegistry
-    dispatcher: Dispatcher
-    placement: Placement
+    scheduling: Scheduling
+    waiting: Callable[[], int]
     connections: TargetConnections
-    health: Callable[[str], CellHealth]
     wire: WireFormat
     retries: RetrySettings
     routers: Callable[[], int]
@@ -128,6 +145,7 @@
     def __init__(self, parts: FlowParts) -> None:
         self._parts = parts
         self._budgets: dict[str, RetryWindow] = {}
+        self._memory = RouteMemory()
         self.refuse_new = False
 
     def __repr__(self) -> str:
@@ -154,7 +172,9 @@
         if isinstance(admitted, Problem):
             self._refuse(req, answer, admitted, "admit")
             return
-        work = _Request(self._parts, self.budget(admitted.service), admitted)
+        self._memory.note_arrival(admitted.req, admitted.route)
+        budget = self.budget(admitted.service)
+        work = _Request(self._parts, budget, self._memory, admitted)
         await work.run(answer)
 
     def budget(self, service: str) -> RetryWindow:
@@ -197,8 +217,14 @@
         limit_s = route.timeout_s or DEFAULT_TIMEOUT_S
         if req.remaining_s is not None:
             limit_s = min(limit_s, req.remaining_s)
-        service = route.pick_service(self._parts.rng)
-        return Admitted(req, route, team, service, req.received_at + limit_s)
+        return Admitted(
+            req,
+            route,
+            team,
+            service=route.pick_service(self._parts.rng),
+            deadline_at=req.received_at + limit_s,
+            first_sent_at=req.received_at - self._memory.spent_s(req, route),
+        )
 
     def _refuse(
         self,
@@ -225,8 +251,13 @@
     """Serve one admitted request, in one or more attempts."""
 
     def __init__(
-        self, parts: FlowParts, budget: RetryWindow, admitted: Admitted
+        self,
+        parts: FlowParts,
+        budget: RetryWindow,
+        memory: RouteMemory,
+        admitted: Admitted,
     ) -> None:
+        self._memory = memory
         self._parts = parts
         self._budget = budget
         self._admitted = admitted
@@ -234,7 +265,7 @@
         self._runs = 0
         self._disclaimed = 0
         self._first_at = 0.0
-        self._grant: Grant | None = None
+        self._grant: Placed | None = None
 
     async def run(self, answer: CallerAnswer) -> None:
         """Serves the request."""
@@ -250,6 +281,7 @@
             with grant:
                 self._grant = grant
                 attempt = await self._attempt(grant, relay)
+                grant.outcome = _outcome(attempt)
             if await self._settle(attempt, relay, answer):
                 return
             last = attempt
@@ -271,32 +303,42 @@
         self._first_at = now
         grant = self._grant
         assert grant is not None
-        grant.note_first_token()
-        rate = self._parts.placement.rate(grant.choice.target.id)
-        rate.observe(grant.tokens_ahead, now - grant.started_at)
+        grant.note_first_token(now)
 
-    async def _acquire(self) -> Grant:
+    async def _acquire(self) -> Placed:
         req, route = self._admitted.req, self._admitted.route
         demand = Demand(
             service=self._admitted.service,
             prompt_tokens=req.prompt_tokens,
-            output_tokens=req.output_tokens,
+            output_tokens=self._output_tokens(),
             parts=req.parts,
-            session=req.parts[-1].id if req.parts else "",
+            session=self._memory.session(req, route),
         )
+        objective_s = route.latency_objective_s or DEFAULT_TIMEOUT_S
         wish = Wish(
             demand=demand,
             team=self._admitted.team,
-            objective_s=route.latency_objective_s or DEFAULT_TIMEOUT_S,
+            objective_s=objective_s,
+            due_at=self._admitted.first_sent_at + objective_s,
             deadline_at=self._admitted.deadline_at,
-            started_at=req.received_at,
+            arrived_at=req.received_at,
             excluded=frozenset(self._tried),
-            returner=bool(self._tried),
+            first=not self._tried and not self._admitted.is_return,
+            route=route.name,
+        )
+        return await self._parts.scheduling.acquire(wish)
+
+    def _output_tokens(self) -> int:
+        table = self._parts.table()
+        service = table.services.get(self._admitted.service) if table else None
+        event_tokens = service.event_tokens if service else 1
+        admitted = self._admitted
+        return self._memory.output_tokens(
+            admitted.req, admitted.route, event_tokens
         )
-        return await self._parts.dispatcher.acquire(wish)
 
     async def _attempt(
-        self, grant: Grant, relay: PlainRelay | StreamRelay
+        self, grant: Placed, relay: PlainRelay | StreamRelay
     ) -> Attempt:
         target = grant.choice.target
         self._tried.add(target.id)
@@ -446,7 +488,7 @@
     ) -> bool:
         head = attempt.head
         assert head is not None
-        failed = head.status >= 500
+        failed = head.status >= SERVER_ERROR
         if failed and not answer.begun and self._may_retry() and self._spend():
             return False
         if failed and answer.begun:
@@ -456,6 +498,7 @@
             self._fail(answer, attempt, 502, "target_failed")
             return True
         if isinstance(relay, StreamRelay):
+            self._memory.note_events(self._admitted.route, relay.events)
             await relay.pass_on()
         else:
             relay.pass_on()
@@ -471,22 +514,10 @@
         return self._budget.spend(parts.clock(), parts.routers())
 
     def _record(self, attempt: Attempt) -> None:
-        parts = self._parts
-        health = parts.health(self._admitted.service)
-        now = parts.clock()
-        target_id = attempt.target.id
-        fate = attempt.fate
-        if fate not in (Fate.NOT_SENT, Fate.NOT_EXECUTED):
+        if attempt.fate not in (Fate.NOT_SENT, Fate.NOT_EXECUTED):
             self._runs += 1
-        if fate is Fate.ANSWERED and attempt.head and attempt.head.status < 500:
-            first_s = (self._first_at or now) - self._admitted.req.received_at
-            health.succeed(target_id, first_s, now)
-            return
-        if fate is Fate.NOT_EXECUTED:
+        if _outcome(attempt) != message.OUTCOME_COMPLETED:
             self._log_attempt(attempt)
-            return
-        health.fail(target_id, now, refused=fate is Fate.NOT_SENT)
-        self._log_attempt(attempt)
 
     def _log_attempt(self, attempt: Attempt) -> None:
         self._parts.metrics.count(f"attempt_{attempt.fate.name.lower()}")
@@ -537,7 +568,7 @@
             reason=problem.detail,
             waited_ms=self._elapsed_ms(),
             retry_after_s=round(problem.retry_after_s, 2),
-            waiting=self._parts.dispatcher.waiting(),
+            waiting=self._parts.waiting(),
         )
         answer.refuse(problem)
 
@@ -580,12 +611,20 @@
             total_ms=self._elapsed_ms(),
             prompt=admitted.req.prompt_tokens,
             miss=grant.choice.miss_tokens if grant else 0,
-            ahead=grant.tokens_ahead if grant else 0,
+            predicted_ms=_ms(grant.choice.first_token_s) if grant else 0,
         )
 
     def _elapsed_ms(self) -> int:
         return _ms(self._parts.clock() - self._admitted.req.received_at)
 
 
+def _outcome(attempt: Attempt) -> str:
+    """Returns what an attempt tells of its target's health."""
+    if attempt.fate is Fate.ANSWERED:
+        failed = attempt.head is None or attempt.head.status >= SERVER_ERROR
+        return message.OUTCOME_BROKEN if failed else message.OUTCOME_COMPLETED
+    return _OUTCOMES[attempt.fate]
+
+
 def _ms(seconds: float) -> int:
     return round(seconds * 1000)
--- a/packages/router/chervilwall_router/edge/peer_link.py
+++ b/packages/router/chervilwall_router/edge/peer_link.py
@@ -2,22 +2,24 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import cast
 
 from chervilwall import events
-from chervilwall.codec import FrameCodec
+from chervilwall.codec import Frame, FrameCodec
 from chervilwall.errors import CodecError
-from chervilwall.message import EdgeReport
-from chervilwall.peers import IDLE_INTERVAL_S, report_interval_s
+from chervilwall.message import EdgeReport, Message
+from chervilwall.peers import REPORT_INTERVAL_S
 
 from chervilwall_router.settings import split_address
 
 LOG = logging.getLogger(__name__)
 # Frames refused in a row that are logged one by one.
 MAX_LOGGED_REFUSALS = 20
+# Messages in one frame, to keep it in a datagram.
+MAX_FRAME_ITEMS = 24
 
-ReportHandler = Callable[[str, int, EdgeReport], None]
+MessageHandler = Callable[[Frame, str], None]
 
 
 class PeerLink(asyncio.DatagramProtocol):
@@ -28,7 +30,7 @@
         incarnation (int): Its incarnation.
         make_report (Callable): Returns the report to send.
         addresses (Callable): Returns the peers' datagram addresses.
-        received (Callable): Takes a peer's report.
+        received (Callable): Takes a peer's frame and its address.
     """
 
     def __init__(
@@ -37,7 +39,7 @@
         incarnation: int,
         make_report: Callable[[], EdgeReport],
         addresses: Callable[[], Iterable[str]],
-        received: ReportHandler,
+        received: MessageHandler,
     ) -> None:
         self._name = name
         self._incarnation = incarnation
@@ -46,9 +48,8 @@
         self._received = received
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._due_at = 0.0
-        self._sent_at = 0.0
         self._refusals = 0
+        self._outbox: dict[str, list[Message]] = {}
         self.codec: FrameCodec | None = None
         self.bytes_sent = 0
         self.frames_sent = 0
@@ -62,7 +63,7 @@
         await loop.create_datagram_endpoint(
             lambda: self, local_addr=split_address(address)
         )
-        self._schedule(IDLE_INTERVAL_S)
+        self._schedule(REPORT_INTERVAL_S)
 
     def close(self) -> None:
         """Stops listening and sending."""
@@ -89,39 +90,42 @@
                 )
             return
         self._refusals = 0
-        for item in frame.messages:
-            if isinstance(item, EdgeReport):
-                self._received(frame.sender, frame.incarnation, item)
+        self._received(frame, f"{addr[0]}:{addr[1]}")
 
     def error_received(self, exc: Exception) -> None:
         """Notes that a peer's port was closed."""
         LOG.debug("datagram not delivered: %s", exc)
 
-    def note_change(self) -> None:
-        """Sends a report soon, as load has changed."""
-        loop = asyncio.get_running_loop()
-        pause_s = report_interval_s(len(tuple(self._addresses())))
-        due_at = self._sent_at + pause_s
-        if due_at < self._due_at:
-            self._schedule(max(0.0, due_at - loop.time()))
+    def send(self, address: str, item: Message) -> None:
+        """Sends a message soon, with others to the same peer."""
+        if not self._outbox:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._outbox.setdefault(address, []).append(item)
+
+    def _flush(self) -> None:
+        outbox, self._outbox = self._outbox, {}
+        for address, items in outbox.items():
+            for at in range(0, len(items), MAX_FRAME_ITEMS):
+                self._send_frame(address, items[at : at + MAX_FRAME_ITEMS])
+
+    def _send_frame(self, address: str, items: Sequence[Message]) -> None:
+        transport = self._transport
+        if self.codec is None or transport is None or transport.is_closing():
+            return
+        frame = self.codec.encode(self._name, self._incarnation, items)
+        transport.sendto(frame, split_address(address))
+        self.bytes_sent += len(frame)
+        self.frames_sent += 1
 
     def send_now(self) -> None:
         """Sends a report to all peers."""
-        loop = asyncio.get_running_loop()
-        self._sent_at = loop.time()
-        self._schedule(IDLE_INTERVAL_S)
-        if self.codec is None or self._transport is None:
-            return
+        self._schedule(REPORT_INTERVAL_S)
         report = self._make_report()
-        frame = self.codec.encode(self._name, self._incarnation, (report,))
         for address in self._addresses():
-            self._transport.sendto(frame, split_address(address))
-            self.bytes_sent += len(frame)
-            self.frames_sent += 1
+            self._send_frame(address, (report,))
 
     def _schedule(self, pause_s: float) -> None:
         loop = asyncio.get_running_loop()
         if self._timer is not None:
             self._timer.cancel()
-        self._due_at = loop.time() + pause_s
         self._timer = loop.call_later(pause_s, self.send_now)
--- /dev/null
+++ b/packages/router/chervilwall_router/edge/scheduling.py
@@ -0,0 +1,458 @@
+"""Placement of requests by one scheduler for each service.
+
+Routers that each place their own work see room at the same moment and fill it
+several times over; a scheduler grants it once. When it does not answer, the
+router places the request by what it last heard of the load.
+"""
+
+import asyncio
+import itertools
+import logging
+from collections.abc import Callable
+from typing import NamedTuple
+
+from chervilwall import events, message
+from chervilwall.errors import RequestRefusedError
+from chervilwall.health import CellHealth
+from chervilwall.held import Granter, HeldRequest, HeldRequests
+from chervilwall.message import GranterLoad
+from chervilwall.placement import Choice, Demand
+from chervilwall.prefill import PrefillModel
+from chervilwall.prefix import PromptPart
+from chervilwall.registry import RegisteredTarget, TargetRegistry
+
+from chervilwall_router.edge.dispatcher import Dispatcher, Grant, Wish
+
+LOG = logging.getLogger(__name__)
+# A scheduler answers at once, if only that a request waits.
+ANSWER_LIMIT_S = 0.05
+# Asked again after no answer this often before placing without it.
+MAX_UNANSWERED = 2
+# A waiting request asks again this often, so that a lost scheduler shows.
+REMIND_S = 0.3
+# A scheduler that did not answer is not asked for this long.
+AVOID_S = 0.5
+# Grants that a router's report does not list after this time have ended.
+UNLISTED_GRACE_S = 0.6
+
+
+class Scheduler(NamedTuple):
+    """The router that schedules a service.
+
+    Args:
+        name (str): Its name.
+        incarnation (int): Its incarnation.
+        address (str): Its datagram address.
+    """
+
+    name: str
+    incarnation: int
+    address: str
+
+
+class SchedulingParts(NamedTuple):
+    """What scheduling is made of.
+
+    Args:
+        me (Granter): This router.
+        dispatcher (Dispatcher): Grants targets.
+        registry (TargetRegistry): The targets.
+        held (HeldRequests): What this router has in flight.
+        model (PrefillModel): Learns the targets' speed.
+        health (Callable): Returns the health of a service's targets.
+        find (Callable): Returns the scheduler of a service, None for this
+            router.
+        send (Callable): Sends a message to an address.
+        clock (Callable): Returns the monotonic time.
+    """
+
+    me: Granter
+    dispatcher: Dispatcher
+    registry: TargetRegistry
+    held: HeldRequests
+    model: PrefillModel
+    health: Callable[[str], CellHealth]
+    find: Callable[[str], Scheduler | None]
+    send: Callable[[str, message.Message], None]
+    clock: Callable[[], float]
+
+
+class Placed:
+    """Hold a target for one request of this router.
+
+    Args:
+        number (int): Number of the request.
+        choice (Choice): Where it runs.
+        started_at (float): Monotonic time of the grant.
+        read (Callable): Called with the time to its first token.
+        ended (Callable): Called with its outcome.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        choice: Choice,
+        started_at: float,
+        read: Callable[[float], None],
+        ended: Callable[[str], None],
+    ) -> None:
+        self.number = number
+        self.choice = choice
+        self.started_at = started_at
+        self.outcome = message.OUTCOME_CANCELLED
+        self._read = read
+        self._ended = ended
+
+    def __repr__(self) -> str:
+        return f"Placed(target={self.choice.target.id!r})"
+
+    def __enter__(self) -> "Placed":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._ended(self.outcome)
+
+    def note_first_token(self, now: float) -> None:
+        """Notes that the first token came."""
+        self._read(now - self.started_at)
+
+
+class Scheduling:
+    """Ask schedulers for targets, and answer routers that ask this one.
+
+    Args:
+        parts (SchedulingParts): What it is made of.
+    """
+
+    def __init__(self, parts: SchedulingParts) -> None:
+        self._parts = parts
+        self._numbers = itertools.count(1)
+        self._asked: dict[int, asyncio.Future] = {}
+        self._avoided: dict[str, float] = {}
+        self._served = _Served(parts)
+
+    def __repr__(self) -> str:
+        return f"Scheduling(asked={len(self._asked)})"
+
+    async def acquire(self, wish: Wish) -> Placed:
+        """Returns a target for a request, at once or after a wait.
+
+        Raises:
+            RequestRefusedError: The request would wait too long.
+        """
+        while True:
+            number = next(self._numbers)
+            scheduler = self._scheduler(wish.demand.service)
+            if scheduler is not None:
+                try:
+                    return await self._ask(scheduler, number, wish)
+                except TimeoutError:
+                    self._avoid(scheduler)
+                except LookupError as exc:
+                    # The scheduler does not know yet that this one is gone.
+                    missing = frozenset((str(exc.args[0]),))
+                    wish = wish._replace(excluded=wish.excluded | missing)
+                continue
+            return await self._place_here(number, wish)
+
+    def receive(self, sender: Scheduler, item: message.Message) -> None:
+        """Takes a message of a peer."""
+        if isinstance(
+            item,
+            message.PlaceQueued | message.PlaceGranted | message.PlaceRefused,
+        ):
+            future = self._asked.get(item.number)
+            if future is not None and not future.done():
+                future.set_result(item)
+            elif isinstance(item, message.PlaceGranted) and not future:
+                self._end(sender, item.number, message.OUTCOME_CANCELLED)
+        else:
+            self._served.receive(sender, item)
+
+    def hear_held(self, name: str, loads: tuple[GranterLoad, ...]) -> None:
+        """Ends the grants that a router no longer holds."""
+        self._served.hear_held(name, loads)
+
+    def drop_peer(self, name: str) -> None:
+        """Ends the grants of a lost router."""
+        self._served.drop_peer(name)
+
+    def _scheduler(self, service: str) -> Scheduler | None:
+        found = self._parts.find(service)
+        if found is None:
+            return None
+        avoided_until = self._avoided.get(found.name, 0.0)
+        return found if self._parts.clock() >= avoided_until else None
+
+    def _avoid(self, scheduler: Scheduler) -> None:
+        self._avoided[scheduler.name] = self._parts.clock() + AVOID_S
+        events.log_event(LOG, events.SCHEDULER_SILENT, peer=scheduler.name)
+
+    async def _place_here(self, number: int, wish: Wish) -> Placed:
+        parts = self._parts
+        grant = await parts.dispatcher.acquire(wish)
+        self._hold(number, parts.me, grant.choice, wish)
+        service = wish.demand.service
+
+        def read(first_token_s: float) -> None:
+            parts.held.note_read(number)
+            grant.note_first_token(first_token_s)
+
+        def ended(outcome: str) -> None:
+            parts.held.remove(number)
+            note_outcome(parts, service, grant, outcome)
+            grant.__exit__()
+
+        return Placed(number, grant.choice, grant.started_at, read, ended)
+
+    def _hold(
+        self, number: int, granter: Granter, choice: Choice, wish: Wish
+    ) -> None:
+        demand = wish.demand
+        held = HeldRequest(
+            granter,
+            choice.target.id,
+            round(choice.work_s * 1000),
+            demand.prompt_tokens + demand.output_tokens,
+        )
+        self._parts.held.add(number, held)
+
+    async def _ask(
+        self, scheduler: Scheduler, number: int, wish: Wish
+    ) -> Placed:
+        granted = False
+        try:
+            answer = await self._exchange(scheduler, number, wish)
+            if isinstance(answer, message.PlaceRefused):
+                raise RequestRefusedError(
+                    answer.reason,
+                    answer.retry_after_ms / 1000,
+                    step="schedule",
+                    peer=scheduler.name,
+                )
+            target = self._parts.registry.get(answer.target_id)
+            if target is None or target.draining:
+                raise LookupError(answer.target_id)
+            granted = True
+        finally:
+            del self._asked[number]
+            if not granted:
+                self._end(scheduler, number, message.OUTCOME_CANCELLED)
+        return self._take(scheduler, number, wish, target, answer)
+
+    async def _exchange(
+        self, scheduler: Scheduler, number: int, wish: Wish
+    ) -> message.PlaceGranted | message.PlaceRefused:
+        """Asks until there is an answer.
+
+        Raises:
+            TimeoutError: The scheduler is silent.
+        """
+        loop = asyncio.get_running_loop()
+        pause_s, unanswered = ANSWER_LIMIT_S, 0
+        while True:
+            future: asyncio.Future = loop.create_future()
+            self._asked[number] = future
+            self._parts.send(scheduler.address, self._question(number, wish))
+            unanswered += 1
+            until = loop.time() + pause_s
+            while True:
+                done, _ = await asyncio.wait(
+                    (future,), timeout=max(0.0, until - loop.time())
+                )
+                if not done:
+                    break
+                answer = future.result()
+                if not isinstance(answer, message.PlaceQueued):
+                    return answer
+                pause_s, unanswered = REMIND_S, 0
+                until = loop.time() + REMIND_S
+                future = loop.create_future()
+                self._asked[number] = future
+            if unanswered > MAX_UNANSWERED:
+                raise TimeoutError
+            if unanswered:
+                pause_s = ANSWER_LIMIT_S
+
+    def _question(self, number: int, wish: Wish) -> message.Place:
+        now = self._parts.clock()
+        demand = wish.demand
+        return message.Place(
+            number=number,
+            service=demand.service,
+            team=wish.team,
+            prompt_tokens=demand.prompt_tokens,
+            output_tokens=demand.output_tokens,
+            parts=tuple((p.id, p.tokens) for p in demand.parts),
+            session=demand.session,
+            objective_ms=round(wish.objective_s * 1000),
+            due_ms=round((wish.due_at - now) * 1000),
+            deadline_ms=round((wish.deadline_at - now) * 1000),
+            excluded=tuple(wish.excluded),
+            first=wish.first,
+            route=wish.route,
+        )
+
+    def _take(
+        self,
+        scheduler: Scheduler,
+        number: int,
+        wish: Wish,
+        target: RegisteredTarget,
+        answer: message.PlaceGranted,
+    ) -> Placed:
+        choice = Choice(
+            target,
+            answer.miss_tokens,
+            answer.work_ms / 1000,
+            answer.first_token_ms / 1000,
+        )
+        granter = Granter(scheduler.name, scheduler.incarnation)
+        self._hold(number, granter, choice, wish)
+
+        def read(first_token_s: float) -> None:
+            self._parts.held.note_read(number)
+            item = message.PlaceRead(number, round(first_token_s * 1000))
+            self._parts.send(scheduler.address, item)
+
+        def ended(outcome: str) -> None:
+            self._parts.held.remove(number)
+            self._end(scheduler, number, outcome)
+
+        return Placed(number, choice, self._parts.clock(), read, ended)
+
+    def _end(self, scheduler: Scheduler, number: int, outcome: str) -> None:
+        item = message.PlaceEnded(number, outcome)
+        self._parts.send(scheduler.address, item)
+
+
+class _Ask(NamedTuple):
+    service: str
+    task: "asyncio.Task[None]"
+
+
+class _Served:
+    """Answer the routers that ask this one."""
+
+    def __init__(self, parts: SchedulingParts) -> None:
+        self._parts = parts
+        self._asks: dict[tuple[str, int], _Ask] = {}
+        self._grants: dict[tuple[str, int], Grant] = {}
+
+    def receive(self, sender: Scheduler, item: message.Message) -> None:
+        """Takes a message of a router that asks."""
+        if isinstance(item, message.Place):
+            self._place(sender, item)
+        elif isinstance(item, message.PlaceRead):
+            grant = self._grants.get((sender.name, item.number))
+            if grant is not None:
+                grant.note_first_token(item.first_token_ms / 1000)
+        elif isinstance(item, message.PlaceEnded):
+            self._end((sender.name, item.number), item.outcome)
+
+    def hear_held(self, name: str, loads: tuple[GranterLoad, ...]) -> None:
+        """Ends the grants that a router no longer holds."""
+        me, now = self._parts.me, self._parts.clock()
+        listed: set[int] = set()
+        for load in loads:
+            if (load.granter, load.incarnation) == me:
+                listed.update(load.numbers)
+        for key, grant in list(self._grants.items()):
+            old = now - grant.started_at > UNLISTED_GRACE_S
+            if key[0] == name and key[1] not in listed and old:
+                self._end(key, message.OUTCOME_CANCELLED)
+
+    def drop_peer(self, name: str) -> None:
+        """Ends what a lost router asked for."""
+        for key in [k for k in self._asks if k[0] == name]:
+            self._end(key, message.OUTCOME_CANCELLED)
+
+    def _place(self, sender: Scheduler, item: message.Place) -> None:
+        key = (sender.name, item.number)
+        grant = self._grants.get(key)
+        if grant is not None:
+            self._answer(sender, item.number, grant)
+            return
+        if key in self._asks:
+            self._parts.send(sender.address, message.PlaceQueued(item.number))
+            return
+        work = self._serve(sender, item)
+        task = asyncio.get_running_loop().create_task(work)
+        self._asks[key] = _Ask(item.service, task)
+        # Runs first, so that a grant at once needs no second message.
+        asyncio.get_running_loop().call_soon(self._queued, sender, key)
+
+    def _queued(self, sender: Scheduler, key: tuple[str, int]) -> None:
+        if key in self._asks and key not in self._grants:
+            self._parts.send(sender.address, message.PlaceQueued(key[1]))
+
+    async def _serve(self, sender: Scheduler, item: message.Place) -> None:
+        key = (sender.name, item.number)
+        try:
+            grant = await self._parts.dispatcher.acquire(self._wish(item))
+        except RequestRefusedError as exc:
+            self._asks.pop(key, None)
+            refusal = message.PlaceRefused(
+                item.number, round(exc.retry_after_s * 1000), exc.reason
+            )
+            self._parts.send(sender.address, refusal)
+            return
+        self._grants[key] = grant
+        self._answer(sender, item.number, grant)
+
+    def _answer(self, sender: Scheduler, number: int, grant: Grant) -> None:
+        choice = grant.choice
+        answer = message.PlaceGranted(
+            number,
+            choice.target.id,
+            choice.miss_tokens,
+            round(choice.work_s * 1000),
+            round(choice.first_token_s * 1000),
+        )
+        self._parts.send(sender.address, answer)
+
+    def _wish(self, item: message.Place) -> Wish:
+        now = self._parts.clock()
+        demand = Demand(
+            item.service,
+            item.prompt_tokens,
+            item.output_tokens,
+            tuple(PromptPart(*pair) for pair in item.parts),
+            item.session,
+        )
+        return Wish(
+            demand=demand,
+            team=item.team,
+            objective_s=item.objective_ms / 1000,
+            due_at=now + item.due_ms / 1000,
+            deadline_at=now + item.deadline_ms / 1000,
+            arrived_at=now,
+            excluded=frozenset(item.excluded),
+            first=item.first,
+            route=item.route,
+        )
+
+    def _end(self, key: tuple[str, int], outcome: str) -> None:
+        ask = self._asks.pop(key, None)
+        grant = self._grants.pop(key, None)
+        if grant is not None:
+            service = ask.service if ask else grant.choice.target.service
+            note_outcome(self._parts, service, grant, outcome)
+            grant.__exit__()
+        elif ask is not None:
+            ask.task.cancel()
+
+
+def note_outcome(
+    parts: SchedulingParts, service: str, grant: Grant, outcome: str
+) -> None:
+    """Tells the health of a service how a request ended on its target."""
+    health = parts.health(service)
+    now = parts.clock()
+    target_id = grant.choice.target.id
+    if outcome == message.OUTCOME_COMPLETED:
+        health.succeed(target_id, grant.first_token_s, now)
+    elif outcome == message.OUTCOME_NOT_SENT:
+        health.fail(target_id, now, refused=True)
+    elif outcome in (message.OUTCOME_BROKEN, message.OUTCOME_TIMEOUT):
+        health.fail(target_id, now)
--- /dev/null
+++ b/packages/standins/chervilwall_standins/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Loads played into the edge routers' decisions in virtual time."""
