--- a/packages/core/chervilwall/health.py
+++ b/packages/core/chervilwall/health.py
@@ -10,6 +10,12 @@
 SLOW_FACTOR = 5.0
 SLOW_MIN_SAMPLES = 5
 EWMA_WEIGHT = 0.2
+# Weight of one more request in a target's portion of failures.
+RATIO_WEIGHT = 0.03
+# A target fails too much beyond this portion, and this many times the others.
+FAILED_RATIO = 0.3
+FAILED_FACTOR = 3.0
+RATIO_MIN_SAMPLES = 20
 
 
 class LoadReport(NamedTuple):
@@ -33,6 +39,8 @@
         self.ejected_until = 0.0
         self.first_byte_s = 0.0
         self.samples = 0
+        self.failed_ratio = 0.0
+        self.ratio_samples = 0
 
     def __repr__(self) -> str:
         return f"TargetHealth(failures={self.failures})"
@@ -54,6 +62,12 @@
         """Records an attempt that failed."""
         self.failures += 1
 
+    def note(self, failed: bool) -> None:
+        """Counts an attempt in the portion of failures."""
+        self.ratio_samples += 1
+        change = float(failed) - self.failed_ratio
+        self.failed_ratio += RATIO_WEIGHT * change
+
     def eject(self, now: float) -> None:
         """Takes the target out for a time that doubles with each ejection."""
         pause_s = min(EJECTION_MAX_S, EJECTION_BASE_S * 2**self.ejections)
@@ -90,6 +104,7 @@
     def succeed(self, name: str, first_byte_s: float, now: float) -> None:
         """Records a whole answer and ejects the target if it is slow."""
         health = self.of(name)
+        health.note(False)
         health.succeed(first_byte_s, now)
         if self._is_slow(health):
             self._try_eject(name, now)
@@ -102,11 +117,34 @@
         and without regard to how many targets are ejected already.
         """
         health = self.of(name)
+        health.note(True)
         health.fail()
         if refused:
             health.eject(now)
         elif health.failures >= FAILURES_TO_EJECT or health.ejections:
             self._try_eject(name, now)
+        else:
+            self._check_ratio(name, now)
+
+    def note_error(self, name: str, now: float) -> None:
+        """Records a target's own error, which some requests bring about.
+
+        Only a target that answers so far more often than its neighbours is
+        taken out.
+        """
+        self.of(name).note(True)
+        self._check_ratio(name, now)
+
+    def _check_ratio(self, name: str, now: float) -> None:
+        health = self.of(name)
+        others = [h.failed_ratio for n, h in self._targets.items() if n != name]
+        usual = statistics.median(others) if others else 0.0
+        limit = max(FAILED_RATIO, FAILED_FACTOR * usual)
+        known = health.ratio_samples >= RATIO_MIN_SAMPLES
+        if known and health.failed_ratio > limit and not health.is_ejected(now):
+            self._try_eject(name, now)
+            health.failed_ratio = limit / 2
+            health.ratio_samples = 0
 
     def usable(self, name: str, now: float, in_flight: int) -> bool:
         """Tells whether a target may be given a request now.
--- a/packages/core/chervilwall/message.py
+++ b/packages/core/chervilwall/message.py
@@ -7,6 +7,7 @@
 OUTCOME_UNKNOWN = "unknown"
 OUTCOME_CANCELLED = "cancelled"
 OUTCOME_BROKEN = "broken"
+OUTCOME_ERROR = "error"
 OUTCOME_NOT_SENT = "not_sent"
 OUTCOME_TIMEOUT = "timeout"
 # Cost of an attempt that did not end: its team keeps paying the estimate.
--- a/packages/core/chervilwall/route_memory.py
+++ b/packages/core/chervilwall/route_memory.py
@@ -8,6 +8,8 @@
 RETURN_AFTER_S = 0.05
 # Weight of one more answer in a route's mean length.
 LENGTH_WEIGHT = 0.05
+# Taken for a stream of a route of which none has ended yet.
+DEFAULT_DURATION_S = 1.0
 
 
 class RouteMemory:
@@ -16,6 +18,7 @@
     def __init__(self) -> None:
         self._time_limits: dict[str, float] = {}
         self._events: dict[str, float] = {}
+        self._durations: dict[str, float] = {}
         self._sessions: dict[str, SessionFinder] = {}
 
     def __repr__(self) -> str:
@@ -26,11 +29,24 @@
         if self.spent_s(req, route) == 0.0:
             self._finder(route).observe(req.parts)
 
-    def note_events(self, route: Route, events: int) -> None:
-        """Takes in the number of events of a whole stream."""
-        known = self._events.get(route.name, float(events))
-        mean = known + LENGTH_WEIGHT * (events - known)
-        self._events[route.name] = mean
+    def note_stream(self, route: Route, events: int, taken_s: float) -> None:
+        """Takes in a whole stream.
+
+        Args:
+            route (Route): Its route.
+            events (int): Number of its events.
+            taken_s (float): Time from its request to its end.
+        """
+        for means, value in (
+            (self._events, float(events)),
+            (self._durations, taken_s),
+        ):
+            known = means.get(route.name, value)
+            means[route.name] = known + LENGTH_WEIGHT * (value - known)
+
+    def duration_s(self, route: Route) -> float:
+        """Returns how long a stream of a route lasts in the mean."""
+        return self._durations.get(route.name, DEFAULT_DURATION_S)
 
     def spent_s(self, req: InboundRequest, route: Route) -> float:
         """Returns how long ago the caller first sent a request.
--- a/packages/core/tests/test_route_memory.py
+++ b/packages/core/tests/test_route_memory.py
@@ -37,8 +37,9 @@
         req = make_request(15.0)
         self.assertEqual(memory.output_tokens(req, ROUTE, 5), 1000)
         for _ in range(10):
-            memory.note_events(ROUTE, 40)
+            memory.note_stream(ROUTE, 40, 2.0)
         self.assertEqual(memory.output_tokens(req, ROUTE, 5), 200)
+        self.assertAlmostEqual(memory.duration_s(ROUTE), 2.0)
 
     def test_retries_do_not_make_an_own_part_look_shared(self):
         memory = RouteMemory()
--- a/packages/router/chervilwall_router/edge/edge.py
+++ b/packages/router/chervilwall_router/edge/edge.py
@@ -176,7 +176,7 @@
                 model=self.model,
                 shares=self.shares,
                 capacity=self._capacity,
-                routers=self._router_count,
+                routers=self.router_count,
                 granted=self._note_grant,
                 clock=self._clock,
             )
@@ -203,7 +203,7 @@
                 connections=self.connections,
                 wire=wire,
                 retries=self._cfg.retries,
-                routers=self._router_count,
+                routers=self.router_count,
                 metrics=self.metrics,
                 clock=self._clock,
                 rng=self._rng,
@@ -272,9 +272,11 @@
         await self._stopping.wait()
         cfg = self._cfg.stop
         started = self._clock()
+        self.flow.stops_at = started + cfg.grace_s - cfg.margin_s
         await self._sleep_busy(started + cfg.accept_s, at_least=True)
-        self.flow.refuse_new = True
-        await self._sleep_busy(started + cfg.grace_s - cfg.margin_s)
+        await self._sleep_busy(self.flow.stops_at)
+        for task in self.ingress.tasks:
+            task.cancel()
 
     async def _sleep_busy(
         self, until: float, *, at_least: bool = False
@@ -303,7 +305,13 @@
         table = self.config.table
         return table.limits.tokens_per_s if table else 0.0
 
-    def _router_count(self) -> int:
+    @property
+    def settings(self) -> EdgeSettings:
+        """The settings of this router."""
+        return self._cfg
+
+    def router_count(self) -> int:
+        """Returns how many routers there are, with this one."""
         return 1 + len(self.peers.alive(self._clock()))
 
     def _note_grant(
--- a/packages/router/chervilwall_router/edge/flow.py
+++ b/packages/router/chervilwall_router/edge/flow.py
@@ -39,6 +39,8 @@
 # Requests that targets disclaimed go to this many more of them.
 MAX_DISCLAIMED = 2
 SERVER_ERROR = 500
+# Streams last up to this many times their route's mean.
+STREAM_RESERVE = 2.5
 NO_CONFIG_RETRY_S = 0.5
 LEAVING_RETRY_S = 0.1
 
@@ -146,10 +148,20 @@
         self._parts = parts
         self._budgets: dict[str, RetryWindow] = {}
         self._memory = RouteMemory()
-        self.refuse_new = False
+        self.stops_at: float | None = None
 
     def __repr__(self) -> str:
-        return f"RequestFlow(refuse_new={self.refuse_new})"
+        return f"RequestFlow(stops_at={self.stops_at})"
+
+    def _is_too_late(self, route: Route) -> bool:
+        """Tells whether a request would be cut by this router's stop."""
+        if self.stops_at is None:
+            return False
+        left_s = self.stops_at - self._parts.clock()
+        usual_s = route.timeout_s
+        if route.is_stream:
+            usual_s = STREAM_RESERVE * self._memory.duration_s(route)
+        return left_s < usual_s
 
     def limits(self) -> CallerLimits:
         """Returns the limits in force."""
@@ -202,7 +214,7 @@
             if found is None:
                 return Problem(401, "unknown_key", "The key is not known.")
             team = found
-        if self.refuse_new:
+        if self._is_too_late(route):
             return Problem(
                 503,
                 "leaving",
@@ -280,7 +292,11 @@
                 return
             with grant:
                 self._grant = grant
-                attempt = await self._attempt(grant, relay)
+                try:
+                    attempt = await self._attempt(grant, relay)
+                except asyncio.CancelledError:
+                    self._note_cancelled(grant)
+                    raise
                 grant.outcome = _outcome(attempt)
             if await self._settle(attempt, relay, answer):
                 return
@@ -290,6 +306,18 @@
             else:
                 relay = self._make_relay(answer)
 
+    def _note_cancelled(self, grant: Placed) -> None:
+        """Takes in that the caller left, or that the router stops.
+
+        A caller that left a target which was silent for long tells as much of
+        the target as a time-out would.
+        """
+        silent_s = self._parts.clock() - grant.started_at
+        if not self._first_at and silent_s > LEAST_SILENCE_S:
+            grant.outcome = message.OUTCOME_TIMEOUT
+        attempt = Attempt(Fate.BROKEN, grant.choice.target)
+        self._log_end(attempt, "caller_left", 0)
+
     def _make_relay(self, answer: CallerAnswer) -> PlainRelay | StreamRelay:
         if self._admitted.route.is_stream:
             last_id = self._admitted.req.last_event_id
@@ -498,7 +526,10 @@
             self._fail(answer, attempt, 502, "target_failed")
             return True
         if isinstance(relay, StreamRelay):
-            self._memory.note_events(self._admitted.route, relay.events)
+            taken_s = self._parts.clock() - self._admitted.req.received_at
+            self._memory.note_stream(
+                self._admitted.route, relay.events, taken_s
+            )
             await relay.pass_on()
         else:
             relay.pass_on()
@@ -622,7 +653,7 @@
     """Returns what an attempt tells of its target's health."""
     if attempt.fate is Fate.ANSWERED:
         failed = attempt.head is None or attempt.head.status >= SERVER_ERROR
-        return message.OUTCOME_BROKEN if failed else message.OUTCOME_COMPLETED
+        return message.OUTCOME_ERROR if failed else message.OUTCOME_COMPLETED
     return _OUTCOMES[attempt.fate]
 
 
--- /dev/null
+++ b/packages/standins/chervilwall_standins/users/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' store and targets, by their published protocol."""
--- /dev/null
+++ b/packages/standins/chervilwall_standins/users/fleet.py
@@ -0,0 +1,262 @@
+"""Edge routers in this process, before stand-ins of store and targets."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from chervilwall_router.edge.edge import EdgeRouter
+from chervilwall_router.edge.settings import (
+    EdgeListen,
+    EdgeSettings,
+    StopSettings,
+    StoreSettings,
+)
+from configuration import StoredDecoder
+from headers import HeaderFormat
+from object_client import ObjectClient
+from tornado.httputil import HTTPHeaders
+
+from chervilwall_standins.users.store import UsersStore
+from chervilwall_standins.users.target import UsersTarget
+
+HOST = "a.example"
+KEY = "key-of-team-1"
+TEAM = "team-1"
+
+
+def free_port() -> int:
+    """Returns a port that was free just now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def make_route(name: str, service: str, **changes: object) -> dict:
+    """Returns a route as the operator writes it."""
+    return {
+        "name": name,
+        "hostname": HOST,
+        "path_prefix": f"/{name}/",
+        "kind": "idempotent",
+        "timeout_ms": 2000,
+        "target_latency_ms": 300,
+        "priority": 1,
+        "backend": service,
+        "max_attempts": 2,
+        "anonymous": False,
+        "sticky": False,
+        "resumable": False,
+        "gap_aim_ms": 200,
+    } | changes
+
+
+ROUTES = [
+    make_route("read", "plain"),
+    make_route("book", "plain", kind="non_idempotent", max_attempts=1),
+    make_route("open", "plain", anonymous=True),
+    make_route("chat", "model", kind="streaming", max_attempts=1),
+    make_route(
+        "draft", "model", kind="streaming", resumable=True, max_attempts=3
+    ),
+]
+
+
+def make_config(version: int, routes: list[dict] | None = None) -> dict:
+    """Returns a configuration as the operator writes it."""
+    engine = {"slots": 8, "kv_capacity": 100_000, "stride": 5}
+    return {
+        "version": version,
+        "routes": ROUTES if routes is None else routes,
+        "services": [
+            {"name": "plain", "health_path": "/h", "max_conns": 100},
+            {"name": "model", "health_path": "/h", "engine": engine},
+        ],
+        "limits": {
+            "max_header_bytes": 4096,
+            "max_body_bytes": 65536,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+            "tokens_per_s": 100_000,
+        },
+        "tenants": [{"name": TEAM, "api_keys": [KEY]}],
+    }
+
+
+class Answer(NamedTuple):
+    """A caller's answer.
+
+    Args:
+        status (int): HTTP status, 0 if none came.
+        headers (HTTPHeaders): Headers.
+        body (bytes): Body without its framing.
+        whole (bool): Whether it ended as its framing says.
+    """
+
+    status: int
+    headers: HTTPHeaders
+    body: bytes
+    whole: bool
+
+
+class CallerConnection:
+    """A caller's connection, with raw bytes where a test wants them."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def open(cls, address: str) -> "CallerConnection":
+        """Connects to a router."""
+        host, _, port = address.rpartition(":")
+        return cls(*await asyncio.open_connection(host, int(port)))
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self.writer.close()
+
+    async def send(
+        self,
+        path: str,
+        *,
+        method: str = "POST",
+        body: bytes = b"hello",
+        request_id: str = "r1",
+        **headers: str,
+    ) -> None:
+        """Sends a request."""
+        fields = {
+            "Host": HOST,
+            "Attempt-Id": request_id,
+            "Timeout-Remaining": "2000",
+            "Authorization": f"Token {KEY}",
+            "Content-Length": str(len(body)),
+        }
+        for name, value in headers.items():
+            fields[name.replace("_", "-").title()] = value
+        lines = [f"{method} {path} HTTP/1.1"]
+        lines += [f"{n}: {v}" for n, v in fields.items() if v]
+        self.writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+        await self.writer.drain()
+
+    async def receive(self) -> Answer:
+        """Reads one answer, or what there is of it."""
+        try:
+            head = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin1")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return Answer(0, HTTPHeaders(), b"", False)
+        line, _, rest = head.partition("\r\n")
+        headers = HTTPHeaders.parse(rest)
+        status = int(line.split()[1])
+        if headers.get("Transfer-Encoding") == "chunked":
+            body, whole = await self.chunks()
+        else:
+            body, whole = await self._sized(int(headers["Content-Length"]))
+        return Answer(status, headers, body, whole)
+
+    async def chunks(self) -> tuple[bytes, bool]:
+        """Reads chunks to the end; returns the body and whether it is whole."""
+        body = b""
+        try:
+            while True:
+                size = int(await self.reader.readuntil(b"\r\n"), 16)
+                body += (await self.reader.readexactly(size + 2))[:-2]
+                if not size:
+                    return body, True
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return body, False
+
+    async def _sized(self, size: int) -> tuple[bytes, bool]:
+        try:
+            return await self.reader.readexactly(size), True
+        except asyncio.IncompleteReadError as exc:
+            return exc.partial, False
+
+
+class UsersFleet:
+    """A store, targets and edge routers, ready to serve.
+
+    Args:
+        targets (tuple): Targets, registered at the start.
+        routers (int): Number of routers. Defaults to 1.
+    """
+
+    def __init__(self, *targets: UsersTarget, routers: int = 1) -> None:
+        self.store = UsersStore()
+        self.targets = targets
+        self.routers: list[EdgeRouter] = []
+        self._count = routers
+        self._stack = contextlib.AsyncExitStack()
+
+    def __repr__(self) -> str:
+        return f"UsersFleet(routers={len(self.routers)})"
+
+    async def __aenter__(self) -> "UsersFleet":
+        await self._stack.enter_async_context(self.store)
+        await self.store.put("config", "main", make_config(1))
+        for target in self.targets:
+            await self._stack.enter_async_context(target)
+            await self.store.put("servers", target.id, target.spec())
+        for number in range(self._count):
+            await self.add_router(f"router{number}")
+        await self.until(self.is_ready)
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self._stack.aclose()
+
+    async def add_router(self, name: str, **stop: float) -> EdgeRouter:
+        """Starts another router."""
+        listen = {
+            field: f"127.0.0.1:{free_port()}"
+            for field in EdgeListen.__struct_fields__
+        }
+        cfg = EdgeSettings(
+            name=name,
+            zone="z1",
+            listen=EdgeListen(**listen),
+            store=StoreSettings(self.store.address, 0.5, 1.0),
+            stop=StopSettings(**stop),
+        )
+        store = ObjectClient(cfg.store)
+        router = EdgeRouter(cfg, store, StoredDecoder(), HeaderFormat())
+        await self._stack.enter_async_context(router)
+        self.routers.append(router)
+        return router
+
+    def is_ready(self) -> bool:
+        """Tells whether all routers know configuration, targets and peers."""
+        return all(
+            router.config.table is not None
+            and len(router.registry.all()) == len(self.targets)
+            and router.router_count() == len(self.routers)
+            for router in self.routers
+        )
+
+    async def until(
+        self, condition: Callable[[], object], limit_s: float = 5.0
+    ) -> None:
+        """Waits until a condition holds."""
+        async with asyncio.timeout(limit_s):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def connect(self, router: int = 0) -> CallerConnection:
+        """Connects a caller to a router."""
+        address = self.routers[router].settings.listen.callers
+        return await CallerConnection.open(address)
+
+    async def call(
+        self, path: str, *, router: int = 0, **options: Any
+    ) -> Answer:
+        """Sends a request on a connection of its own."""
+        caller = await self.connect(router)
+        try:
+            await caller.send(path, **options)
+            return await caller.receive()
+        finally:
+            caller.close()
--- /dev/null
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -0,0 +1,223 @@
+"""A stand-in of the users' targets: model engines and plain services."""
+
+import asyncio
+import contextlib
+from typing import NamedTuple
+
+from tornado.httputil import HTTPHeaders
+
+NORMAL = "normal"
+ERROR = "error"
+SHED = "shed"
+HANG = "hang"
+TORN = "torn"
+RESET = "reset"
+UNSIGNED = "unsigned"
+UNFRAMED = "unframed"
+EXTRA = "extra"
+STRAY = "stray"
+CLOSES_IDLE = "closes idle"
+
+
+class SeenRequest(NamedTuple):
+    """A request that arrived at a target.
+
+    Args:
+        id (str): Attempt of the caller.
+        line (str): Request line.
+        headers (HTTPHeaders): Headers.
+        body (bytes): Body.
+    """
+
+    id: str
+    line: str
+    headers: HTTPHeaders
+    body: bytes
+
+
+class UsersTarget:
+    """Answer requests over HTTP/1.1, well or badly.
+
+    Args:
+        id (str): Its id.
+        service (str): Its service.
+        events (int): Events of a stream; 0 for plain answers. Defaults to 0.
+        event_s (float): Time for each event. Defaults to 0.01.
+    """
+
+    def __init__(
+        self, id: str, service: str, *, events: int = 0, event_s: float = 0.01
+    ) -> None:
+        self.id = id
+        self.service = service
+        self.events = events
+        self.event_s = event_s
+        self.mode = NORMAL
+        # Events after which a stream breaks off, in the mode "torn".
+        self.torn_after = 2
+        self.seen: list[SeenRequest] = []
+        self.ran: list[str] = []
+        self.cancelled: list[str] = []
+        self.connections = 0
+        self.address = ""
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    def __repr__(self) -> str:
+        return f"UsersTarget(id={self.id!r}, mode={self.mode!r})"
+
+    async def __aenter__(self) -> "UsersTarget":
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self.crash()
+
+    def crash(self) -> None:
+        """Ends all connections and listens no more."""
+        assert self._server is not None
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def spec(self, **changes: object) -> dict:
+        """Returns its registration."""
+        return {
+            "backend": self.service,
+            "address": self.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": 1000,
+        } | changes
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while await self._serve_one(reader, writer):
+                pass
+        self._writers.discard(writer)
+        writer.close()
+
+    async def _serve_one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+        line, _, rest = head.partition("\r\n")
+        headers = HTTPHeaders.parse(rest)
+        body = await reader.readexactly(int(headers.get("Content-Length", 0)))
+        request = SeenRequest(
+            headers.get("Attempt-Id", ""), line, headers, body
+        )
+        self.seen.append(request)
+        expected = headers.get("Expect-Instance")
+        if expected and expected != self.id:
+            writer.write(_head(421, {"Instance-Id": self.id}, 0))
+            return True
+        if self.mode == SHED:
+            writer.write(_head(503, {"Not-Executed": "1"}, 0))
+            return True
+        self.ran.append(request.id)
+        return await self._run(request, reader, writer)
+
+    async def _run(
+        self,
+        request: SeenRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        signed = {
+            "Attempt-Id": request.id,
+            "Response-Signature": f"sig-{self.id}",
+            "Instance-Id": self.id,
+        }
+        if self.mode == HANG:
+            await asyncio.wait({asyncio.ensure_future(reader.read(1))})
+            self.cancelled.append(request.id)
+            return False
+        if self.mode == RESET:
+            writer.transport.abort()
+            return False
+        if self.mode == ERROR:
+            writer.write(_head(500, signed, 4) + b"oops")
+            return True
+        if self.events:
+            return await self._stream(request, reader, writer, signed)
+        return self._answer(request, writer, signed)
+
+    def _answer(
+        self,
+        request: SeenRequest,
+        writer: asyncio.StreamWriter,
+        signed: dict[str, str],
+    ) -> bool:
+        body = f"{self.id}:{request.id}".encode()
+        if self.mode == UNSIGNED:
+            writer.write(_head(200, {}, len(body)) + body)
+        elif self.mode == TORN:
+            writer.write(_head(200, signed, len(body)) + body[:-3])
+            return False
+        elif self.mode == UNFRAMED:
+            writer.write(_head(200, signed, None) + body)
+            return False
+        elif self.mode == STRAY:
+            stray = signed | {"Attempt-Id": "another"}
+            writer.write(_head(200, stray, 3) + b"old")
+            writer.write(_head(200, signed, len(body)) + body)
+        else:
+            writer.write(_head(200, signed, len(body)) + body)
+        if self.mode == EXTRA:
+            writer.write(_head(200, signed, 5) + b"extra")
+        return self.mode != CLOSES_IDLE
+
+    async def _stream(
+        self,
+        request: SeenRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        signed: dict[str, str],
+    ) -> bool:
+        kind = {"Content-Type": "text/event-stream"}
+        writer.write(_head(200, signed | kind, -1))
+        first = int(request.headers.get("Last-Event-Id", 0)) + 1
+        gone = asyncio.ensure_future(reader.read(1))
+        try:
+            for number in range(first, self.events + 1):
+                if self.mode == TORN and number - first >= self.torn_after:
+                    writer.write(_chunk(b"id: %d\ndat" % number))
+                    await writer.drain()
+                    writer.transport.abort()
+                    return False
+                writer.write(_chunk(b"id: %d\ndata: %d\n\n" % (number, number)))
+                await asyncio.sleep(self.event_s)
+                if gone.done():
+                    self.cancelled.append(request.id)
+                    return False
+        finally:
+            gone.cancel()
+        writer.write(b"0\r\n\r\n")
+        # The reader cannot be shared with the task that watched for the end.
+        return False
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def _head(status: int, headers: dict[str, str], length: int | None) -> bytes:
+    """Returns a head; a length of -1 means chunks and None until the end."""
+    lines = [f"HTTP/1.1 {status} X"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    if length == -1:
+        lines.append("Transfer-Encoding: chunked")
+    elif length is not None:
+        lines.append(f"Content-Length: {length}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
--- /dev/null
+++ b/packages/standins/tests/test_edge_fleet.py
@@ -0,0 +1,208 @@
+"""Tests of several edge routers, their store and its failures."""
+
+import asyncio
+import unittest
+
+from chervilwall_standins.users import store as s
+from chervilwall_standins.users.fleet import (
+    ROUTES,
+    UsersFleet,
+    make_config,
+    make_route,
+)
+from chervilwall_standins.users.target import UsersTarget
+
+
+class EdgeFleetTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, *targets, routers=3):
+        self.fleet = UsersFleet(*targets, routers=routers)
+        await self.fleet.__aenter__()
+        self.addAsyncCleanup(self.fleet.__aexit__)
+        return self.fleet
+
+    async def get(self, address, path):
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        length = int(head.lower().split("content-length: ")[1].split()[0])
+        body = await reader.readexactly(length)
+        writer.close()
+        return int(head.split()[1]), body
+
+    async def test_callers_are_told_of_all_ready_routers(self):
+        fleet = await self.start(UsersTarget("p0", "plain"))
+        listen = fleet.routers[0].settings.listen
+        status, body = await self.get(listen.directory, "/routers?name=a")
+        self.assertEqual(status, 200)
+        for router in fleet.routers:
+            self.assertIn(router.settings.listen.callers.encode(), body)
+        status, _ = await self.get(listen.readiness, "/ready")
+        self.assertEqual(status, 200)
+
+    async def test_a_leaving_router_is_left_out_at_once_and_serves_on(self):
+        fleet = await self.start(UsersTarget("p0", "plain"))
+        leaving = fleet.routers[1]
+        leaving.begin_stop()
+        await asyncio.sleep(0.1)
+        address = leaving.settings.listen
+        status, _ = await self.get(address.readiness, "/ready")
+        self.assertEqual(status, 503)
+        for router in fleet.routers:
+            directory = router.settings.listen.directory
+            _, body = await self.get(directory, "/routers")
+            self.assertNotIn(address.callers.encode(), body)
+        answer = await fleet.call("/read/x", router=1)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers["Connection"], "close")
+
+    async def test_a_stop_cuts_no_answer(self):
+        model = UsersTarget("m0", "model", events=10, event_s=0.05)
+        fleet = await self.start(model, routers=1)
+        leaving = await fleet.add_router("leaving", grace_s=3, accept_s=0.2)
+        await fleet.until(fleet.is_ready)
+        caller = await fleet.connect(1)
+        await caller.send("/chat/x", token_usage="10,50")
+        await caller.reader.readuntil(b"\r\n\r\n")
+        leaving.begin_stop()
+        stopped = asyncio.create_task(leaving.run())
+        body, whole = await caller.chunks()
+        await stopped
+        self.assertTrue(whole)
+        self.assertIn(b"id: 10", body)
+
+    async def test_a_configuration_is_in_force_everywhere_and_stays(self):
+        fleet = await self.start(UsersTarget("p0", "plain"))
+        routes = [*ROUTES, make_route("new", "plain")]
+        await fleet.store.put("config", "main", make_config(5, routes))
+        await fleet.until(
+            lambda: all(r.config.version == 5 for r in fleet.routers), 1.0
+        )
+        await fleet.store.put("config", "main", make_config(4))
+        await asyncio.sleep(0.2)
+        for number in range(3):
+            answer = await fleet.call("/new/x", router=number)
+            self.assertEqual(answer.status, 200)
+
+    async def test_an_unreadable_configuration_changes_nothing(self):
+        fleet = await self.start(UsersTarget("p0", "plain"), routers=1)
+        for spec in ({"version": 9}, "text", None, {"version": "x"}):
+            await fleet.store.put("config", "main", spec)
+        await asyncio.sleep(0.2)
+        self.assertEqual((await fleet.call("/read/x")).status, 200)
+
+    async def test_peers_pass_on_what_a_router_cannot_read(self):
+        fleet = await self.start(UsersTarget("p0", "plain"))
+        cut_off = fleet.routers[2]
+        for task in cut_off._tasks[:2]:
+            task.cancel()
+        routes = [r for r in ROUTES if r["name"] != "read"]
+        await fleet.store.put("config", "main", make_config(2, routes))
+        await fleet.store.delete("servers", "p0")
+        await fleet.until(lambda: cut_off.config.version == 2, 2.0)
+        await fleet.until(lambda: not cut_off.registry.all(), 2.0)
+        answer = await fleet.call("/read/x", router=2)
+        self.assertEqual(answer.status, 404)
+
+    async def test_a_draining_target_gets_no_more_requests(self):
+        targets = [UsersTarget(f"p{i}", "plain") for i in range(2)]
+        fleet = await self.start(*targets)
+        await fleet.store.put(
+            "servers", "p0", targets[0].spec(state="draining")
+        )
+        await fleet.until(
+            lambda: all(
+                len(r.registry.of_service("plain")) == 1 for r in fleet.routers
+            ),
+            1.0,
+        )
+        before = len(targets[0].seen)
+        for number in range(9):
+            answer = await fleet.call(
+                "/read/x", router=number % 3, request_id=f"r{number}"
+            )
+            self.assertEqual(answer.status, 200)
+        self.assertEqual(len(targets[0].seen), before)
+
+    async def test_registrations_of_bad_writers_are_not_used(self):
+        good = UsersTarget("p0", "plain")
+        fleet = await self.start(good, routers=1)
+        router = fleet.routers[0]
+        for name, spec in {
+            "a": good.spec(state="sleeping"),
+            "b": good.spec(address="nowhere"),
+            "c": good.spec(slots="many"),
+            "d": {"backend": "plain"},
+            "e": "text",
+        }.items():
+            await fleet.store.put("servers", name, spec)
+        await asyncio.sleep(0.2)
+        self.assertEqual(set(router.registry.all()), {"p0"})
+        self.assertEqual((await fleet.call("/read/x")).status, 200)
+
+    async def test_requests_are_served_while_the_store_fails(self):
+        fleet = await self.start(UsersTarget("p0", "plain"))
+        for mode in (s.BUSY, s.LIMITED, s.RESET, s.SILENT):
+            with self.subTest(mode=mode):
+                fleet.store.mode = mode
+                await fleet.store.forget_history()
+                await asyncio.sleep(0.3)
+                answer = await fleet.call("/read/x")
+                self.assertEqual(answer.status, 200)
+
+    async def test_a_lapsed_registration_is_kept_until_the_store_is_back(self):
+        target = UsersTarget("p0", "plain")
+        fleet = await self.start(target, routers=1)
+        router = fleet.routers[0]
+        fleet.store.mode = s.BUSY
+        await fleet.store.forget_history()
+        await asyncio.sleep(0.5)
+        await fleet.store.delete("servers", "p0")
+        fleet.store.mode = s.ANSWERING
+        await asyncio.sleep(1.2)
+        self.assertEqual((await fleet.call("/read/x")).status, 200)
+        await fleet.store.put("servers", "p0", target.spec(sequence=2))
+        await asyncio.sleep(3.0)
+        self.assertIn("p0", router.registry)
+
+    async def test_a_router_without_configuration_says_come_back(self):
+        self.fleet = fleet = UsersFleet()
+        await fleet.store.__aenter__()
+        self.addAsyncCleanup(fleet.__aexit__)
+        fleet.store.mode = s.BUSY
+        await fleet.add_router("lonely")
+        answer = await fleet.call("/read/x")
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["Retry-After"]), 0)
+        directory = fleet.routers[0].settings.listen.directory
+        status, _ = await self.get(directory, "/routers")
+        self.assertEqual(status, 503)
+
+    async def test_a_strangers_datagram_changes_nothing(self):
+        fleet = await self.start(UsersTarget("p0", "plain"))
+        router = fleet.routers[0]
+        before = (router.router_count(), router.config.version)
+        loop = asyncio.get_running_loop()
+        host, _, port = router.settings.listen.peers.rpartition(":")
+        transport, _ = await loop.create_datagram_endpoint(
+            asyncio.DatagramProtocol, remote_addr=(host, int(port))
+        )
+        for size in (0, 1, 16, 17, 400, 60_000):
+            transport.sendto(b"\x93" * size)
+        await asyncio.sleep(0.1)
+        transport.close()
+        self.assertEqual((router.router_count(), router.config.version), before)
+
+    async def test_requests_are_placed_when_the_scheduler_is_silent(self):
+        model = UsersTarget("m0", "model", events=2)
+        fleet = await self.start(model)
+        for router in fleet.routers:
+            router.scheduling.receive = lambda sender, item: None
+        for number in range(3):
+            answer = await fleet.call(
+                "/chat/x",
+                router=number,
+                token_usage="10,10",
+                request_id=f"r{number}",
+            )
+            self.assertEqual(answer.status, 200)
