Hold a flood back while a team that had less waits; keep totals in the store

Logs could block on standard output, and what was delivered by team was kept nowhere that lasts. Change: Overtaking in wait_queue; a log handler that never waits and counts what it drops; grow-only totals by team and route, written every 20 s and at a stop, the same whether or not an earlier write was seen.

--- a/packages/core/chervilwall/errors.py
+++ b/packages/core/chervilwall/errors.py
@@ -68,6 +68,10 @@
     """A conditional write lost to another writer; nothing happened."""
 
 
+class MissingObjectError(PlatformError):
+    """The object that should change does not exist."""
+
+
 class HistoryGoneError(PlatformError):
     """The store has forgotten the revision from which a watch should go on."""
 
--- a/packages/core/chervilwall/protocol.py
+++ b/packages/core/chervilwall/protocol.py
@@ -196,6 +196,7 @@
             revision (int | None): Revision it must have; None for any.
 
         Raises:
+            MissingObjectError: There is none.
             VersionConflictError: It has another revision.
         """
         ...
--- a/packages/core/chervilwall/wait_queue.py
+++ b/packages/core/chervilwall/wait_queue.py
@@ -113,6 +113,37 @@
 Rank = tuple[Urgency, float, float, int]
 
 
+class Overtaking:
+    """Keep a flood from overtaking teams that had less.
+
+    Among teams beyond their shares, the one that had least goes first. While
+    its request waits for room, others that had much more wait as well, or the
+    room would never come.
+    """
+
+    # A team may have had this many times what the waiting one had.
+    FACTOR = 1.4
+    # Tokens of one long request, by which teams differ at any time.
+    SLACK_TOKENS = 15_000.0
+
+    def __init__(self) -> None:
+        self._least = float("inf")
+
+    def __repr__(self) -> str:
+        return f"Overtaking(least={self._least:.0f})"
+
+    def note_waiting(self, rank: Rank) -> None:
+        """Notes a request that found no room."""
+        if rank[0] is Urgency.BEYOND_SHARE:
+            self._least = min(self._least, rank[1])
+
+    def allows(self, rank: Rank) -> bool:
+        """Tells whether a request may go before those that wait."""
+        if rank[0] is not Urgency.BEYOND_SHARE:
+            return True
+        return rank[1] <= self.FACTOR * self._least + self.SLACK_TOKENS
+
+
 class ServedPortions:
     """Follow which portion of each route's requests starts in time."""
 
--- a/packages/core/tests/test_wait_queue.py
+++ b/packages/core/tests/test_wait_queue.py
@@ -5,6 +5,7 @@
 from chervilwall.placement import Demand, Urgency
 from chervilwall.wait_queue import (
     Had,
+    Overtaking,
     ServedPortions,
     Ticket,
     WaitQueue,
@@ -104,3 +105,19 @@
             portions.note("r", False)
         self.assertLess(portions.boost("r"), 20)
         self.assertLess(portions.boost("other"), 1.0)
+
+
+class OvertakingTest(unittest.TestCase):
+    def test_a_flood_waits_while_a_team_that_had_less_waits(self):
+        overtaking = Overtaking()
+        flood = (Urgency.BEYOND_SHARE, 9e5, -1.0, 1)
+        peer = (Urgency.BEYOND_SHARE, 2.1e5, -1.0, 2)
+        self.assertTrue(overtaking.allows(flood))
+        overtaking.note_waiting((Urgency.BEYOND_SHARE, 2e5, -1.0, 3))
+        self.assertFalse(overtaking.allows(flood))
+        self.assertTrue(overtaking.allows(peer))
+
+    def test_teams_within_their_shares_are_not_held_up(self):
+        overtaking = Overtaking()
+        overtaking.note_waiting((Urgency.BEYOND_SHARE, 0.0, -1.0, 3))
+        self.assertTrue(overtaking.allows((Urgency.LATE, 0.0, -1.0, 4)))
--- a/packages/router/chervilwall_router/edge/dispatcher.py
+++ b/packages/router/chervilwall_router/edge/dispatcher.py
@@ -12,7 +12,13 @@
 from chervilwall.prefill import PrefillModel
 from chervilwall.prefix import PrefixMap, PromptPart
 from chervilwall.registry import TargetRegistry
-from chervilwall.wait_queue import Had, Ticket, WaitQueue, WaitSettings
+from chervilwall.wait_queue import (
+    Had,
+    Overtaking,
+    Ticket,
+    WaitQueue,
+    WaitSettings,
+)
 
 # Waiting requests are looked at this often beside all other occasions.
 PUMP_INTERVAL_S = 0.02
@@ -334,12 +340,18 @@
 
     def _pump_queue(self, queue: WaitQueue, now: float) -> None:
         misses = 0
-        for ticket in queue.in_order(now, self._had(now)):
+        had = self._had(now)
+        overtaking = Overtaking()
+        for ticket in queue.in_order(now, had):
             waiter = self._waiters.get(ticket.number)
             if waiter is None or waiter.future.done():
                 continue
+            rank = queue.rank(ticket, now, had)
+            if not overtaking.allows(rank):
+                return
             grant = self._try(waiter.wish, queue, ticket, now)
             if grant is None:
+                overtaking.note_waiting(rank)
                 misses += 1
                 if misses >= LOOK_AHEAD:
                     return
--- a/packages/router/chervilwall_router/edge/edge.py
+++ b/packages/router/chervilwall_router/edge/edge.py
@@ -13,6 +13,7 @@
 from chervilwall.codec import Frame, FrameCodec
 from chervilwall.errors import (
     CodecError,
+    MissingObjectError,
     PlatformError,
     VersionConflictError,
 )
@@ -36,6 +37,7 @@
 from chervilwall.registry import RegisteredTarget, TargetRegistry
 from chervilwall.rendezvous import owner
 from chervilwall.routing import RoutingTable
+from chervilwall.service_totals import ServiceTotals
 from chervilwall.wait_queue import WaitSettings
 from tornado.httputil import HTTPServerRequest
 
@@ -65,6 +67,9 @@
 CONFIG_KIND = "config"
 TARGET_KIND = "servers"
 ROUTER_KIND = "routers"
+SERVICE_KIND = "service-totals"
+# Every call to the store is paid for, so totals are written in batches.
+TOTALS_PERIOD_S = 20.0
 KEY_KIND = "fleet-keys"
 KEY_NAME = "main"
 KEY_BYTES = 32
@@ -123,6 +128,7 @@
 
     def _build_state(self, decoder: PlatformDecoder) -> None:
         self.metrics = RouterMetrics()
+        self.totals = ServiceTotals()
         self.registry = TargetRegistry()
         self.load = LoadView()
         self.prefixes = PrefixMap()
@@ -205,6 +211,7 @@
                 retries=self._cfg.retries,
                 routers=self.router_count,
                 metrics=self.metrics,
+                totals=self.totals,
                 clock=self._clock,
                 rng=self._rng,
             )
@@ -237,6 +244,7 @@
             self._tasks.append(loop.create_task(watch.run()))
         self._tasks.append(loop.create_task(self._join()))
         self._tasks.append(loop.create_task(self._keep_house()))
+        self._tasks.append(loop.create_task(self._write_totals()))
         events.log_event(
             LOG, events.ROUTER_STARTED, name=self._cfg.name, zone=self._cfg.zone
         )
@@ -275,6 +283,7 @@
         self.flow.stops_at = started + cfg.grace_s - cfg.margin_s
         await self._sleep_busy(started + cfg.accept_s, at_least=True)
         await self._sleep_busy(self.flow.stops_at)
+        await self.write_totals()
         for task in self.ingress.tasks:
             task.cancel()
 
@@ -458,12 +467,15 @@
     async def _register(self) -> None:
         spec = _Registration(self._cfg.listen.peers)
         value = msgspec.json.encode(spec)
+        await self._put(ROUTER_KIND, self._cfg.name, value)
+
+    async def _put(self, kind: str, name: str, value: bytes) -> None:
+        """Writes an object, whether it exists or not."""
         try:
-            await self._store.create(ROUTER_KIND, self._cfg.name, value)
-        except VersionConflictError:
-            await self._store.replace(
-                ROUTER_KIND, self._cfg.name, value, revision=None
-            )
+            await self._store.replace(kind, name, value, revision=None)
+        except MissingObjectError:
+            with contextlib.suppress(VersionConflictError):
+                await self._store.create(kind, name, value)
 
     async def _find_routers(self) -> None:
         listing = await self._store.list_kind(ROUTER_KIND)
@@ -478,6 +490,35 @@
             if item.name != self._cfg.name:
                 self._known_routers[item.name] = found.datagrams
 
+    async def _write_totals(self) -> None:
+        """Writes the service of this incarnation to the store now and then."""
+        while True:
+            pause_s = TOTALS_PERIOD_S * self._rng.uniform(0.8, 1.2)
+            await asyncio.sleep(pause_s)
+            await self.write_totals()
+
+    async def write_totals(self) -> None:
+        """Writes the service of this incarnation, if it has changed.
+
+        Totals only grow, so a write that happened unseen does no harm.
+        """
+        if not self.totals.changed:
+            return
+        value = self.totals.encode()
+        name = f"{self._cfg.name}.{self._me.incarnation:x}"
+        self.totals.changed = False
+        try:
+            await self._put(SERVICE_KIND, name, value)
+        except PlatformError as exc:
+            self.totals.changed = True
+            events.log_event(
+                LOG, events.COUNTERS_WRITE_FAILED, step=exc.step, reason=exc
+            )
+            return
+        events.log_event(
+            LOG, events.SERVICE_WRITTEN, rows=len(self.totals.rows())
+        )
+
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
--- a/packages/router/chervilwall_router/edge/flow.py
+++ b/packages/router/chervilwall_router/edge/flow.py
@@ -16,6 +16,7 @@
 from chervilwall.registry import RegisteredTarget, TargetRegistry
 from chervilwall.route_memory import RouteMemory
 from chervilwall.routing import CallerLimits, Route, RoutingTable
+from chervilwall.service_totals import ServiceTotals, Total, TotalKey
 
 from chervilwall_router.edge._dial import Connection
 from chervilwall_router.edge.connections import TargetConnections, most_kept
@@ -42,6 +43,7 @@
 # Streams last up to this many times their route's mean.
 STREAM_RESERVE = 2.5
 NO_CONFIG_RETRY_S = 0.5
+ANSWERED = "answered"
 LEAVING_RETRY_S = 0.1
 
 
@@ -120,6 +122,7 @@
         retries (RetrySettings): Budget of retries.
         routers (Callable): Returns how many routers there are.
         metrics (Metrics): Counters and histograms.
+        totals (ServiceTotals): Service for the reports.
         clock (Callable): Returns the monotonic time.
         rng (random.Random): Source of chance.
     """
@@ -133,6 +136,7 @@
     retries: RetrySettings
     routers: Callable[[], int]
     metrics: Metrics
+    totals: ServiceTotals
     clock: Callable[[], float]
     rng: random.Random
 
@@ -276,6 +280,7 @@
         self._tried: set[str] = set()
         self._runs = 0
         self._disclaimed = 0
+        self._events = 0
         self._first_at = 0.0
         self._grant: Placed | None = None
 
@@ -357,14 +362,16 @@
         return await self._parts.scheduling.acquire(wish)
 
     def _output_tokens(self) -> int:
-        table = self._parts.table()
-        service = table.services.get(self._admitted.service) if table else None
-        event_tokens = service.event_tokens if service else 1
         admitted = self._admitted
         return self._memory.output_tokens(
-            admitted.req, admitted.route, event_tokens
+            admitted.req, admitted.route, self._event_tokens()
         )
 
+    def _event_tokens(self) -> int:
+        table = self._parts.table()
+        service = table.services.get(self._admitted.service) if table else None
+        return service.event_tokens if service else 1
+
     async def _attempt(
         self, grant: Placed, relay: PlainRelay | StreamRelay
     ) -> Attempt:
@@ -526,6 +533,7 @@
             self._fail(answer, attempt, 502, "target_failed")
             return True
         if isinstance(relay, StreamRelay):
+            self._events = relay.events
             taken_s = self._parts.clock() - self._admitted.req.received_at
             self._memory.note_stream(
                 self._admitted.route, relay.events, taken_s
@@ -533,7 +541,7 @@
             await relay.pass_on()
         else:
             relay.pass_on()
-        self._log_end(attempt, "answered", head.status)
+        self._log_end(attempt, ANSWERED, head.status)
         return True
 
     def _may_retry(self) -> bool:
@@ -601,6 +609,8 @@
             retry_after_s=round(problem.retry_after_s, 2),
             waiting=self._parts.waiting(),
         )
+        key = TotalKey(admitted.team, admitted.route.name)
+        self._parts.totals.add(key, Total(refused=1))
         answer.refuse(problem)
 
     def _fail(
@@ -620,6 +630,7 @@
         metrics = self._parts.metrics
         team, cls = admitted.team, admitted.route.name
         metrics.count(f"ended_{outcome}")
+        self._add_total(outcome == ANSWERED)
         metrics.observe("total", team, cls, now - admitted.req.received_at)
         metrics.observe(
             "first_byte", team, cls, first - admitted.req.received_at
@@ -645,6 +656,19 @@
             predicted_ms=_ms(grant.choice.first_token_s) if grant else 0,
         )
 
+    def _add_total(self, answered: bool) -> None:
+        admitted = self._admitted
+        key = TotalKey(admitted.team, admitted.route.name)
+        total = Total(unknown=1)
+        if answered:
+            prompt = admitted.req.prompt_tokens
+            total = Total(
+                answered=1,
+                prompt_tokens=prompt,
+                output_tokens=self._events * self._event_tokens(),
+            )
+        self._parts.totals.add(key, total)
+
     def _elapsed_ms(self) -> int:
         return _ms(self._parts.clock() - self._admitted.req.received_at)
 
--- a/packages/router/chervilwall_router/edge/main.py
+++ b/packages/router/chervilwall_router/edge/main.py
@@ -17,7 +17,7 @@
     StoreSettings,
     read_edge_settings,
 )
-from chervilwall_router.logs import set_up_logging
+from chervilwall_router.logs import set_up_stdout_logging
 
 LOG = logging.getLogger(__name__)
 EXIT_OK = 0
@@ -43,7 +43,7 @@
     except SettingsError as exc:
         print(f"chervilwall: {exc}", file=sys.stderr)
         return EXIT_SETTINGS
-    set_up_logging(settings.log)
+    set_up_stdout_logging(settings.log)
     asyncio.run(_run(settings, make_store, decoder, wire))
     return EXIT_OK
 
--- a/packages/router/tests/test_logs.py
+++ b/packages/router/tests/test_logs.py
@@ -2,10 +2,17 @@
 
 import json
 import logging
+import os
+import time
 import unittest
 
 from chervilwall import events
-from chervilwall_router.logs import JsonFormatter, TextFormatter
+from chervilwall_router.logs import (
+    MAX_WAITING_BYTES,
+    JsonFormatter,
+    PipeHandler,
+    TextFormatter,
+)
 
 
 class LogsTest(unittest.TestCase):
@@ -23,3 +30,40 @@
         self.assertIn("peer=engine-1", text)
         line = json.loads(JsonFormatter().format(record))
         self.assertEqual((line["event"], line["step"]), (600, "relay"))
+
+
+class PipeHandlerTest(unittest.TestCase):
+    def setUp(self):
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+
+    def record(self, text):
+        return logging.LogRecord("x", logging.INFO, "", 0, text, (), None)
+
+    def read(self):
+        os.set_blocking(self.reader, False)
+        return os.read(self.reader, 1 << 20).decode().splitlines()
+
+    def test_a_reader_that_stalls_stops_nobody(self):
+        handler = PipeHandler(self.writer, max_lines_per_s=10**9)
+        started = time.monotonic()
+        for _ in range(20_000):
+            handler.emit(self.record("x" * 100))
+        self.assertLess(time.monotonic() - started, 5.0)
+        self.assertGreater(handler.dropped, 10_000)
+        self.assertLessEqual(handler._waiting_bytes, MAX_WAITING_BYTES + 200)
+
+    def test_lines_are_whole_and_dropped_ones_are_counted(self):
+        handler = PipeHandler(self.writer, max_lines_per_s=5)
+        for number in range(50):
+            handler.emit(self.record(f"line {number}"))
+        lines = self.read()
+        dropped = handler.dropped
+        self.assertEqual(len(lines) + dropped, 50)
+        handler._second -= 1
+        handler.emit(self.record("after"))
+        told = self.read()
+        self.assertIn("log lines dropped", told[0])
+        self.assertEqual(told[-1], "after")
+        self.assertEqual(handler.dropped, 0)
--- a/packages/standins/tests/test_edge_fleet.py
+++ b/packages/standins/tests/test_edge_fleet.py
@@ -1,11 +1,15 @@
 """Tests of several edge routers, their store and its failures."""
 
 import asyncio
+import json
 import unittest
 
+from chervilwall.service_totals import decode_totals
 from chervilwall_standins.users import store as s
+from chervilwall_standins.users import target as t
 from chervilwall_standins.users.fleet import (
     ROUTES,
+    TEAM,
     UsersFleet,
     make_config,
     make_route,
@@ -178,6 +182,23 @@
         status, _ = await self.get(directory, "/routers")
         self.assertEqual(status, 503)
 
+    async def test_service_by_team_lasts_in_the_store(self):
+        target = UsersTarget("p0", "plain")
+        fleet = await self.start(target, routers=1)
+        for number in range(3):
+            await fleet.call("/read/x", request_id=f"r{number}")
+        target.mode = t.SHED
+        await fleet.call("/book/x", request_id="b1")
+        router = fleet.routers[0]
+        fleet.store.lose_answers = True
+        await router.write_totals()
+        fleet.store.lose_answers = False
+        await router.write_totals()
+        (item,) = fleet.store.items("service-totals")
+        rows = decode_totals(json.dumps(item["spec"]).encode())
+        self.assertEqual(rows[(TEAM, "read")].answered, 3)
+        self.assertEqual(rows[(TEAM, "book")].refused, 1)
+
     async def test_a_strangers_datagram_changes_nothing(self):
         fleet = await self.start(UsersTarget("p0", "plain"))
         router = fleet.routers[0]
