Lift the largest requests; wait for long prompts; read attention's square

A 54,000-token prompt was given up as silent after 1.6 s, while it was still being read, at two engines one after the other. Ruled out: routes as the only groups (the lift cannot see size within one). Change: groups of route and size class in the lift; silence is measured against the predicted first token; attention grows with the square of a prompt; a caller's length hint goes before the mean.

--- a/packages/core/chervilwall/inbound.py
+++ b/packages/core/chervilwall/inbound.py
@@ -23,6 +23,8 @@
         model (str): Model that it asks for, "" for a plain request.
         prompt_tokens (int): Length of its prompt, 0 if not told.
         output_tokens (int): Most tokens to generate, 0 if not told.
+        length_hint (int): The caller's guess of the tokens to generate, right
+            in the median and often far off; 0 without one.
         parts (tuple): Shared parts of the prompt, in order.
         last_event_id (int): Event after which a stream goes on, 0 from start.
     """
@@ -39,6 +41,7 @@
     model: str = ""
     prompt_tokens: int = 0
     output_tokens: int = 0
+    length_hint: int = 0
     parts: tuple[PromptPart, ...] = ()
     last_event_id: int = 0
 
--- a/packages/core/chervilwall/message.py
+++ b/packages/core/chervilwall/message.py
@@ -405,6 +405,7 @@
         excluded (tuple): Targets that were tried already.
         first (bool): Whether the caller sends it for the first time.
         route (str): Its route.
+        size_class (int): 0 for most requests, 2 for the largest of a route.
     """
 
     number: int
@@ -420,6 +421,7 @@
     excluded: tuple[str, ...]
     first: bool
     route: str
+    size_class: int
 
 
 class PlaceQueued(NamedTuple):
--- a/packages/core/chervilwall/placement.py
+++ b/packages/core/chervilwall/placement.py
@@ -169,7 +169,7 @@
             for t in targets
         )
         miss = max(1, demand.prompt_tokens - cached)
-        return self._model.typical_work_s(miss)
+        return self._model.typical_work_s(miss, cached)
 
     def _choose_plain(
         self, targets: list[RegisteredTarget], now: float
@@ -225,7 +225,7 @@
             load = self._load.total(target.id, now)
             wait_s = self._wait_s(target, load, window_s)
             miss = max(1, demand.prompt_tokens - cached[target.id])
-            work_s = self._model.work_s(target.id, miss)
+            work_s = self._model.work_s(target.id, miss, cached[target.id])
             choice = Choice(target, miss, work_s, load.prefill_s + work_s)
             reread = most - cached[target.id]
             reread_s = reread / self._model.tokens_per_s(target.id)
--- a/packages/core/chervilwall/prefill.py
+++ b/packages/core/chervilwall/prefill.py
@@ -5,6 +5,8 @@
 # Before anything is known. Learned factors replace both within seconds.
 TOKENS_PER_S = 60_000.0
 PER_PROMPT_S = 0.004
+# Attention looks from each token that is read at all before it.
+PER_PAIR_S = 2.5e-10
 # Time to a first token beside reading: the way there and back, one step.
 START_LATENCY_S = 0.012
 # Weight of one more sample of a target's factor.
@@ -33,24 +35,25 @@
         """Returns how much slower a target is than the model's constants."""
         return math.exp(self._log_factors.get(target_id, self._mean()))
 
-    def work_s(self, target_id: str, miss_tokens: int) -> float:
+    def work_s(
+        self, target_id: str, miss_tokens: int, cached_tokens: int = 0
+    ) -> float:
         """Returns how long a target reads a prompt.
 
         Args:
             target_id (str): The target.
             miss_tokens (int): Tokens of the prompt that are not cached.
+            cached_tokens (int): Tokens before them that are.
         """
-        work_s = PER_PROMPT_S + miss_tokens / TOKENS_PER_S
-        return work_s * self.factor(target_id)
+        return _work_s(miss_tokens, cached_tokens) * self.factor(target_id)
 
     def tokens_per_s(self, target_id: str) -> float:
         """Returns how fast a target reads a long prompt."""
         return TOKENS_PER_S / self.factor(target_id)
 
-    def typical_work_s(self, miss_tokens: int) -> float:
+    def typical_work_s(self, miss_tokens: int, cached_tokens: int) -> float:
         """Returns how long any target would read a prompt."""
-        work_s = PER_PROMPT_S + miss_tokens / TOKENS_PER_S
-        return work_s * math.exp(self._mean())
+        return _work_s(miss_tokens, cached_tokens) * math.exp(self._mean())
 
     def observe(
         self, target_id: str, predicted_s: float, first_token_s: float
@@ -77,3 +80,9 @@
     def _mean(self) -> float:
         known = self._log_factors.values()
         return sum(known) / len(known) if known else 0.0
+
+
+def _work_s(miss_tokens: int, cached_tokens: int) -> float:
+    pairs = miss_tokens * (cached_tokens + miss_tokens / 2)
+    read_s = miss_tokens / TOKENS_PER_S
+    return PER_PROMPT_S + read_s + PER_PAIR_S * pairs
--- a/packages/core/chervilwall/wait_queue.py
+++ b/packages/core/chervilwall/wait_queue.py
@@ -14,7 +14,7 @@
 # Benefit of a generated token, in tokens that are read.
 OUTPUT_WEIGHT = 10.0
 LEAST_WORK_S = 0.002
-# Keeps the boost of a route of which nothing is served bounded.
+# Keeps the boost of a group of which nothing is served bounded.
 PORTION_BASE = 0.25
 # A late request waits this long for room that is just becoming free.
 LEAST_HOLD_S = 0.03
@@ -54,7 +54,7 @@
         enqueued_at (float): Monotonic time of its arrival at this router.
         give_up_at (float): Monotonic time until which it may wait.
         work_s (float): Time for which a target reads its prompt.
-        route (str): Its route.
+        group (str): Its route and size class.
     """
 
     number: int
@@ -64,7 +64,7 @@
     enqueued_at: float
     give_up_at: float
     work_s: float = 0.0
-    route: str = ""
+    group: str = ""
 
     @property
     def density(self) -> float:
@@ -145,9 +145,9 @@
 
 
 class ServedPortions:
-    """Follow which portion of each route's requests starts in time."""
+    """Follow which portion of each group's requests starts in time."""
 
-    # Weight of one more request in a route's portion.
+    # Weight of one more request in a group's portion.
     WEIGHT = 0.03
 
     def __init__(self) -> None:
@@ -156,19 +156,19 @@
     def __repr__(self) -> str:
         return f"ServedPortions({self._portions})"
 
-    def note(self, route: str, started: bool) -> None:
+    def note(self, group: str, started: bool) -> None:
         """Takes in a request that was started in time, or was not."""
-        known = self._portions.get(route, 1.0)
-        self._portions[route] = known + self.WEIGHT * (started - known)
+        known = self._portions.get(group, 1.0)
+        self._portions[group] = known + self.WEIGHT * (started - known)
 
     def mean(self) -> float:
-        """Returns the mean portion of all routes."""
+        """Returns the mean portion of all groups."""
         known = self._portions.values()
         return sum(known) / len(known) if known else 1.0
 
-    def boost(self, route: str) -> float:
-        """Returns a factor that lifts routes of which little is served."""
-        return (PORTION_BASE + self._portions.get(route, 1.0)) ** -2
+    def boost(self, group: str) -> float:
+        """Returns a factor that lifts groups of which little is served."""
+        return (PORTION_BASE + self._portions.get(group, 1.0)) ** -2
 
 
 class WaitQueue:
@@ -203,13 +203,13 @@
 
         Requests beyond their team's share go by what the team had; all others
         by benefit for the time that they take, lifted where little of their
-        route is served.
+        group is served.
         """
         urgency = ticket.urgency(now, had.over)
         got = 0.0
         if urgency is Urgency.BEYOND_SHARE:
             got = had.got.get(ticket.team, 0.0)
-        worth = ticket.density * self._portions.boost(ticket.route)
+        worth = ticket.density * self._portions.boost(ticket.group)
         return (urgency, got, -worth, ticket.number)
 
     def in_order(self, now: float, had: Had) -> list[Ticket]:
@@ -232,7 +232,7 @@
     def note_end(self, ticket: Ticket, now: float, started: bool) -> None:
         """Takes in how a request's wait ended."""
         in_time = now <= ticket.latest_start()
-        self._portions.note(ticket.route, started and in_time)
+        self._portions.note(ticket.group, started and in_time)
         if not in_time:
             change = LATE_WEIGHT * (started - self._late_portion)
             self._late_portion += change
--- a/packages/core/tests/test_prefill.py
+++ b/packages/core/tests/test_prefill.py
@@ -20,6 +20,14 @@
         self.assertAlmostEqual(model.work_s("fast", 6000), 0.1, delta=0.01)
         self.assertAlmostEqual(model.work_s("slow", 6000), 0.4, delta=0.04)
 
+    def test_long_prompts_take_more_than_their_length(self):
+        model = PrefillModel()
+        once, twice = model.work_s("t", 20_000), model.work_s("t", 40_000)
+        self.assertGreater(twice, 2.2 * once)
+        self.assertGreater(
+            model.work_s("t", 20_000, cached_tokens=20_000), once
+        )
+
     def test_an_unknown_target_is_taken_for_a_mean_one(self):
         model = PrefillModel()
         for _ in range(100):
--- a/packages/core/tests/test_route_memory.py
+++ b/packages/core/tests/test_route_memory.py
@@ -4,7 +4,7 @@
 
 from chervilwall.inbound import InboundRequest
 from chervilwall.prefix import PromptPart
-from chervilwall.route_memory import RouteMemory
+from chervilwall.route_memory import RouteMemory, SizeClasses
 from chervilwall.routing import Route, RouteKind, WeightedService
 
 ROUTE = Route(
@@ -51,3 +51,20 @@
                 )
                 memory.note_arrival(req, ROUTE)
         self.assertEqual(memory.session(req, ROUTE), "top")
+
+    def test_a_callers_own_guess_goes_before_the_mean(self):
+        memory = RouteMemory()
+        for _ in range(10):
+            memory.note_stream(ROUTE, 40, 2.0)
+        req = make_request(15.0)._replace(length_hint=700)
+        self.assertEqual(memory.output_tokens(req, ROUTE, 5), 700)
+
+
+class SizeClassesTest(unittest.TestCase):
+    def test_the_largest_tenth_and_the_fifth_below_it_are_told_apart(self):
+        sizes = SizeClasses()
+        for size in range(1000):
+            sizes.observe(size)
+        found = [sizes.of(size) for size in (810, 930, 960, 985)]
+        self.assertEqual(found, [0, 0, 1, 2])
+        self.assertEqual(SizeClasses().of(5), 2)
--- a/packages/core/tests/test_wait_queue.py
+++ b/packages/core/tests/test_wait_queue.py
@@ -24,7 +24,7 @@
         enqueued_at=0.0,
         give_up_at=2.0,
         work_s=work_s,
-        route="r",
+        group="r",
     )
     return ticket._replace(**changes)
 
@@ -61,10 +61,10 @@
 
     def test_a_route_of_which_little_is_served_is_lifted(self):
         for _ in range(200):
-            late = make_ticket(0, route="starved")
+            late = make_ticket(0, group="starved")
             self.queue.note_end(late, 0.0, False)
-        self.queue.push(make_ticket(1, work_s=0.05, route="served"))
-        self.queue.push(make_ticket(2, work_s=0.15, route="starved"))
+        self.queue.push(make_ticket(1, work_s=0.05, group="served"))
+        self.queue.push(make_ticket(2, work_s=0.15, group="starved"))
         self.assertEqual(self.order(), [2, 1])
 
     def test_late_requests_are_let_go_when_none_gets_its_turn(self):
--- a/packages/router/chervilwall_router/edge/dispatcher.py
+++ b/packages/router/chervilwall_router/edge/dispatcher.py
@@ -39,6 +39,7 @@
         excluded (frozenset): Targets that were tried already.
         first (bool): Whether this is the caller's first attempt.
         route (str): Its route.
+        size_class (int): 0 for most requests, 2 for the largest of a route.
     """
 
     demand: Demand
@@ -50,6 +51,7 @@
     excluded: frozenset[str] = frozenset()
     first: bool = True
     route: str = ""
+    size_class: int = 0
 
     @property
     def tokens(self) -> float:
@@ -226,7 +228,7 @@
             enqueued_at=wish.arrived_at,
             give_up_at=self._give_up_at(wish, now),
             work_s=parts.placement.least_work_s(demand, targets, now),
-            route=wish.route,
+            group=f"{wish.route}#{wish.size_class}",
         )
 
     def _give_up_at(self, wish: Wish, now: float) -> float:
--- a/packages/router/chervilwall_router/edge/flow.py
+++ b/packages/router/chervilwall_router/edge/flow.py
@@ -37,6 +37,8 @@
 LEAST_SILENCE_S = 1.0
 SILENCE_OBJECTIVES = 2.0
 SILENCE_GAPS = 5.0
+# A long prompt is read for longer than this silence would allow otherwise.
+SILENCE_PREDICTIONS = 4.0
 # Requests that targets disclaimed go to this many more of them.
 MAX_DISCLAIMED = 2
 SERVER_ERROR = 500
@@ -358,6 +360,7 @@
             excluded=frozenset(self._tried),
             first=not self._tried and not self._admitted.is_return,
             route=route.name,
+            size_class=self._memory.size_class(req, route),
         )
         return await self._parts.scheduling.acquire(wish)
 
@@ -446,8 +449,13 @@
         route = self._admitted.route
         if begun and route.max_gap_s:
             return max(LEAST_SILENCE_S, SILENCE_GAPS * route.max_gap_s)
+        predicted_s = 0.0
+        if self._grant is not None:
+            predicted_s = self._grant.choice.first_token_s
         return max(
-            LEAST_SILENCE_S, SILENCE_OBJECTIVES * route.latency_objective_s
+            LEAST_SILENCE_S,
+            SILENCE_OBJECTIVES * route.latency_objective_s,
+            SILENCE_PREDICTIONS * predicted_s,
         )
 
     def _judge(self, exchange: Exchange) -> Fate:
--- a/packages/router/chervilwall_router/edge/scheduling.py
+++ b/packages/router/chervilwall_router/edge/scheduling.py
@@ -291,6 +291,7 @@
             excluded=tuple(wish.excluded),
             first=wish.first,
             route=wish.route,
+            size_class=wish.size_class,
         )
 
     def _take(
@@ -430,6 +431,7 @@
             excluded=frozenset(item.excluded),
             first=item.first,
             route=item.route,
+            size_class=item.size_class,
         )
 
     def _end(self, key: tuple[str, int], outcome: str) -> None:
--- a/packages/standins/chervilwall_standins/lab/fleet.py
+++ b/packages/standins/chervilwall_standins/lab/fleet.py
@@ -11,6 +11,7 @@
 from chervilwall.prefill import PrefillModel
 from chervilwall.prefix import PrefixMap
 from chervilwall.registry import RegisteredTarget, TargetRegistry
+from chervilwall.route_memory import SizeClasses
 from chervilwall.wait_queue import WaitSettings
 from chervilwall_router.edge.dispatcher import (
     Dispatcher,
@@ -122,6 +123,7 @@
             now,
             first=first,
             route=cls.name,
+            size_class=self._lab.sizes(call),
         )
         grant = await self.dispatcher.acquire(wish)
         seen: list[float] = []
@@ -149,10 +151,18 @@
         self.registry = TargetRegistry()
         self.engines: dict[str, Engine] = {}
         self.outcomes: list[Outcome] = []
+        self._sizes: dict[str, SizeClasses] = defaultdict(SizeClasses)
 
     def __repr__(self) -> str:
         return f"Lab(outcomes={len(self.outcomes)})"
 
+    def sizes(self, call: Call) -> int:
+        """Returns the size class of a call."""
+        sizes = self._sizes[call.cls.name]
+        size = sum(part.tokens for part in call.parts)
+        sizes.observe(size)
+        return sizes.of(size)
+
     async def play(self) -> "LabResult":
         """Plays the load to its end."""
         loop = asyncio.get_running_loop()
