Quarantine requests that crash targets; split the edge router's modules

Ruled out: taking each broken answer for a crash (answers are lost for other reasons); a target counts as crashed when it takes no new connection. Change: fingerprints of suspects go to peers at once; settings are read again; flow is split into flow, work, request_run and attempts; scheduling into scheduling and granting; edge into edge, store_member and catch_up.

--- a/packages/core/chervilwall/budget.py
+++ b/packages/core/chervilwall/budget.py
@@ -74,14 +74,18 @@
             now (float): Monotonic time.
             routers (int): Routers that share the slack.
         """
-        self._expire(now)
-        allowed = self._ratio * len(self._requests)
-        allowed += self.SLACK_PORTION * self._slack / max(1, routers)
-        if len(self._retries) + 1 > allowed:
+        if not self.has_left(now, routers):
             return False
         self._retries.append(now)
         return True
 
+    def has_left(self, now: float, routers: int) -> bool:
+        """Tells whether a retry is left."""
+        self._expire(now)
+        allowed = self._ratio * len(self._requests)
+        allowed += self.SLACK_PORTION * self._slack / max(1, routers)
+        return len(self._retries) + 1 <= allowed
+
     def _expire(self, now: float) -> None:
         for log in (self._requests, self._retries):
             while log and now - log[0] > self._window_s:
--- a/packages/core/chervilwall/message.py
+++ b/packages/core/chervilwall/message.py
@@ -370,7 +370,7 @@
         prefixes (tuple): Prompts that it placed since its last report.
         asked (dict): Tokens that teams asked for in the last window.
         got (dict): Tokens that teams got in the last window.
-        suspicions (tuple): Requests in flight at crashes.
+        suspicions (tuple): Requests that were in flight at crashes.
     """
 
     sequence: int
--- a/packages/core/chervilwall/protocol.py
+++ b/packages/core/chervilwall/protocol.py
@@ -207,7 +207,17 @@
 
 
 class PlatformDecoder(Protocol):
-    """Decodes what the operator and the targets write to the store."""
+    """Decodes what the operator and the targets write to the store.
+
+    Args:
+        config_kind (str): Kind of the configuration's object.
+        config_name (str): Its name.
+        target_kind (str): Kind of the registrations of targets.
+    """
+
+    config_kind: str
+    config_name: str
+    target_kind: str
 
     def routing(self, value: bytes) -> RoutingTable:
         """Returns a configuration.
--- a/packages/core/tests/test_budget.py
+++ b/packages/core/tests/test_budget.py
@@ -35,4 +35,12 @@
     def test_a_lone_request_may_be_retried(self):
         window = RetryWindow(0.2, 10.0, 56.0)
         window.note_request(0.0)
+        self.assertTrue(window.has_left(0.1, 8))
         self.assertTrue(window.spend(0.1, 8))
+
+    def test_asking_spends_nothing(self):
+        window = RetryWindow(0.0, 10.0, 10.0)
+        for _ in range(100):
+            self.assertTrue(window.has_left(0.0, 6))
+        self.assertTrue(window.spend(0.0, 6))
+        self.assertFalse(window.has_left(0.0, 6))
--- a/packages/router/chervilwall_router/edge/edge.py
+++ b/packages/router/chervilwall_router/edge/edge.py
@@ -1,7 +1,6 @@
 """An edge router, put together and run."""
 
 import asyncio
-import contextlib
 import logging
 import random
 import secrets
@@ -10,13 +9,7 @@
 
 import msgspec
 from chervilwall import events
-from chervilwall.codec import Frame, FrameCodec
-from chervilwall.errors import (
-    CodecError,
-    MissingObjectError,
-    PlatformError,
-    VersionConflictError,
-)
+from chervilwall.codec import Frame
 from chervilwall.fair_share import FairShare
 from chervilwall.health import CellHealth
 from chervilwall.held import Granter, HeldRequests
@@ -25,15 +18,14 @@
     EdgeReport,
     Message,
     RecentPrefix,
-    SnapshotPull,
-    StoreSnapshot,
     TargetLoadItem,
 )
-from chervilwall.peers import PeerState, PeerTable
+from chervilwall.peers import PeerTable
 from chervilwall.placement import Placement, PlacementSettings
 from chervilwall.prefill import PrefillModel
 from chervilwall.prefix import PrefixMap, PromptPart
 from chervilwall.protocol import ObjectStore, PlatformDecoder, WireFormat
+from chervilwall.quarantine import Quarantine
 from chervilwall.registry import RegisteredTarget, TargetRegistry
 from chervilwall.rendezvous import owner
 from chervilwall.routing import RoutingTable
@@ -41,55 +33,32 @@
 from chervilwall.wait_queue import WaitSettings
 from tornado.httputil import HTTPServerRequest
 
-from chervilwall_router.edge._call import CallFailedError, DialError, call
+from chervilwall_router.edge import catch_up
 from chervilwall_router.edge.connections import TargetConnections
 from chervilwall_router.edge.dispatcher import Dispatcher, DispatcherParts
-from chervilwall_router.edge.flow import FlowParts, RequestFlow
+from chervilwall_router.edge.flow import RequestFlow
+from chervilwall_router.edge.granting import Scheduler, SchedulingParts
 from chervilwall_router.edge.ingress import Ingress
 from chervilwall_router.edge.peer_link import PeerLink
-from chervilwall_router.edge.scheduling import (
-    Scheduler,
-    Scheduling,
-    SchedulingParts,
-)
+from chervilwall_router.edge.scheduling import Scheduling
 from chervilwall_router.edge.settings import EdgeSettings
 from chervilwall_router.edge.side_server import Reply, SideServer
-from chervilwall_router.edge.state import (
-    ConfigState,
-    RegistryState,
-    make_snapshot,
-)
+from chervilwall_router.edge.state import ConfigState, RegistryState
+from chervilwall_router.edge.store_member import StoreMember
 from chervilwall_router.edge.store_watch import StoreWatch
-from chervilwall_router.metrics import RouterMetrics
+from chervilwall_router.edge.work import FlowParts
+from chervilwall_router.metrics import RouterMetrics, render_text
 from chervilwall_router.settings import split_address
 
 LOG = logging.getLogger(__name__)
-CONFIG_KIND = "config"
-TARGET_KIND = "servers"
-ROUTER_KIND = "routers"
-SERVICE_KIND = "service-totals"
-# Every call to the store is paid for, so totals are written in batches.
-TOTALS_PERIOD_S = 20.0
-KEY_KIND = "fleet-keys"
-KEY_NAME = "main"
-KEY_BYTES = 32
 # Portion of an engine's memory that running requests leave to cached parts.
 CACHED_PORTION = 0.6
-SETUP_PAUSE_S = 0.3
 HOUSEKEEPING_S = 0.1
-# A peer that has read more of the store is asked after this time, as this
-# router's own watch is mostly only a moment behind.
-SNAPSHOT_AFTER_S = 0.25
-SNAPSHOT_TIMEOUT_S = 0.5
 LISTEN_BACKLOG = 512
 # Prompts named in one report at most, to keep it in a datagram.
 MAX_REPORTED_PREFIXES = 24
 
 
-class _Registration(msgspec.Struct):
-    datagrams: str
-
-
 class EdgeRouter:
     """Serve callers on a platform where targets register themselves.
 
@@ -113,11 +82,8 @@
         self._clock = time.monotonic
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
-        self._behind_since = 0.0
-        self._snapshot_task: asyncio.Task[None] | None = None
         self._sequence = 0
         self._me = Granter(settings.name, secrets.randbits(62))
-        self._known_routers: dict[str, str] = {}
         self._recent_prefixes: list[RecentPrefix] = []
         self._build_state(decoder)
         self._build_flow(wire)
@@ -129,6 +95,7 @@
     def _build_state(self, decoder: PlatformDecoder) -> None:
         self.metrics = RouterMetrics()
         self.totals = ServiceTotals()
+        self.quarantine = Quarantine()
         self.registry = TargetRegistry()
         self.load = LoadView()
         self.prefixes = PrefixMap()
@@ -137,6 +104,14 @@
         self.held = HeldRequests()
         self.peers = PeerTable(self._cfg.name)
         self._health: dict[str, CellHealth] = {}
+        self._member = StoreMember(
+            self._store,
+            self._cfg.name,
+            self._me.incarnation,
+            self._cfg.listen.peers,
+            self.totals,
+            self._rng,
+        )
         self.config = ConfigState(decoder, self._config_changed)
         self.targets = RegistryState(
             decoder,
@@ -146,8 +121,8 @@
             self._clock,
         )
         self._watches = [
-            self._watch(CONFIG_KIND, self.config),
-            self._watch(TARGET_KIND, self.targets),
+            self._watch(decoder.config_kind, self.config),
+            self._watch(decoder.target_kind, self.targets),
         ]
 
     def _watch(
@@ -193,7 +168,6 @@
                 dispatcher=self.dispatcher,
                 registry=self.registry,
                 held=self.held,
-                model=self.model,
                 health=self.health,
                 find=self._find_scheduler,
                 send=self._send,
@@ -203,7 +177,6 @@
         self.flow = RequestFlow(
             FlowParts(
                 table=lambda: self.config.table,
-                registry=self.registry,
                 scheduling=self.scheduling,
                 waiting=self.dispatcher.waiting,
                 connections=self.connections,
@@ -214,6 +187,8 @@
                 totals=self.totals,
                 clock=self._clock,
                 rng=self._rng,
+                quarantine=self.quarantine,
+                suspected=lambda: self.link.send_now(),
             )
         )
 
@@ -226,10 +201,20 @@
             self._peer_addresses,
             self._take_frame,
         )
+        self._catching_up = catch_up.CatchUp(
+            self._cfg.name,
+            self.config,
+            self.targets,
+            self.peers,
+            lambda: self.link.codec,
+            self._clock,
+        )
         self._side_servers = {
             self._cfg.listen.readiness: SideServer({"/ready": self._ready}),
             self._cfg.listen.directory: SideServer({"/routers": self._routers}),
-            self._cfg.listen.peers: SideServer({"/snapshot": self._snapshot}),
+            self._cfg.listen.peers: SideServer(
+                {catch_up.PATH: self._catching_up.page}
+            ),
             self._cfg.listen.metrics: SideServer({"/metrics": self._metrics}),
         }
 
@@ -243,8 +228,8 @@
         for watch in self._watches:
             self._tasks.append(loop.create_task(watch.run()))
         self._tasks.append(loop.create_task(self._join()))
+        self._tasks.append(loop.create_task(self._member.keep_totals()))
         self._tasks.append(loop.create_task(self._keep_house()))
-        self._tasks.append(loop.create_task(self._write_totals()))
         events.log_event(
             LOG, events.ROUTER_STARTED, name=self._cfg.name, zone=self._cfg.zone
         )
@@ -275,6 +260,12 @@
             connections=self.ingress.stats().connections,
         )
 
+    def reload(self, settings: EdgeSettings) -> None:
+        """Takes in changed settings; addresses stay until a restart."""
+        fixed = {"name": self._cfg.name, "listen": self._cfg.listen}
+        self._cfg = msgspec.structs.replace(settings, **fixed)
+        events.log_event(LOG, events.SETTINGS_RELOADED, name=self._cfg.name)
+
     async def run(self) -> None:
         """Serves until the shutdown has ended."""
         await self._stopping.wait()
@@ -353,7 +344,7 @@
 
     def _peer_addresses(self) -> Iterable[str]:
         now = self._clock()
-        found = set(self._known_routers.values())
+        found = set(self._member.addresses.values())
         alive = self.peers.alive(now).values()
         found.update(state.report.datagrams for state in alive)
         found.discard(self._cfg.listen.peers)
@@ -376,7 +367,8 @@
         return Scheduler(found, state.incarnation, state.report.datagrams)
 
     def _is_ready(self) -> bool:
-        return self.config.table is not None and not self._stopping.is_set()
+        knows_all = self.config.table is not None and self.targets.revision > 0
+        return knows_all and not self._stopping.is_set()
 
     def _make_report(self) -> EdgeReport:
         self._sequence += 1
@@ -396,6 +388,7 @@
             prefixes=prefixes,
             asked={team: round(n) for team, n in asked.items()},
             got={team: round(n) for team, n in got.items()},
+            suspicions=self.quarantine.recent(self._clock()),
         )
 
     def _take_frame(self, frame: Frame, address: str) -> None:
@@ -418,6 +411,7 @@
         elif old.incarnation != incarnation:
             self.scheduling.drop_peer(name)
         self.scheduling.hear_held(name, report.loads)
+        self.quarantine.merge(report.suspicions, now)
         self.load.set_peer(name, self._loads_of(report), now)
         self.shares.set_peer(name, report.asked, report.got, now)
         for prefix in report.prefixes:
@@ -439,85 +433,12 @@
     # Work in the background.
 
     async def _join(self) -> None:
-        """Takes the fleet's key and makes this router known."""
-        done = False
-        while not done:
-            try:
-                key = await self._fleet_key()
-                self.link.codec = FrameCodec([key])
-                await self._register()
-                await self._find_routers()
-                done = True
-            except (PlatformError, CodecError) as exc:
-                LOG.debug("join: %s", exc)
-                await asyncio.sleep(SETUP_PAUSE_S * self._rng.uniform(1, 2))
+        self.link.codec = await self._member.join()
         self.link.send_now()
 
-    async def _fleet_key(self) -> bytes:
-        found = await self._store.read(KEY_KIND, KEY_NAME)
-        if found is None:
-            made = msgspec.json.encode(secrets.token_hex(KEY_BYTES))
-            with contextlib.suppress(VersionConflictError):
-                await self._store.create(KEY_KIND, KEY_NAME, made)
-            found = await self._store.read(KEY_KIND, KEY_NAME)
-        if found is None:
-            raise PlatformError("no key", step="read fleet key")
-        return bytes.fromhex(msgspec.json.decode(found.value, type=str))
-
-    async def _register(self) -> None:
-        spec = _Registration(self._cfg.listen.peers)
-        value = msgspec.json.encode(spec)
-        await self._put(ROUTER_KIND, self._cfg.name, value)
-
-    async def _put(self, kind: str, name: str, value: bytes) -> None:
-        """Writes an object, whether it exists or not."""
-        try:
-            await self._store.replace(kind, name, value, revision=None)
-        except MissingObjectError:
-            with contextlib.suppress(VersionConflictError):
-                await self._store.create(kind, name, value)
-
-    async def _find_routers(self) -> None:
-        listing = await self._store.list_kind(ROUTER_KIND)
-        for item in listing.objects:
-            try:
-                found = msgspec.json.decode(item.value, type=_Registration)
-            except msgspec.MsgspecError as exc:
-                events.log_event(
-                    LOG, events.FRAME_REFUSED, peer=item.name, reason=exc
-                )
-                continue
-            if item.name != self._cfg.name:
-                self._known_routers[item.name] = found.datagrams
-
-    async def _write_totals(self) -> None:
-        """Writes the service of this incarnation to the store now and then."""
-        while True:
-            pause_s = TOTALS_PERIOD_S * self._rng.uniform(0.8, 1.2)
-            await asyncio.sleep(pause_s)
-            await self.write_totals()
-
     async def write_totals(self) -> None:
-        """Writes the service of this incarnation, if it has changed.
-
-        Totals only grow, so a write that happened unseen does no harm.
-        """
-        if not self.totals.changed:
-            return
-        value = self.totals.encode()
-        name = f"{self._cfg.name}.{self._me.incarnation:x}"
-        self.totals.changed = False
-        try:
-            await self._put(SERVICE_KIND, name, value)
-        except PlatformError as exc:
-            self.totals.changed = True
-            events.log_event(
-                LOG, events.COUNTERS_WRITE_FAILED, step=exc.step, reason=exc
-            )
-            return
-        events.log_event(
-            LOG, events.SERVICE_WRITTEN, rows=len(self.totals.rows())
-        )
+        """Writes the service of this incarnation, if it has changed."""
+        await self._member.write_totals()
 
     async def _keep_house(self) -> None:
         while True:
@@ -530,64 +451,7 @@
                 self.shares.drop_peer(name)
                 self.scheduling.drop_peer(name)
                 events.log_event(LOG, events.PEER_LOST, peer=name)
-            self._catch_up()
-
-    def _catch_up(self) -> None:
-        """Asks a peer for what it has read and this router has not."""
-        now = self._clock()
-        peer = self.peers.newest(now)
-        if peer is None or not self._is_behind(peer):
-            self._behind_since = now
-            return
-        if now - self._behind_since < SNAPSHOT_AFTER_S:
-            return
-        if self._snapshot_task is None or self._snapshot_task.done():
-            loop = asyncio.get_running_loop()
-            self._snapshot_task = loop.create_task(self._pull(peer))
-
-    def _is_behind(self, peer: PeerState) -> bool:
-        report = peer.report
-        return (
-            report.config_version > self.config.version
-            or report.registry_revision > self.targets.revision
-        )
-
-    async def _pull(self, peer: PeerState) -> None:
-        codec = self.link.codec
-        if codec is None:
-            return
-        pull = SnapshotPull(self.config.version, self.targets.revision)
-        address = peer.report.control
-        try:
-            answer = await call(
-                address,
-                "POST",
-                "/snapshot",
-                body=codec.encode(self._cfg.name, 0, (pull,)),
-                timeout_s=SNAPSHOT_TIMEOUT_S,
-                step="pull snapshot",
-            )
-            frame = codec.decode(answer.body)
-        except (DialError, CallFailedError, CodecError) as exc:
-            events.log_event(
-                LOG, events.SNAPSHOT_FAILED, peer=address, reason=exc.reason
-            )
-            return
-        for item in frame.messages:
-            if isinstance(item, StoreSnapshot):
-                self._take_snapshot(item, address)
-
-    def _take_snapshot(self, snapshot: StoreSnapshot, address: str) -> None:
-        events.log_event(
-            LOG,
-            events.SNAPSHOT_TAKEN,
-            peer=address,
-            config=snapshot.config_version,
-            targets=snapshot.registry_revision,
-        )
-        if snapshot.config:
-            self.config.take(snapshot.config, source=address)
-        self.targets.take_snapshot(snapshot)
+            self._catching_up.look()
 
     # Pages of the side servers.
 
@@ -604,36 +468,9 @@
         body = {"addresses": addresses, "ttl_s": self._cfg.address_ttl_s}
         return Reply(200, msgspec.json.encode(body))
 
-    def _snapshot(self, request: HTTPServerRequest) -> Reply:
-        codec = self.link.codec
-        if codec is None:
-            return Reply(503)
-        try:
-            frame = codec.decode(request.body)
-        except CodecError as exc:
-            events.log_event(
-                LOG,
-                events.FRAME_REFUSED,
-                peer=request.remote_ip,
-                reason=exc.reason,
-            )
-            return Reply(403)
-        pull = next(
-            (m for m in frame.messages if isinstance(m, SnapshotPull)), None
-        )
-        if pull is None:
-            return Reply(400)
-        snapshot = make_snapshot(self.config, self.targets, pull)
-        return Reply(200, codec.encode(self._cfg.name, 0, (snapshot,)))
-
     def _metrics(self, _: HTTPServerRequest) -> Reply:
-        view = self.metrics.view()
-        lines = [f"{k} {v}" for k, v in sorted(view.counters.items())]
-        for row in view.histograms:
-            labels = f'{row.key.kind}{{team="{row.key.team}",'
-            labels += f'class="{row.key.cls}"}}'
-            lines.append(f"{labels} {row.samples} {row.p50_ms} {row.p99_ms}")
-        return Reply(200, "\n".join(lines).encode() + b"\n", "text/plain")
+        text = render_text(self.metrics.view())
+        return Reply(200, text.encode(), "text/plain")
 
 
 def _load_of(item: TargetLoadItem) -> TargetLoad:
--- /dev/null
+++ b/packages/router/chervilwall_router/edge/granting.py
@@ -0,0 +1,200 @@
+"""Grants of this router to routers that ask it for targets."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from chervilwall import message
+from chervilwall.errors import RequestRefusedError
+from chervilwall.health import CellHealth
+from chervilwall.held import Granter, HeldRequests
+from chervilwall.message import GranterLoad
+from chervilwall.placement import Demand
+from chervilwall.prefix import PromptPart
+from chervilwall.registry import TargetRegistry
+
+from chervilwall_router.edge.dispatcher import Dispatcher, Grant, Wish
+
+# Grants that a router's report does not list after this time have ended.
+UNLISTED_GRACE_S = 0.6
+
+
+class Scheduler(NamedTuple):
+    """The router that schedules a service.
+
+    Args:
+        name (str): Its name.
+        incarnation (int): Its incarnation.
+        address (str): Its datagram address.
+    """
+
+    name: str
+    incarnation: int
+    address: str
+
+
+class SchedulingParts(NamedTuple):
+    """What scheduling is made of.
+
+    Args:
+        me (Granter): This router.
+        dispatcher (Dispatcher): Grants targets.
+        registry (TargetRegistry): The targets.
+        held (HeldRequests): What this router has in flight.
+        health (Callable): Returns the health of a service's targets.
+        find (Callable): Returns the scheduler of a service, None for this
+            router.
+        send (Callable): Sends a message to an address.
+        clock (Callable): Returns the monotonic time.
+    """
+
+    me: Granter
+    dispatcher: Dispatcher
+    registry: TargetRegistry
+    held: HeldRequests
+    health: Callable[[str], CellHealth]
+    find: Callable[[str], Scheduler | None]
+    send: Callable[[str, message.Message], None]
+    clock: Callable[[], float]
+
+
+class _Ask(NamedTuple):
+    service: str
+    task: "asyncio.Task[None]"
+
+
+class Granting:
+    """Answer the routers that ask this one.
+
+    Args:
+        parts (SchedulingParts): What scheduling is made of.
+    """
+
+    def __init__(self, parts: SchedulingParts) -> None:
+        self._parts = parts
+        self._asks: dict[tuple[str, int], _Ask] = {}
+        self._grants: dict[tuple[str, int], Grant] = {}
+
+    def __repr__(self) -> str:
+        return f"Granting(grants={len(self._grants)})"
+
+    def receive(self, sender: Scheduler, item: message.Message) -> None:
+        """Takes a message of a router that asks."""
+        if isinstance(item, message.Place):
+            self._place(sender, item)
+        elif isinstance(item, message.PlaceRead):
+            grant = self._grants.get((sender.name, item.number))
+            if grant is not None:
+                grant.note_first_token(item.first_token_ms / 1000)
+        elif isinstance(item, message.PlaceEnded):
+            self._end((sender.name, item.number), item.outcome)
+
+    def hear_held(self, name: str, loads: tuple[GranterLoad, ...]) -> None:
+        """Ends the grants that a router no longer holds."""
+        me, now = self._parts.me, self._parts.clock()
+        listed: set[int] = set()
+        for load in loads:
+            if (load.granter, load.incarnation) == me:
+                listed.update(load.numbers)
+        for key, grant in list(self._grants.items()):
+            old = now - grant.started_at > UNLISTED_GRACE_S
+            if key[0] == name and key[1] not in listed and old:
+                self._end(key, message.OUTCOME_CANCELLED)
+
+    def drop_peer(self, name: str) -> None:
+        """Ends what a lost router asked for."""
+        for key in [k for k in self._asks if k[0] == name]:
+            self._end(key, message.OUTCOME_CANCELLED)
+
+    def _place(self, sender: Scheduler, item: message.Place) -> None:
+        key = (sender.name, item.number)
+        grant = self._grants.get(key)
+        if grant is not None:
+            self._answer(sender, item.number, grant)
+            return
+        if key in self._asks:
+            self._parts.send(sender.address, message.PlaceQueued(item.number))
+            return
+        work = self._serve(sender, item)
+        task = asyncio.get_running_loop().create_task(work)
+        self._asks[key] = _Ask(item.service, task)
+        # Runs first, so that a grant at once needs no second message.
+        asyncio.get_running_loop().call_soon(self._queued, sender, key)
+
+    def _queued(self, sender: Scheduler, key: tuple[str, int]) -> None:
+        if key in self._asks and key not in self._grants:
+            self._parts.send(sender.address, message.PlaceQueued(key[1]))
+
+    async def _serve(self, sender: Scheduler, item: message.Place) -> None:
+        key = (sender.name, item.number)
+        try:
+            grant = await self._parts.dispatcher.acquire(self._wish(item))
+        except RequestRefusedError as exc:
+            self._asks.pop(key, None)
+            refusal = message.PlaceRefused(
+                item.number, round(exc.retry_after_s * 1000), exc.reason
+            )
+            self._parts.send(sender.address, refusal)
+            return
+        self._grants[key] = grant
+        self._answer(sender, item.number, grant)
+
+    def _answer(self, sender: Scheduler, number: int, grant: Grant) -> None:
+        choice = grant.choice
+        answer = message.PlaceGranted(
+            number,
+            choice.target.id,
+            choice.miss_tokens,
+            round(choice.work_s * 1000),
+            round(choice.first_token_s * 1000),
+        )
+        self._parts.send(sender.address, answer)
+
+    def _wish(self, item: message.Place) -> Wish:
+        now = self._parts.clock()
+        demand = Demand(
+            item.service,
+            item.prompt_tokens,
+            item.output_tokens,
+            tuple(PromptPart(*pair) for pair in item.parts),
+            item.session,
+        )
+        return Wish(
+            demand=demand,
+            team=item.team,
+            objective_s=item.objective_ms / 1000,
+            due_at=now + item.due_ms / 1000,
+            deadline_at=now + item.deadline_ms / 1000,
+            arrived_at=now,
+            excluded=frozenset(item.excluded),
+            first=item.first,
+            route=item.route,
+            size_class=item.size_class,
+        )
+
+    def _end(self, key: tuple[str, int], outcome: str) -> None:
+        ask = self._asks.pop(key, None)
+        grant = self._grants.pop(key, None)
+        if grant is not None:
+            service = ask.service if ask else grant.choice.target.service
+            note_outcome(self._parts, service, grant, outcome)
+            grant.__exit__()
+        elif ask is not None:
+            ask.task.cancel()
+
+
+def note_outcome(
+    parts: SchedulingParts, service: str, grant: Grant, outcome: str
+) -> None:
+    """Tells the health of a service how a request ended on its target."""
+    health = parts.health(service)
+    now = parts.clock()
+    target_id = grant.choice.target.id
+    if outcome == message.OUTCOME_COMPLETED:
+        health.succeed(target_id, grant.first_token_s, now)
+    elif outcome == message.OUTCOME_ERROR:
+        health.note_error(target_id, now)
+    elif outcome == message.OUTCOME_NOT_SENT:
+        health.fail(target_id, now, refused=True)
+    elif outcome in (message.OUTCOME_BROKEN, message.OUTCOME_TIMEOUT):
+        health.fail(target_id, now)
--- a/packages/router/chervilwall_router/edge/main.py
+++ b/packages/router/chervilwall_router/edge/main.py
@@ -44,11 +44,12 @@
         print(f"chervilwall: {exc}", file=sys.stderr)
         return EXIT_SETTINGS
     set_up_stdout_logging(settings.log)
-    asyncio.run(_run(settings, make_store, decoder, wire))
+    asyncio.run(_run(path, settings, make_store, decoder, wire))
     return EXIT_OK
 
 
 async def _run(
+    path: pathlib.Path,
     settings: EdgeSettings,
     make_store: Callable[[StoreSettings], ObjectStore],
     decoder: PlatformDecoder,
@@ -59,10 +60,13 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, router.begin_stop)
-    loop.add_signal_handler(signal.SIGHUP, _note_hangup)
+    loop.add_signal_handler(signal.SIGHUP, _reload, router, path)
     async with router:
         await router.run()
 
 
-def _note_hangup() -> None:
-    events.log_event(LOG, events.SETTINGS_RELOADED, changed=False)
+def _reload(router: EdgeRouter, path: pathlib.Path) -> None:
+    try:
+        router.reload(read_edge_settings(path))
+    except SettingsError as exc:
+        events.log_event(LOG, events.SETTINGS_REFUSED, reason=exc)
--- /dev/null
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -0,0 +1,366 @@
+"""Attempts of one request, until it is answered or refused."""
+
+import asyncio
+import logging
+
+from chervilwall import events, message
+from chervilwall.budget import RetryWindow
+from chervilwall.errors import RequestRefusedError
+from chervilwall.placement import Demand
+from chervilwall.route_memory import RouteMemory
+from chervilwall.service_totals import Total, TotalKey
+
+from chervilwall_router.edge.attempts import (
+    LEAST_SILENCE_S,
+    RETURN_MARGIN_S,
+    AttemptRunner,
+)
+from chervilwall_router.edge.dispatcher import Wish
+from chervilwall_router.edge.ingress import CallerAnswer
+from chervilwall_router.edge.relay import PlainRelay, StreamRelay
+from chervilwall_router.edge.scheduling import Placed
+from chervilwall_router.edge.work import (
+    SERVER_ERROR,
+    Admitted,
+    Attempt,
+    Fate,
+    FlowParts,
+    outcome_of,
+)
+from chervilwall_router.problem import EXECUTED_UNKNOWN, Problem
+
+LOG = logging.getLogger(__name__)
+# Longest a request may take where neither caller nor route says.
+DEFAULT_TIMEOUT_S = 60.0
+# Requests that targets disclaimed go to this many more of them.
+MAX_DISCLAIMED = 2
+ANSWERED = "answered"
+
+
+class RequestRun:
+    """Serve one admitted request, in one or more attempts.
+
+    Args:
+        parts (FlowParts): What the path of a request is made of.
+        budget (RetryWindow): Budget of retries of its service.
+        memory (RouteMemory): What its route's requests have in common.
+        admitted (Admitted): The request.
+    """
+
+    def __init__(
+        self,
+        parts: FlowParts,
+        budget: RetryWindow,
+        memory: RouteMemory,
+        admitted: Admitted,
+    ) -> None:
+        self._memory = memory
+        self._parts = parts
+        self._budget = budget
+        self._admitted = admitted
+        self._tried: set[str] = set()
+        self._runs = 0
+        self._disclaimed = 0
+        self._events = 0
+        self._first_at = 0.0
+        self._grant: Placed | None = None
+        self._attempts = AttemptRunner(
+            parts, admitted, lambda: self._may_retry() and self._has_budget()
+        )
+
+    def __repr__(self) -> str:
+        return f"RequestRun(request={self._admitted.req.id!r})"
+
+    async def run(self, answer: CallerAnswer) -> None:
+        """Serves the request."""
+        self._budget.note_request(self._parts.clock())
+        relay = self._make_relay(answer)
+        last: Attempt | None = None
+        while True:
+            try:
+                grant = await self._acquire()
+            except RequestRefusedError as exc:
+                self._give_up(answer, last, exc)
+                return
+            with grant:
+                self._grant = grant
+                try:
+                    self._tried.add(grant.choice.target.id)
+                    self._first_at = 0.0
+                    attempt = await self._attempts.run(grant, relay)
+                except asyncio.CancelledError:
+                    self._note_cancelled(grant)
+                    raise
+                grant.outcome = outcome_of(attempt)
+            if await self._settle(attempt, relay, answer):
+                return
+            last = attempt
+            if isinstance(relay, StreamRelay):
+                relay.restart()
+            else:
+                relay = self._make_relay(answer)
+
+    def _note_cancelled(self, grant: Placed) -> None:
+        """Takes in that the caller left, or that the router stops.
+
+        A caller that left a target which was silent for long tells as much of
+        the target as a time-out would.
+        """
+        silent_s = self._parts.clock() - grant.started_at
+        if not self._first_at and silent_s > LEAST_SILENCE_S:
+            grant.outcome = message.OUTCOME_TIMEOUT
+        attempt = Attempt(Fate.BROKEN, grant.choice.target)
+        self._log_end(attempt, "caller_left", 0)
+
+    def _make_relay(self, answer: CallerAnswer) -> PlainRelay | StreamRelay:
+        if self._admitted.route.is_stream:
+            last_id = self._admitted.req.last_event_id
+            return StreamRelay(answer, self._note_data, last_id)
+        return PlainRelay(answer, self._note_data)
+
+    def _note_data(self) -> None:
+        if self._first_at:
+            return
+        now = self._parts.clock()
+        self._first_at = now
+        grant = self._grant
+        assert grant is not None
+        grant.note_first_token(now)
+
+    async def _acquire(self) -> Placed:
+        req, route = self._admitted.req, self._admitted.route
+        demand = Demand(
+            service=self._admitted.service,
+            prompt_tokens=req.prompt_tokens,
+            output_tokens=self._output_tokens(),
+            parts=req.parts,
+            session=self._memory.session(req, route),
+        )
+        objective_s = route.latency_objective_s or DEFAULT_TIMEOUT_S
+        wish = Wish(
+            demand=demand,
+            team=self._admitted.team,
+            objective_s=objective_s,
+            due_at=self._admitted.first_sent_at + objective_s,
+            deadline_at=self._admitted.deadline_at,
+            arrived_at=req.received_at,
+            excluded=frozenset(self._tried),
+            first=not self._tried and not self._admitted.is_return,
+            route=route.name,
+            size_class=self._memory.size_class(req, route),
+        )
+        return await self._parts.scheduling.acquire(wish)
+
+    def _output_tokens(self) -> int:
+        admitted = self._admitted
+        return self._memory.output_tokens(
+            admitted.req, admitted.route, self._event_tokens()
+        )
+
+    def _event_tokens(self) -> int:
+        table = self._parts.table()
+        service = table.services.get(self._admitted.service) if table else None
+        return service.event_tokens if service else 1
+
+    async def _settle(
+        self,
+        attempt: Attempt,
+        relay: PlainRelay | StreamRelay,
+        answer: CallerAnswer,
+    ) -> bool:
+        """Ends the request if it is over; returns whether it is."""
+        self._record(attempt)
+        if attempt.fate is Fate.ANSWERED:
+            return await self._pass_on(attempt, relay, answer)
+        if attempt.fate is Fate.TIMED_OUT:
+            self._fail(answer, attempt, 504, "timeout")
+            return True
+        if attempt.fate is Fate.NOT_SENT:
+            return self._settle_not_sent(attempt, answer)
+        if attempt.fate is Fate.NOT_EXECUTED:
+            self._disclaimed += 1
+            again = self._disclaimed <= MAX_DISCLAIMED and self._spend()
+            if not again and not answer.begun:
+                self._refuse_busy(answer, attempt)
+            elif not again:
+                self._fail(answer, attempt, 502, "busy")
+            return not again
+        if self._may_retry() and self._spend():
+            return False
+        self._fail(answer, attempt, 502, "broken_answer")
+        return True
+
+    def _settle_not_sent(self, attempt: Attempt, answer: CallerAnswer) -> bool:
+        if self._parts.clock() < self._admitted.deadline_at - RETURN_MARGIN_S:
+            return False
+        self._fail(answer, attempt, 504 if self._runs else 503, "timeout")
+        return True
+
+    async def _pass_on(
+        self,
+        attempt: Attempt,
+        relay: PlainRelay | StreamRelay,
+        answer: CallerAnswer,
+    ) -> bool:
+        head = attempt.head
+        assert head is not None
+        failed = head.status >= SERVER_ERROR
+        if failed and not answer.begun and self._may_retry() and self._spend():
+            return False
+        if failed and answer.begun:
+            self._fail(answer, attempt, 502, "broken_answer")
+            return True
+        if failed and not head.signed and head.status in (429, 503):
+            self._fail(answer, attempt, 502, "target_failed")
+            return True
+        if isinstance(relay, StreamRelay):
+            self._events = relay.events
+            taken_s = self._parts.clock() - self._admitted.req.received_at
+            self._memory.note_stream(
+                self._admitted.route, relay.events, taken_s
+            )
+            await relay.pass_on()
+        else:
+            relay.pass_on()
+        self._log_end(attempt, ANSWERED, head.status)
+        return True
+
+    def _may_retry(self) -> bool:
+        route = self._admitted.route
+        if self._parts.quarantine.is_refused(
+            self._admitted.fingerprint, self._parts.clock()
+        ):
+            return False
+        return route.repeatable and self._runs < route.max_attempts
+
+    def _has_budget(self) -> bool:
+        parts = self._parts
+        return self._budget.has_left(parts.clock(), parts.routers())
+
+    def _spend(self) -> bool:
+        parts = self._parts
+        return self._budget.spend(parts.clock(), parts.routers())
+
+    def _record(self, attempt: Attempt) -> None:
+        if attempt.fate not in (Fate.NOT_SENT, Fate.NOT_EXECUTED):
+            self._runs += 1
+        if outcome_of(attempt) != message.OUTCOME_COMPLETED:
+            self._log_attempt(attempt)
+
+    def _log_attempt(self, attempt: Attempt) -> None:
+        self._parts.metrics.count(f"attempt_{attempt.fate.name.lower()}")
+        events.log_event(
+            LOG,
+            events.ATTEMPT_FAILED,
+            request=self._admitted.req.id,
+            target=attempt.target.id,
+            fate=attempt.fate.value,
+            status=attempt.head.status if attempt.head else 0,
+            reason=attempt.reason,
+        )
+
+    def _give_up(
+        self,
+        answer: CallerAnswer,
+        last: Attempt | None,
+        exc: RequestRefusedError,
+    ) -> None:
+        if answer.begun or self._runs:
+            assert last is not None
+            self._fail(answer, last, 502, "no_target_left")
+            return
+        problem = Problem(
+            503, "overloaded", exc.reason, retry_after_s=exc.retry_after_s
+        )
+        self._refuse(answer, problem)
+
+    def _refuse_busy(self, answer: CallerAnswer, attempt: Attempt) -> None:
+        if self._runs:
+            self._fail(answer, attempt, 502, "broken_answer")
+            return
+        detail = "Every target that was asked is full."
+        problem = Problem(503, "busy", detail, retry_after_s=LEAST_SILENCE_S)
+        self._refuse(answer, problem)
+
+    def _refuse(self, answer: CallerAnswer, problem: Problem) -> None:
+        admitted = self._admitted
+        self._parts.metrics.count(f"refused_{problem.reason}")
+        events.log_event(
+            LOG,
+            events.REQUEST_REFUSED,
+            request=admitted.req.id,
+            step="schedule",
+            team=admitted.team,
+            service=admitted.service,
+            route=admitted.route.name,
+            reason=problem.detail,
+            waited_ms=self._elapsed_ms(),
+            retry_after_s=round(problem.retry_after_s, 2),
+            waiting=self._parts.waiting(),
+        )
+        key = TotalKey(admitted.team, admitted.route.name)
+        self._parts.totals.add(key, Total(refused=1))
+        answer.refuse(problem)
+
+    def _fail(
+        self, answer: CallerAnswer, attempt: Attempt, status: int, reason: str
+    ) -> None:
+        self._log_end(attempt, reason, status)
+        if answer.begun:
+            answer.cut()
+            return
+        detail = "The target gave no whole answer; the request may have run."
+        answer.refuse(Problem(status, reason, detail, EXECUTED_UNKNOWN))
+
+    def _log_end(self, attempt: Attempt, outcome: str, status: int) -> None:
+        admitted = self._admitted
+        now = self._parts.clock()
+        first = self._first_at or now
+        metrics = self._parts.metrics
+        team, cls = admitted.team, admitted.route.name
+        metrics.count(f"ended_{outcome}")
+        self._add_total(outcome == ANSWERED)
+        metrics.observe("total", team, cls, now - admitted.req.received_at)
+        metrics.observe(
+            "first_byte", team, cls, first - admitted.req.received_at
+        )
+        grant = self._grant
+        events.log_event(
+            LOG,
+            events.REQUEST_ENDED,
+            request=admitted.req.id,
+            team=team,
+            route=cls,
+            target=attempt.target.id,
+            outcome=outcome,
+            status=status,
+            runs=self._runs,
+            wait_ms=_ms(grant.started_at - admitted.req.received_at)
+            if grant
+            else 0,
+            first_ms=_ms(first - admitted.req.received_at),
+            total_ms=self._elapsed_ms(),
+            prompt=admitted.req.prompt_tokens,
+            miss=grant.choice.miss_tokens if grant else 0,
+            predicted_ms=_ms(grant.choice.first_token_s) if grant else 0,
+        )
+
+    def _add_total(self, answered: bool) -> None:
+        admitted = self._admitted
+        key = TotalKey(admitted.team, admitted.route.name)
+        total = Total(unknown=1)
+        if answered:
+            prompt = admitted.req.prompt_tokens
+            total = Total(
+                answered=1,
+                prompt_tokens=prompt,
+                output_tokens=self._events * self._event_tokens(),
+            )
+        self._parts.totals.add(key, total)
+
+    def _elapsed_ms(self) -> int:
+        return _ms(self._parts.clock() - self._admitted.req.received_at)
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * 1000)
--- a/packages/router/chervilwall_router/edge/state.py
+++ b/packages/router/chervilwall_router/edge/state.py
@@ -11,7 +11,6 @@
 from chervilwall.routing import RoutingTable
 
 LOG = logging.getLogger(__name__)
-CONFIG_NAME = "main"
 
 
 class ConfigState:
@@ -51,7 +50,7 @@
         self.read_list(changes, doubtful=doubtful)
 
     def _read(self, item: StoredObject) -> None:
-        if item.name == CONFIG_NAME and not item.deleted:
+        if item.name == self._decoder.config_name and not item.deleted:
             self.take(item.value, source="store")
 
     def take(self, value: bytes, *, source: str) -> None:
--- /dev/null
+++ b/packages/router/chervilwall_router/edge/work.py
@@ -0,0 +1,126 @@
+"""What the path of a request passes from step to step."""
+
+import enum
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from chervilwall import message
+from chervilwall.inbound import AnswerHead, InboundRequest
+from chervilwall.protocol import Metrics, WireFormat
+from chervilwall.quarantine import Quarantine
+from chervilwall.registry import RegisteredTarget
+from chervilwall.routing import Route, RoutingTable
+from chervilwall.service_totals import ServiceTotals
+
+from chervilwall_router.edge.connections import TargetConnections
+from chervilwall_router.edge.scheduling import Scheduling
+from chervilwall_router.edge.settings import RetrySettings
+
+SERVER_ERROR = 500
+
+
+class Fate(enum.Enum):
+    """How an attempt ended."""
+
+    NOT_SENT = "not sent"
+    NOT_EXECUTED = "not executed"
+    ANSWERED = "answered"
+    BROKEN = "broken"
+    SILENT = "silent"
+    TIMED_OUT = "timed out"
+
+
+_OUTCOMES = {
+    Fate.NOT_SENT: message.OUTCOME_NOT_SENT,
+    Fate.NOT_EXECUTED: message.OUTCOME_REFUSED,
+    Fate.BROKEN: message.OUTCOME_BROKEN,
+    Fate.SILENT: message.OUTCOME_TIMEOUT,
+    Fate.TIMED_OUT: message.OUTCOME_TIMEOUT,
+}
+
+
+class Attempt(NamedTuple):
+    """One attempt and how it ended.
+
+    Args:
+        fate (Fate): How it ended.
+        target (RegisteredTarget): Where it ran.
+        head (AnswerHead | None): Head of the answer, if one came.
+        reason (str): Why it failed, or "".
+    """
+
+    fate: Fate
+    target: RegisteredTarget
+    head: AnswerHead | None = None
+    reason: str = ""
+
+
+class Admitted(NamedTuple):
+    """A request with what was decided about it.
+
+    Args:
+        req (InboundRequest): The request.
+        route (Route): Its route.
+        team (str): Its team, "" on an anonymous route.
+        service (str): The service that runs it.
+        deadline_at (float): Monotonic time by which it must have ended.
+        fingerprint (bytes): Digest by which it is known when it comes again.
+        first_sent_at (float): Monotonic time at which the caller first sent
+            it, by the time that the caller has left.
+    """
+
+    req: InboundRequest
+    route: Route
+    team: str
+    service: str
+    deadline_at: float
+    fingerprint: bytes
+    first_sent_at: float
+
+    @property
+    def is_return(self) -> bool:
+        """Whether the caller has sent it before."""
+        return self.first_sent_at < self.req.received_at
+
+
+class FlowParts(NamedTuple):
+    """What the path of a request is made of.
+
+    Args:
+        table (Callable): Returns the configuration in force, or None.
+        scheduling (Scheduling): Places requests.
+        waiting (Callable): Returns how many requests wait here.
+        connections (TargetConnections): Connections to them.
+        wire (WireFormat): Names of headers.
+        retries (RetrySettings): Budget of retries.
+        routers (Callable): Returns how many routers there are.
+        metrics (Metrics): Counters and histograms.
+        totals (ServiceTotals): Service for the reports.
+        clock (Callable): Returns the monotonic time.
+        rng (random.Random): Source of chance.
+        quarantine (Quarantine): Requests that crash targets.
+        suspected (Callable): Called when a crash was recorded.
+    """
+
+    table: Callable[[], RoutingTable | None]
+    scheduling: Scheduling
+    waiting: Callable[[], int]
+    connections: TargetConnections
+    wire: WireFormat
+    retries: RetrySettings
+    routers: Callable[[], int]
+    metrics: Metrics
+    totals: ServiceTotals
+    clock: Callable[[], float]
+    rng: random.Random
+    quarantine: Quarantine
+    suspected: Callable[[], None]
+
+
+def outcome_of(attempt: Attempt) -> str:
+    """Returns what an attempt tells of its target's health."""
+    if attempt.fate is Fate.ANSWERED:
+        failed = attempt.head is None or attempt.head.status >= SERVER_ERROR
+        return message.OUTCOME_ERROR if failed else message.OUTCOME_COMPLETED
+    return _OUTCOMES[attempt.fate]
--- a/packages/router/chervilwall_router/metrics.py
+++ b/packages/router/chervilwall_router/metrics.py
@@ -72,5 +72,21 @@
         return MetricsView(dict(self.counters), self.histograms.summaries())
 
 
+def render_text(view: MetricsView) -> str:
+    """Returns metrics as lines that scrapers read."""
+    lines = [f"{name} {value}" for name, value in sorted(view.counters.items())]
+    for row in view.histograms:
+        labels = f'team="{row.key.team}",class="{row.key.cls}"'
+        for quantile, value in (
+            ("0.5", row.p50_ms),
+            ("0.95", row.p95_ms),
+            ("0.99", row.p99_ms),
+        ):
+            name = f'{row.key.kind}_ms{{{labels},quantile="{quantile}"}}'
+            lines.append(f"{name} {value:g}")
+        lines.append(f"{row.key.kind}_ms_count{{{labels}}} {row.samples}")
+    return "\n".join(lines) + "\n"
+
+
 def _clean(part: str) -> str:
     return "".join(c if c.isalnum() else "_" for c in part)
--- /dev/null
+++ b/packages/router/tests/test_edge_settings.py
@@ -0,0 +1,64 @@
+"""Tests of an edge router's settings."""
+
+import pathlib
+import tempfile
+import unittest
+
+from chervilwall.errors import SettingsError
+from chervilwall_router.edge.settings import read_edge_settings
+
+TEMPLATE = pathlib.Path(__file__).parents[3] / "deploy" / "edge.json.tmpl"
+FIELDS = {
+    "node_name": '"edge-1"',
+    "zone": '"z"',
+    "listen.front": '"10.0.0.1:8783"',
+    "listen.readiness": '"10.0.0.1:8780"',
+    "listen.directory": '"10.0.0.1:8789"',
+    "provider.address": '"10.0.0.9:8781"',
+    "bounds.retry_budget_ratio": "0.2",
+    "bounds.budget_window_s": "10",
+    "bounds.budget_slack": "56",
+    "bounds.grace_s": "8",
+}
+
+
+def fill_in(**changes):
+    text = TEMPLATE.read_text()
+    for name, value in (FIELDS | changes).items():
+        text = text.replace("{{" + name + "|json}}", value)
+    for name, value in (
+        ("ip", "10.0.0.1"),
+        ("internal_ports.0", "7400"),
+        ("internal_ports.1", "7415"),
+    ):
+        text = text.replace("{{" + name + "}}", value)
+    return text
+
+
+class EdgeSettingsTest(unittest.TestCase):
+    def read(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "edge.json"
+            path.write_text(text)
+            return read_edge_settings(path)
+
+    def test_the_template_gives_settings(self):
+        cfg = self.read(fill_in())
+        self.assertEqual(cfg.name, "edge-1")
+        self.assertEqual(cfg.listen.peers, "10.0.0.1:7400")
+        self.assertEqual((cfg.retries.ratio, cfg.retries.slack), (0.2, 56))
+        self.assertEqual(cfg.stop.grace_s, 8)
+
+    def test_a_wrong_value_is_named(self):
+        with self.assertRaises(SettingsError) as caught:
+            self.read(fill_in(**{"listen.front": '"nowhere"'}))
+        self.assertIn("listen.callers", str(caught.exception))
+        with self.assertRaises(SettingsError) as caught:
+            self.read(fill_in(**{"bounds.grace_s": "0"}))
+        self.assertIn("stop.grace_s", str(caught.exception))
+
+    def test_a_missing_file_and_broken_text_are_told(self):
+        with self.assertRaises(SettingsError):
+            read_edge_settings(pathlib.Path("/nonexistent/edge.json"))
+        with self.assertRaises(SettingsError):
+            self.read(fill_in()[:-5])
--- a/packages/router/tests/test_metrics.py
+++ b/packages/router/tests/test_metrics.py
@@ -4,7 +4,7 @@
 import unittest
 
 from chervilwall.histogram import MAX_HISTOGRAMS, HistogramKey, HistogramTable
-from chervilwall_router.metrics import RouterMetrics
+from chervilwall_router.metrics import RouterMetrics, render_text
 
 
 class MetricsTest(unittest.TestCase):
@@ -35,3 +35,14 @@
         for number in range(MAX_HISTOGRAMS + 50):
             table.observe(HistogramKey("wait", f"t{number}", "c"), 0.1)
         self.assertEqual(len(table), MAX_HISTOGRAMS)
+
+
+class RenderTextTest(unittest.TestCase):
+    def test_counters_and_histograms_are_lines(self):
+        metrics = RouterMetrics()
+        metrics.count("ended_answered", 3)
+        metrics.observe("total", "team", "chat", 0.25)
+        text = render_text(metrics.view())
+        self.assertIn("ended_answered 3\n", text)
+        self.assertIn('total_ms_count{team="team",class="chat"} 1\n', text)
+        self.assertIn('total_ms{team="team",class="chat",quantile="0.5"}', text)
--- a/packages/standins/chervilwall_standins/users/target.py
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -53,6 +53,8 @@
         self.events = events
         self.event_s = event_s
         self.mode = NORMAL
+        # A request with this body ends the target.
+        self.crashing_body = b""
         # Events after which a stream breaks off, in the mode "torn".
         self.torn_after = 2
         self.seen: list[SeenRequest] = []
@@ -126,6 +128,9 @@
             writer.write(_head(503, {"Not-Executed": "1"}, 0))
             return True
         self.ran.append(request.id)
+        if body and body == self.crashing_body:
+            self.crash()
+            return False
         return await self._run(request, reader, writer)
 
     async def _run(
--- a/packages/standins/tests/test_edge_fleet.py
+++ b/packages/standins/tests/test_edge_fleet.py
@@ -4,6 +4,7 @@
 import json
 import unittest
 
+import msgspec
 from chervilwall.service_totals import decode_totals
 from chervilwall_standins.users import store as s
 from chervilwall_standins.users import target as t
@@ -182,6 +183,16 @@
         status, _ = await self.get(directory, "/routers")
         self.assertEqual(status, 503)
 
+    async def test_changed_settings_are_taken_without_a_restart(self):
+        fleet = await self.start(UsersTarget("p0", "plain"), routers=1)
+        router = fleet.routers[0]
+        cfg = msgspec.structs.replace(router.settings, address_ttl_s=0.5)
+        router.reload(msgspec.structs.replace(cfg, name="another"))
+        self.assertNotEqual(router.settings.name, "another")
+        directory = router.settings.listen.directory
+        _, body = await self.get(directory, "/routers")
+        self.assertEqual(json.loads(body)["ttl_s"], 0.5)
+
     async def test_service_by_team_lasts_in_the_store(self):
         target = UsersTarget("p0", "plain")
         fleet = await self.start(target, routers=1)
@@ -214,6 +225,23 @@
         transport.close()
         self.assertEqual((router.router_count(), router.config.version), before)
 
+    async def test_a_request_that_crashes_targets_is_refused_everywhere(self):
+        targets = [UsersTarget(f"p{i}", "plain") for i in range(4)]
+        fleet = await self.start(*targets)
+        for target in targets:
+            target.crashing_body = b"poison"
+        for number in range(9):
+            await fleet.call(
+                "/read/x",
+                router=number % 3,
+                body=b"poison",
+                request_id=f"r{number}",
+            )
+            await asyncio.sleep(0.15)
+        self.assertEqual(sum(len(x.ran) for x in targets), 2)
+        answer = await fleet.call("/read/x", body=b"sound", request_id="s")
+        self.assertEqual(answer.status, 200)
+
     async def test_requests_are_placed_when_the_scheduler_is_silent(self):
         model = UsersTarget("m0", "model", events=2)
         fleet = await self.start(model)
