Take a grant that comes with the note that a request waits

Cause: a scheduler's note that a request waits and its grant may come in one frame. The second one found the future of the first still set and was dropped, so the request was asked for again 0.3 s later, and without end where both came together each time. The new test hung before the change and passes after it. Ruled out: loss of datagrams (the frame had arrived).

--- a/packages/router/chervilwall_router/edge/scheduling.py
+++ b/packages/router/chervilwall_router/edge/scheduling.py
@@ -36,6 +36,9 @@
 AVOID_S = 0.5
 
 
+_Answer = message.PlaceQueued | message.PlaceGranted | message.PlaceRefused
+
+
 class Placed:
     """Hold a target for one request of this router.
 
@@ -86,7 +89,7 @@
     def __init__(self, parts: SchedulingParts) -> None:
         self._parts = parts
         self._numbers = itertools.count(1)
-        self._asked: dict[int, asyncio.Future] = {}
+        self._asked: dict[int, asyncio.Queue[_Answer]] = {}
         self._avoided: dict[str, float] = {}
         self._granting = Granting(parts)
 
@@ -120,10 +123,10 @@
             item,
             message.PlaceQueued | message.PlaceGranted | message.PlaceRefused,
         ):
-            future = self._asked.get(item.number)
-            if future is not None and not future.done():
-                future.set_result(item)
-            elif isinstance(item, message.PlaceGranted) and not future:
+            inbox = self._asked.get(item.number)
+            if inbox is not None:
+                inbox.put_nowait(item)
+            elif isinstance(item, message.PlaceGranted):
                 self._end(sender, item.number, message.OUTCOME_CANCELLED)
         else:
             self._granting.receive(sender, item)
@@ -194,7 +197,7 @@
                 raise LookupError(answer.target_id)
             granted = True
         finally:
-            del self._asked[number]
+            self._asked.pop(number, None)
             if not granted:
                 self._end(scheduler, number, message.OUTCOME_CANCELLED)
         return self._take(scheduler, number, wish, target, answer)
@@ -207,31 +210,26 @@
         Raises:
             TimeoutError: The scheduler is silent.
         """
-        loop = asyncio.get_running_loop()
+        # One frame may hold the note that a request waits and its grant.
+        inbox: asyncio.Queue[_Answer] = asyncio.Queue()
+        self._asked[number] = inbox
+        self._parts.send(scheduler.address, self._question(number, wish))
         pause_s, unanswered = ANSWER_LIMIT_S, 0
         while True:
-            future: asyncio.Future = loop.create_future()
-            self._asked[number] = future
-            self._parts.send(scheduler.address, self._question(number, wish))
-            unanswered += 1
-            until = loop.time() + pause_s
-            while True:
-                done, _ = await asyncio.wait(
-                    (future,), timeout=max(0.0, until - loop.time())
-                )
-                if not done:
-                    break
-                answer = future.result()
-                if not isinstance(answer, message.PlaceQueued):
-                    return answer
-                pause_s, unanswered = REMIND_S, 0
-                until = loop.time() + REMIND_S
-                future = loop.create_future()
-                self._asked[number] = future
-            if unanswered > MAX_UNANSWERED:
-                raise TimeoutError
-            if unanswered:
+            try:
+                async with asyncio.timeout(pause_s):
+                    answer = await inbox.get()
+            except TimeoutError:
+                unanswered += 1
+                if unanswered > MAX_UNANSWERED:
+                    raise
                 pause_s = ANSWER_LIMIT_S
+                question = self._question(number, wish)
+                self._parts.send(scheduler.address, question)
+                continue
+            if not isinstance(answer, message.PlaceQueued):
+                return answer
+            pause_s, unanswered = REMIND_S, 0
 
     def _question(self, number: int, wish: Wish) -> message.Place:
         now = self._parts.clock()
--- /dev/null
+++ b/packages/router/tests/test_edge_scheduling.py
@@ -0,0 +1,105 @@
+"""Tests of asking a scheduler for a target."""
+
+import asyncio
+import time
+import unittest
+
+from chervilwall import message
+from chervilwall.errors import RequestRefusedError
+from chervilwall.health import CellHealth
+from chervilwall.held import Granter, HeldRequests
+from chervilwall.placement import Demand
+from chervilwall.registry import RegisteredTarget, TargetRegistry
+from chervilwall_router.edge.dispatcher import Wish
+from chervilwall_router.edge.granting import Scheduler, SchedulingParts
+from chervilwall_router.edge.scheduling import REMIND_S, Scheduling
+
+SCHEDULER = Scheduler("s", 7, "10.0.0.1:7400")
+TARGET = RegisteredTarget("t1", "model", "10.0.0.2:80", "z", 8)
+
+
+class _PlacesHere:
+    """Stands in for the dispatcher of this router."""
+
+    async def acquire(self, wish):
+        raise RequestRefusedError("placed here", 1.0)
+
+
+class AskTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.sent = []
+        self.answers = []
+        registry = TargetRegistry()
+        registry.put(TARGET)
+        self.held = HeldRequests()
+        health = CellHealth()
+        self.scheduling = Scheduling(
+            SchedulingParts(
+                me=Granter("me", 1),
+                dispatcher=_PlacesHere(),
+                registry=registry,
+                held=self.held,
+                health=lambda service: health,
+                find=lambda service: SCHEDULER,
+                send=self.send,
+                clock=time.monotonic,
+            )
+        )
+
+    def send(self, address, item):
+        self.sent.append(item)
+        if isinstance(item, message.Place):
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.answer, item.number)
+
+    def answer(self, number):
+        """Hands over all answers as one frame does."""
+        for make in self.answers:
+            self.scheduling.receive(SCHEDULER, make(number))
+
+    async def acquire(self):
+        now = time.monotonic()
+        demand = Demand("model", 100, 10)
+        wish = Wish(demand, "team", 0.3, now + 0.3, now + 2.0, now)
+        started = time.monotonic()
+        placed = await self.scheduling.acquire(wish)
+        return placed, time.monotonic() - started
+
+    def granted(self, number):
+        return message.PlaceGranted(number, "t1", 100, 5, 10)
+
+    async def test_a_grant_that_comes_with_the_queued_note_is_taken(self):
+        self.answers = [message.PlaceQueued, self.granted]
+        placed, took_s = await self.acquire()
+        self.assertLess(took_s, REMIND_S / 2)
+        self.assertEqual(placed.choice.target, TARGET)
+        with placed:
+            self.assertEqual(len(self.held.loads()), 1)
+        self.assertEqual(self.held.loads(), ())
+
+    async def test_a_grant_at_once_is_taken(self):
+        self.answers = [self.granted]
+        _, took_s = await self.acquire()
+        self.assertLess(took_s, REMIND_S / 2)
+
+    async def test_a_refusal_says_when_to_come_back(self):
+        self.answers = [
+            message.PlaceQueued,
+            lambda number: message.PlaceRefused(number, 700, "full"),
+        ]
+        with self.assertRaises(RequestRefusedError) as caught:
+            await self.acquire()
+        self.assertAlmostEqual(caught.exception.retry_after_s, 0.7)
+
+    async def test_a_silent_scheduler_is_asked_again_and_then_left_alone(self):
+        with self.assertRaises(RequestRefusedError) as caught:
+            await self.acquire()
+        self.assertEqual(caught.exception.reason, "placed here")
+        asked = [m for m in self.sent if isinstance(m, message.Place)]
+        self.assertGreater(len(asked), 1)
+        self.assertEqual(len({m.number for m in asked}), 1)
+
+    async def test_a_grant_that_nobody_wants_is_given_back(self):
+        self.scheduling.receive(SCHEDULER, self.granted(99))
+        (ended,) = self.sent
+        self.assertEqual(ended.number, 99)
