--- a/packages/router/chervilwall_router/edge/store_watch.py
+++ b/packages/router/chervilwall_router/edge/store_watch.py
@@ -19,6 +19,8 @@
 LOG = logging.getLogger(__name__)
 FIRST_PAUSE_S = 0.1
 MOST_PAUSE_S = 1.0
+# Wait of the first watch after a failure.
+RETURN_WAIT_S = 0.2
 
 
 class KindReader(Protocol):
@@ -100,8 +102,11 @@
             self._reader.read_list(listing, doubt_until=self._doubt_until())
             self._revision = listing.revision
             return
+        # A short watch shows when the store is back; a long one would bring
+        # its first answer with the next change.
+        wait_s = RETURN_WAIT_S if self._failures else self._wait_s
         changes = await self._store.watch_kind(
-            self._kind, self._revision, self._wait_s
+            self._kind, self._revision, wait_s
         )
         self._note_answer()
         self._reader.read_changes(changes, doubt_until=self._doubt_until())
--- a/packages/router/tests/test_edge_store_watch.py
+++ b/packages/router/tests/test_edge_store_watch.py
@@ -7,7 +7,7 @@
 from chervilwall.errors import HistoryGoneError, PlatformUnavailableError
 from chervilwall.protocol import ObjectList
 from chervilwall.registry import LAPSE_GRACE_S
-from chervilwall_router.edge.store_watch import StoreWatch
+from chervilwall_router.edge.store_watch import RETURN_WAIT_S, StoreWatch
 
 
 class _ScriptedStore:
@@ -15,11 +15,13 @@
 
     def __init__(self, *script):
         self.script = list(script)
+        self.waits = []
 
     async def list_kind(self, kind, *, stale=False):
         return await self._next()
 
     async def watch_kind(self, kind, since, wait_s):
+        self.waits.append(wait_s)
         return await self._next()
 
     async def _next(self):
@@ -58,6 +60,7 @@
                 await asyncio.sleep(0.01)
         await asyncio.sleep(0.01)
         task.cancel()
+        return store
 
     def later(self, seconds, revision):
         def step():
@@ -85,6 +88,13 @@
         )
         self.assertEqual(self.seen[-1], ("changes", 7, 0.0))
 
+    async def test_the_stores_return_shows_before_the_next_change(self):
+        lost = PlatformUnavailableError("away")
+        store = await self.play(
+            ObjectList(5, ()), lost, ObjectList(5, ()), ObjectList(6, ())
+        )
+        self.assertEqual(store.waits, [1.0, RETURN_WAIT_S, 1.0, 1.0])
+
     async def test_forgotten_history_is_read_anew(self):
         gone = HistoryGoneError("gone")
         await self.play(ObjectList(5, ()), gone, ObjectList(9, ()))
