Give each tested edge router a loopback address of its own

Ruled out: the router (it had not started to serve). Change: routers of these tests listen on addresses made from the process id, so that no other process and no outgoing connection shares their ports.

--- a/packages/standins/chervilwall_standins/users/fleet.py
+++ b/packages/standins/chervilwall_standins/users/fleet.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-import socket
+import itertools
+import os
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -22,15 +23,20 @@
 from chervilwall_standins.users.target import UsersTarget
 
 HOST = "a.example"
+FIRST_PORT = 21_000
+_ADDRESSES = itertools.count()
 KEY = "key-of-team-1"
 TEAM = "team-1"
 
 
-def free_port() -> int:
-    """Returns a port that was free just now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+def own_address() -> str:
+    """Returns a loopback address that nothing else uses.
+
+    A port that was free a moment ago may be taken by any connection that
+    leaves from the usual address; these addresses carry none.
+    """
+    pid, number = os.getpid(), next(_ADDRESSES)
+    return f"127.{10 + (pid >> 8) % 200}.{pid % 256}.{1 + number % 250}"
 
 
 def make_route(name: str, service: str, **changes: object) -> dict:
@@ -211,9 +217,12 @@
 
     async def add_router(self, name: str, **stop: float) -> EdgeRouter:
         """Starts another router."""
+        address = own_address()
         listen = {
-            field: f"127.0.0.1:{free_port()}"
-            for field in EdgeListen.__struct_fields__
+            field: f"{address}:{port}"
+            for port, field in enumerate(
+                EdgeListen.__struct_fields__, FIRST_PORT
+            )
         }
         cfg = EdgeSettings(
             name=name,
