Know a returning request by its own part, not by its time limit

A print of what the scheduler believed showed "asked" of 23 thousand tokens for a team that had got 703 thousand, so the max-min level was infinite and no team was ever beyond its share. The router took a caller with less time left than the most patient one of its route for one that returns; callers' limits differ by 15 %, up to 2.2 s, so nearly every request counted as a return: its demand was not counted, and its first token was due up to two seconds in the past, so that it went to the queue as late.

Ruled out: the move of the scheduler at 8.1 s (the same before it), the rule of Overtaking (never reached), the window of placement.

Change: `returns.UnservedRequests` remembers the own part of a prompt that was refused, at the scheduler (due time) and in each router (sizes, sessions). Each note tells of one return. `spent_s`, `is_return`, `first_sent_at` of Admitted are gone. What a team asks counts at every attempt of a caller.

--- a/packages/core/chervilwall/placement.py
+++ b/packages/core/chervilwall/placement.py
@@ -73,6 +73,12 @@
         """Whether it is for a model engine."""
         return self.prompt_tokens > 0
 
+    @property
+    def own_part(self) -> str:
+        """The part of the prompt that no other request has, or ""."""
+        last = self.parts[-1].id if self.parts else ""
+        return last if last != self.session else ""
+
 
 class Choice(NamedTuple):
     """A target and what the request will cost there.
--- a/packages/core/chervilwall/route_memory.py
+++ b/packages/core/chervilwall/route_memory.py
@@ -5,10 +5,9 @@
 
 from chervilwall.inbound import InboundRequest
 from chervilwall.prefix import SessionFinder
+from chervilwall.returns import UnservedRequests
 from chervilwall.routing import Route
 
-# A caller that has spent this much of its time limit was refused before.
-RETURN_AFTER_S = 0.05
 # Weight of one more answer in a route's mean length.
 LENGTH_WEIGHT = 0.05
 # Taken for a stream of a route of which none has ended yet.
@@ -50,25 +49,33 @@
 
 
 class RouteMemory:
-    """Learn time limits, lengths of answers and sessions by route."""
+    """Learn sizes, lengths of answers and sessions by route."""
 
     def __init__(self) -> None:
-        self._time_limits: dict[str, float] = {}
+        self._unserved = UnservedRequests()
         self._events: dict[str, float] = {}
         self._durations: dict[str, float] = {}
         self._sessions: dict[str, SessionFinder] = {}
         self._sizes: dict[str, SizeClasses] = {}
 
     def __repr__(self) -> str:
-        return f"RouteMemory(routes={len(self._time_limits)})"
-
-    def note_arrival(self, req: InboundRequest, route: Route) -> None:
-        """Takes in a request."""
-        if self.spent_s(req, route) == 0.0:
+        return f"RouteMemory(routes={len(self._sizes)})"
+
+    def note_arrival(
+        self, req: InboundRequest, route: Route, team: str
+    ) -> None:
+        """Takes in a request, unless it was here before."""
+        own_part = req.parts[-1].id if req.parts else ""
+        if self._unserved.take(team, own_part, req.received_at) is None:
             self._finder(route).observe(req.parts)
             sizes = self._sizes.setdefault(route.name, SizeClasses())
             sizes.observe(req.prompt_tokens)
 
+    def note_unserved(self, req: InboundRequest, team: str) -> None:
+        """Takes in that a request was refused and may come again."""
+        own_part = req.parts[-1].id if req.parts else ""
+        self._unserved.note(team, own_part, req.received_at)
+
     def note_stream(self, route: Route, events: int, taken_s: float) -> None:
         """Takes in a whole stream.
 
@@ -88,19 +95,6 @@
         """Returns how long a stream of a route lasts in the mean."""
         return self._durations.get(route.name, DEFAULT_DURATION_S)
 
-    def spent_s(self, req: InboundRequest, route: Route) -> float:
-        """Returns how long ago the caller first sent a request.
-
-        Callers of a route have the same time limit, so one with less left
-        than the others was refused before.
-        """
-        if req.remaining_s is None:
-            return 0.0
-        most = max(self._time_limits.get(route.name, 0.0), req.remaining_s)
-        self._time_limits[route.name] = most
-        spent_s = most - req.remaining_s
-        return spent_s if spent_s > RETURN_AFTER_S else 0.0
-
     def output_tokens(
         self, req: InboundRequest, route: Route, event_tokens: int
     ) -> int:
--- a/packages/core/chervilwall/wait_queue.py
+++ b/packages/core/chervilwall/wait_queue.py
@@ -54,6 +54,7 @@
         enqueued_at (float): Monotonic time of its arrival at this router.
         give_up_at (float): Monotonic time until which it may wait.
         work_s (float): Time for which a target reads its prompt.
+        first_sent_at (float): Monotonic time at which its caller first sent it.
         group (str): Its route and size class.
     """
 
@@ -64,6 +65,7 @@
     enqueued_at: float
     give_up_at: float
     work_s: float = 0.0
+    first_sent_at: float = 0.0
     group: str = ""
 
     @property
--- /dev/null
+++ b/packages/core/tests/test_returns.py
@@ -0,0 +1,38 @@
+"""Tests of how returning requests are known."""
+
+import unittest
+
+from chervilwall.returns import UnservedRequests
+
+
+class UnservedRequestsTest(unittest.TestCase):
+    def test_a_return_tells_when_it_came_first(self):
+        unserved = UnservedRequests()
+        unserved.note("team", "own", 1.0)
+        self.assertEqual(unserved.take("team", "own", 3.0), 1.0)
+
+    def test_others_are_new(self):
+        unserved = UnservedRequests()
+        unserved.note("team", "own", 1.0)
+        self.assertIsNone(unserved.take("other", "own", 3.0))
+        self.assertIsNone(unserved.take("team", "else", 3.0))
+
+    def test_a_note_tells_of_one_return_only(self):
+        unserved = UnservedRequests()
+        unserved.note("team", "own", 1.0)
+        unserved.take("team", "own", 3.0)
+        self.assertIsNone(unserved.take("team", "own", 4.0))
+
+    def test_a_prompt_without_a_part_of_its_own_is_always_new(self):
+        unserved = UnservedRequests()
+        unserved.note("team", "", 1.0)
+        self.assertIsNone(unserved.take("team", "", 2.0))
+
+    def test_notes_are_bounded_in_time_and_number(self):
+        unserved = UnservedRequests(keep_s=10.0, most=2)
+        unserved.note("team", "old", 0.0)
+        self.assertIsNone(unserved.take("team", "old", 11.0))
+        for name in ("a", "b", "c"):
+            unserved.note("team", name, 20.0)
+        self.assertIsNone(unserved.take("team", "a", 21.0))
+        self.assertEqual(unserved.take("team", "c", 21.0), 20.0)
--- a/packages/router/chervilwall_router/edge/dispatcher.py
+++ b/packages/router/chervilwall_router/edge/dispatcher.py
@@ -12,6 +12,7 @@
 from chervilwall.prefill import PrefillModel
 from chervilwall.prefix import PrefixMap, PromptPart
 from chervilwall.registry import TargetRegistry
+from chervilwall.returns import UnservedRequests
 from chervilwall.wait_queue import (
     Had,
     Overtaking,
@@ -37,7 +38,7 @@
         deadline_at (float): Monotonic time after which nobody waits for it.
         arrived_at (float): Monotonic time of its arrival at this router.
         excluded (frozenset): Targets that were tried already.
-        first (bool): Whether this is the caller's first attempt.
+        first (bool): Whether no target was tried for it before.
         route (str): Its route.
         size_class (int): 0 for most requests, 2 for the largest of a route.
     """
@@ -170,6 +171,7 @@
         self._numbers = itertools.count(1)
         self._queues: dict[str, WaitQueue] = {}
         self._waiters: dict[int, _Waiter] = {}
+        self._unserved = UnservedRequests()
         self._timer: asyncio.TimerHandle | None = None
         self._pending: asyncio.Handle | None = None
 
@@ -189,6 +191,7 @@
         now = self._clock()
         if wish.first:
             self._parts.shares.ask(wish.team, wish.tokens, now)
+            wish = self._with_first_due(wish, now)
         queue = self._queue(wish.demand.service)
         ticket = self._ticket(wish, now)
         if not self._goes_behind(queue, ticket, now):
@@ -201,6 +204,14 @@
             raise self._refusal(queue, ticket, reason, now)
         return await self._wait(queue, ticket, wish)
 
+    def _with_first_due(self, wish: Wish, now: float) -> Wish:
+        """Returns a wish that is due as the caller's first one was."""
+        own_part = wish.demand.own_part
+        first_at = self._unserved.take(wish.team, own_part, now)
+        if first_at is None:
+            return wish
+        return wish._replace(due_at=first_at + wish.objective_s)
+
     def pump(self) -> None:
         """Starts waiting requests that find room, as soon as possible."""
         if self._waiters:
@@ -228,6 +239,7 @@
             enqueued_at=wish.arrived_at,
             give_up_at=self._give_up_at(wish, now),
             work_s=parts.placement.least_work_s(demand, targets, now),
+            first_sent_at=wish.due_at - wish.objective_s,
             group=f"{wish.route}#{wish.size_class}",
         )
 
@@ -274,6 +286,8 @@
     def _refusal(
         self, queue: WaitQueue, ticket: Ticket, reason: str, now: float
     ) -> RequestRefusedError:
+        own_part = ticket.demand.own_part
+        self._unserved.note(ticket.team, own_part, ticket.first_sent_at)
         wait_s = self._expected_wait_s(queue, ticket, now)
         retry_s = queue.retry_after_s(wait_s, self._parts.settings)
         service = ticket.demand.service
--- a/packages/router/chervilwall_router/edge/flow.py
+++ b/packages/router/chervilwall_router/edge/flow.py
@@ -80,7 +80,7 @@
             )
             self._refuse(req, answer, problem, "quarantine")
             return
-        self._memory.note_arrival(admitted.req, admitted.route)
+        self._memory.note_arrival(admitted.req, admitted.route, admitted.team)
         budget = self.budget(admitted.service)
         work = RequestRun(self._parts, budget, self._memory, admitted)
         await work.run(answer)
@@ -132,7 +132,6 @@
             service=route.pick_service(self._parts.rng),
             deadline_at=req.received_at + limit_s,
             fingerprint=_fingerprint(req, team),
-            first_sent_at=req.received_at - self._memory.spent_s(req, route),
         )
 
     def _refuse(
--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -141,11 +141,11 @@
             demand=demand,
             team=self._admitted.team,
             objective_s=objective_s,
-            due_at=self._admitted.first_sent_at + objective_s,
+            due_at=req.received_at + objective_s,
             deadline_at=self._admitted.deadline_at,
             arrived_at=req.received_at,
             excluded=frozenset(self._tried),
-            first=not self._tried and not self._admitted.is_return,
+            first=not self._tried,
             route=route.name,
             size_class=self._memory.size_class(req, route),
         )
@@ -284,6 +284,7 @@
 
     def _refuse(self, answer: CallerAnswer, problem: Problem) -> None:
         admitted = self._admitted
+        self._memory.note_unserved(admitted.req, admitted.team)
         self._parts.metrics.count(f"refused_{problem.reason}")
         events.log_event(
             LOG,
--- a/packages/router/chervilwall_router/edge/work.py
+++ b/packages/router/chervilwall_router/edge/work.py
@@ -66,8 +66,6 @@
         service (str): The service that runs it.
         deadline_at (float): Monotonic time by which it must have ended.
         fingerprint (bytes): Digest by which it is known when it comes again.
-        first_sent_at (float): Monotonic time at which the caller first sent
-            it, by the time that the caller has left.
     """
 
     req: InboundRequest
@@ -76,12 +74,6 @@
     service: str
     deadline_at: float
     fingerprint: bytes
-    first_sent_at: float
-
-    @property
-    def is_return(self) -> bool:
-        """Whether the caller has sent it before."""
-        return self.first_sent_at < self.req.received_at
 
 
 class FlowParts(NamedTuple):
--- /dev/null
+++ b/packages/router/tests/test_edge_flow.py
@@ -0,0 +1,65 @@
+"""Tests of the path of a request up to its first attempt."""
+
+import random
+import time
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from chervilwall.errors import RequestRefusedError
+from chervilwall.inbound import InboundRequest
+from chervilwall.prefix import PromptPart
+from chervilwall.quarantine import Quarantine
+from chervilwall.routing import Route, RouteKind, RoutingTable, WeightedService
+from chervilwall_router.edge.flow import RequestFlow
+from chervilwall_router.edge.settings import RetrySettings
+
+OBJECTIVE_S = 0.3
+ROUTE = Route(
+    "r", "h", "/", RouteKind.STREAMING, 15.0, OBJECTIVE_S, 0,
+    (WeightedService("s", 1.0),), 1,
+)  # fmt: skip
+
+
+class _Refusing:
+    """Refuse every wish, and keep it."""
+
+    def __init__(self):
+        self.wishes = []
+
+    async def acquire(self, wish):
+        self.wishes.append(wish)
+        raise RequestRefusedError("full", 1.0, step="wait", peer="s")
+
+
+class RequestFlowTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.scheduling = _Refusing()
+        table = RoutingTable(1, [ROUTE], [])
+        parts = SimpleNamespace(
+            table=lambda: table,
+            scheduling=self.scheduling,
+            retries=RetrySettings(),
+            metrics=mock.MagicMock(),
+            clock=time.monotonic,
+            rng=random.Random(1),
+            quarantine=Quarantine(),
+            waiting=lambda: 0,
+            routers=lambda: 1,
+            totals=mock.MagicMock(),
+            connections=None,
+            wire=None,
+        )
+        self.flow = RequestFlow(parts)
+
+    async def test_a_caller_with_less_time_than_others_is_not_late(self):
+        for number, remaining_s in enumerate((15.0, 12.8, 14.0)):
+            req = InboundRequest(
+                f"id{number}", "POST", "h", "/x", (), b"", time.monotonic(),
+                remaining_s=remaining_s, prompt_tokens=100,
+                parts=(PromptPart("top", 50), PromptPart(str(number), 50)),
+            )  # fmt: skip
+            await self.flow.handle(req, mock.MagicMock(begun=False))
+        for wish in self.scheduling.wishes:
+            self.assertAlmostEqual(wish.due_at - wish.arrived_at, OBJECTIVE_S)
+            self.assertTrue(wish.first)
