--- a/packages/standins/chervilwall_standins/demo.py
+++ b/packages/standins/chervilwall_standins/demo.py
@@ -17,9 +17,9 @@
     OPERATOR_KEY,
     Fleet,
     call_json,
-    free_port,
     wait_for,
 )
+from chervilwall_standins.loopback import TARGET_PORT, own_address
 from chervilwall_standins.sheets import Deployment, make_sheet, team_key
 
 ENGINES = 6
@@ -50,14 +50,13 @@
 
 def make_deployment() -> Deployment:
     """Returns the deployment that is shown, on free ports."""
-    engine_port, plain_port = free_port(), free_port()
     return Deployment(
         name="astillas",
         engine="contract-model",
         plain="booking",
         measure="work",
-        engines=tuple(f"127.0.2.{i + 1}:{engine_port}" for i in range(ENGINES)),
-        plains=tuple(f"127.0.3.{i + 1}:{plain_port}" for i in range(PLAINS)),
+        engines=tuple(f"{own_address()}:{TARGET_PORT}" for _ in range(ENGINES)),
+        plains=tuple(f"{own_address()}:{TARGET_PORT}" for _ in range(PLAINS)),
     )
 
 
--- a/packages/standins/chervilwall_standins/fleet.py
+++ b/packages/standins/chervilwall_standins/fleet.py
@@ -5,7 +5,6 @@
 import pathlib
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -17,23 +16,20 @@
 
 from chervilwall.config import hash_key
 
+from chervilwall_standins.loopback import own_address
 from chervilwall_standins.relay import PeerRelays
 
 OPERATOR_KEY = "operator-key-of-the-stand-in-fleet"
 FLEET_KEY = "fleet-key-of-the-stand-in-fleet"
 ZONES = ("az1", "az2", "az3")
 START_LIMIT_S = 20.0
+# Below the kernel's usual ports of outgoing connections.
+PLATFORM_PORT = 21_000
+CALLER_PORT = 21_001
+PEER_PORT = 21_002
 POLL_S = 0.05
 
 
-def free_port(host: str = "127.0.0.1") -> int:
-    """Returns a port that the kernel says is free."""
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
-
-
 def wait_for(condition: Any, *, limit_s: float, what: str) -> float:
     """Waits until a condition holds; returns the seconds it took."""
     started = time.monotonic()
@@ -86,11 +82,11 @@
         self._quiet = quiet
         self._dir = pathlib.Path(tempfile.mkdtemp(prefix="chervilwall-"))
         self._procs: dict[str, subprocess.Popen[bytes]] = {}
-        self.platform = f"127.0.0.1:{free_port()}"
-        self.caller_port = free_port()
-        self.peer_port = free_port()
+        self.platform = f"{own_address()}:{PLATFORM_PORT}"
         self.relays = PeerRelays() if relayed else None
         self.names = [f"router{i}" for i in range(1, routers + 1)]
+        self._hosts = {name: own_address() for name in self.names}
+        self._relay_hosts = {name: own_address() for name in self.names}
 
     def __repr__(self) -> str:
         return f"Fleet(processes={len(self._procs)})"
@@ -98,8 +94,8 @@
     def __enter__(self) -> "Fleet":
         if self.relays is not None:
             self.relays.start(
-                {self.host(n): self._relay_host(n) for n in self.names},
-                self.peer_port,
+                {self.host(n): self._relay_hosts[n] for n in self.names},
+                PEER_PORT,
             )
         try:
             self._start_platform()
@@ -130,11 +126,11 @@
 
     def host(self, name: str) -> str:
         """Returns the loopback address of a router's host."""
-        return f"127.0.1.{self.names.index(name) + 1}"
+        return self._hosts[name]
 
     def address(self, name: str) -> str:
         """Returns the caller address of a router."""
-        return f"{self.host(name)}:{self.caller_port}"
+        return f"{self.host(name)}:{CALLER_PORT}"
 
     def url(self, name: str) -> str:
         """Returns the caller URL of a router."""
@@ -211,7 +207,7 @@
             "zone": ZONES[index % len(ZONES)],
             "listen": {
                 "callers": self.address(name),
-                "peers": f"{self.host(name)}:{self.peer_port}",
+                "peers": f"{self.host(name)}:{PEER_PORT}",
                 "peers_advertised": self._advertised(name),
                 **self._listen,
             },
@@ -225,13 +221,10 @@
         settings.update(extra)
         return settings
 
-    def _relay_host(self, name: str) -> str:
-        return f"127.0.4.{self.names.index(name) + 1}"
-
     def _advertised(self, name: str) -> str:
         relayed = self.relays is not None
-        host = self._relay_host(name) if relayed else self.host(name)
-        return f"{host}:{self.peer_port}"
+        host = self._relay_hosts[name] if relayed else self.host(name)
+        return f"{host}:{PEER_PORT}"
 
     def _spawn(self, name: str, module: str, *args: str) -> None:
         command = [sys.executable, "-m", module, *args]
--- a/packages/standins/chervilwall_standins/real_run.py
+++ b/packages/standins/chervilwall_standins/real_run.py
@@ -10,7 +10,8 @@
 from chervilwall_platform.client import HttpPlatform
 
 from chervilwall_standins.caller import Caller
-from chervilwall_standins.fleet import Fleet, call_json, free_port, wait_for
+from chervilwall_standins.fleet import Fleet, call_json, wait_for
+from chervilwall_standins.loopback import TARGET_PORT, own_address
 from chervilwall_standins.replay import SAMPLE_S, GapMeter, ServiceTotals
 from chervilwall_standins.trace import Trace, TraceRequest, TraceService
 
@@ -42,10 +43,9 @@
 def _start_targets(fleet: Fleet, trace: Trace) -> dict[str, str]:
     """Starts a process for each service; returns addresses by target."""
     addresses: dict[str, str] = {}
-    for number, service in enumerate(trace.heading.services):
-        port = free_port()
-        hosts = [f"127.0.{6 + number}.{i + 1}" for i in range(service.targets)]
-        own = [f"{host}:{port}" for host in hosts]
+    for service in trace.heading.services:
+        hosts = [own_address() for _ in range(service.targets)]
+        own = [f"{host}:{TARGET_PORT}" for host in hosts]
         options = ["--slots", str(service.slots)]
         options += ["--token-s", str(service.token_s)]
         fleet.start_targets(service.name, own, *options)
--- a/packages/standins/chervilwall_standins/slopes.py
+++ b/packages/standins/chervilwall_standins/slopes.py
@@ -30,7 +30,7 @@
 from chervilwall.scheduler import CellScheduler
 from chervilwall_router.mesh import Mesh, limit_threads
 
-from chervilwall_standins.fleet import free_port
+from chervilwall_standins.loopback import free_port
 from chervilwall_standins.slopes_fleet import Point, loaded, processes
 
 KEY = b"key-of-the-measured-fleet"
--- a/packages/standins/chervilwall_standins/users/fleet.py
+++ b/packages/standins/chervilwall_standins/users/fleet.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import contextlib
-import itertools
-import os
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -19,26 +17,16 @@
 from object_client import ObjectClient
 from tornado.httputil import HTTPHeaders
 
+from chervilwall_standins.loopback import own_address
 from chervilwall_standins.users.store import UsersStore
 from chervilwall_standins.users.target import UsersTarget
 
 HOST = "a.example"
 FIRST_PORT = 21_000
-_ADDRESSES = itertools.count()
 KEY = "key-of-team-1"
 TEAM = "team-1"
 
 
-def own_address() -> str:
-    """Returns a loopback address that nothing else uses.
-
-    A port that was free a moment ago may be taken by any connection that
-    leaves from the usual address; these addresses carry none.
-    """
-    pid, number = os.getpid(), next(_ADDRESSES)
-    return f"127.{10 + (pid >> 8) % 200}.{pid % 256}.{1 + number % 250}"
-
-
 def make_route(name: str, service: str, **changes: object) -> dict:
     """Returns a route as the operator writes it."""
     return {
--- a/packages/standins/tests/test_cells.py
+++ b/packages/standins/tests/test_cells.py
@@ -6,7 +6,8 @@
 from chervilwall_standins.baselines import OraclePolicy
 from chervilwall_standins.case import CHAT_PATH, FleetCase
 from chervilwall_standins.demo import make_deployment
-from chervilwall_standins.fleet import call_json, free_port
+from chervilwall_standins.fleet import call_json
+from chervilwall_standins.loopback import TARGET_PORT, own_address
 from chervilwall_standins.measure import TRACES
 from chervilwall_standins.policies import FleetPolicy
 from chervilwall_standins.replay import Replay
@@ -36,8 +37,9 @@
 
     @classmethod
     def make_deployment(cls):
-        port = free_port()
-        engines = tuple(f"127.0.5.{i + 1}:{port}" for i in range(ENGINES))
+        engines = tuple(
+            f"{own_address()}:{TARGET_PORT}" for _ in range(ENGINES)
+        )
         return make_deployment()._replace(engines=engines, slots=1)
 
     def test_work_of_one_router_fills_all_cells(self):
--- a/packages/standins/tests/test_cut_off.py
+++ b/packages/standins/tests/test_cut_off.py
@@ -3,7 +3,8 @@
 import signal
 
 from chervilwall_standins.case import CHAT_PATH, FILING_PATH, FleetCase
-from chervilwall_standins.fleet import free_port, wait_for
+from chervilwall_standins.fleet import wait_for
+from chervilwall_standins.loopback import free_port
 
 STOP_LIMIT_S = 25.0
 
--- /dev/null
+++ b/packages/standins/tests/test_loopback.py
@@ -0,0 +1,21 @@
+"""Tests that processes of tests do not take each other's addresses."""
+
+import unittest
+
+from chervilwall_standins.fleet import Fleet
+from chervilwall_standins.loopback import own_address
+
+
+class LoopbackTest(unittest.TestCase):
+    def test_addresses_are_not_given_out_twice(self):
+        found = [own_address() for _ in range(200)]
+        self.assertEqual(len(set(found)), len(found))
+
+    def test_fleets_beside_each_other_share_no_address(self):
+        fleets = [Fleet(routers=3) for _ in range(2)]
+        for fleet in fleets:
+            self.addCleanup(fleet.__exit__)
+        hosts = [{fleet.host(name) for name in fleet.names} for fleet in fleets]
+        self.assertFalse(hosts[0] & hosts[1])
+        platforms = {fleet.platform for fleet in fleets}
+        self.assertEqual(len(platforms), 2)
