--- a/packages/core/chervilwall/load_view.py
+++ b/packages/core/chervilwall/load_view.py
@@ -64,6 +64,9 @@
         # Few peers have load on a target that this router did not grant.
         self._by_target: dict[str, set[str]] = {}
         self._next = 0
+        # Totals at one moment; many requests are placed at the same one.
+        self._totals: dict[str, TargetLoad] = {}
+        self._totals_at = 0.0
 
     def __repr__(self) -> str:
         return f"LoadView(peers={len(self._peers)})"
@@ -87,6 +90,7 @@
         if work_s > 0:
             prefill = _Prefill(work_s, now + ahead_s + work_s)
             own.prefills[self._next] = prefill
+        self._totals.pop(target_id, None)
         return self._next
 
     def note_read(self, target_id: str, number: int) -> None:
@@ -94,12 +98,14 @@
         own = self._own.get(target_id)
         if own is not None:
             own.prefills.pop(number, None)
+            self._totals.pop(target_id, None)
 
     def end(self, target_id: str, number: int, kv_tokens: int) -> None:
         """Takes off a request that ended."""
         own = self._own.get(target_id)
         if own is None:
             return
+        self._totals.pop(target_id, None)
         own.prefills.pop(number, None)
         own.running -= 1
         own.kv_tokens -= kv_tokens
@@ -120,11 +126,13 @@
         self._peers[peer] = (now, found)
         for target_id in found:
             self._by_target.setdefault(target_id, set()).add(peer)
+            self._totals.pop(target_id, None)
 
     def drop_peer(self, peer: str) -> None:
         """Forgets a peer."""
         _, loads = self._peers.pop(peer, (0.0, {}))
         for target_id in loads:
+            self._totals.pop(target_id, None)
             named = self._by_target[target_id]
             named.discard(peer)
             if not named:
@@ -132,6 +140,15 @@
 
     def total(self, target_id: str, now: float) -> TargetLoad:
         """Returns the load of a target over all routers."""
+        if now != self._totals_at:
+            self._totals.clear()
+            self._totals_at = now
+        found = self._totals.get(target_id)
+        if found is None:
+            found = self._totals[target_id] = self._add_up(target_id, now)
+        return found
+
+    def _add_up(self, target_id: str, now: float) -> TargetLoad:
         own = self._own.get(target_id)
         load = own.load(now) if own else IDLE
         for peer in self._by_target.get(target_id, ()):
--- a/packages/core/chervilwall/placement.py
+++ b/packages/core/chervilwall/placement.py
@@ -164,6 +164,14 @@
             return self._choose_plain(usable, now)
         return self._choose_engine(demand, usable, now, slack_s, urgency)
 
+    def has_room(self, targets: Iterable[RegisteredTarget], now: float) -> bool:
+        """Tells whether any engine has room for a request in time."""
+        window_s = max(self._cfg.windows_s)
+        return any(
+            self._wait_s(t, self._load.total(t.id, now), window_s) <= 0
+            for t in targets
+        )
+
     def least_work_s(
         self, demand: Demand, targets: Sequence[RegisteredTarget], now: float
     ) -> float:
@@ -200,6 +208,8 @@
         slack_s: float,
         urgency: Urgency,
     ) -> Choice | None:
+        if not self.has_room(targets, now):
+            return None
         options = self._options(demand, targets, now, urgency)
         best = min(options, key=lambda o: o.cost)
         if best.wait_s <= 0:
--- a/packages/core/chervilwall/prefill.py
+++ b/packages/core/chervilwall/prefill.py
@@ -27,13 +27,14 @@
 
     def __init__(self) -> None:
         self._log_factors: dict[str, float] = {}
+        self._mean_log = 0.0
 
     def __repr__(self) -> str:
         return f"PrefillModel(targets={len(self._log_factors)})"
 
     def factor(self, target_id: str) -> float:
         """Returns how much slower a target is than the model's constants."""
-        return math.exp(self._log_factors.get(target_id, self._mean()))
+        return math.exp(self._log_factors.get(target_id, self._mean_log))
 
     def work_s(
         self, target_id: str, miss_tokens: int, cached_tokens: int = 0
@@ -53,7 +54,7 @@
 
     def typical_work_s(self, miss_tokens: int, cached_tokens: int) -> float:
         """Returns how long any target would read a prompt."""
-        return _work_s(miss_tokens, cached_tokens) * math.exp(self._mean())
+        return _work_s(miss_tokens, cached_tokens) * math.exp(self._mean_log)
 
     def observe(
         self, target_id: str, predicted_s: float, first_token_s: float
@@ -68,18 +69,20 @@
         first_token_s -= START_LATENCY_S
         if predicted_s < LEAST_SAMPLE_S or first_token_s <= 0:
             return
-        known = self._log_factors.get(target_id, self._mean())
+        known = self._log_factors.get(target_id, self._mean_log)
         seen = known + math.log(first_token_s / predicted_s)
         seen = min(math.log(MOST_FACTOR), max(math.log(LEAST_FACTOR), seen))
         self._log_factors[target_id] = known + SAMPLE_WEIGHT * (seen - known)
+        self._find_mean()
 
     def forget(self, target_id: str) -> None:
         """Forgets a target that ended."""
         self._log_factors.pop(target_id, None)
+        self._find_mean()
 
-    def _mean(self) -> float:
+    def _find_mean(self) -> None:
         known = self._log_factors.values()
-        return sum(known) / len(known) if known else 0.0
+        self._mean_log = sum(known) / len(known) if known else 0.0
 
 
 def _work_s(miss_tokens: int, cached_tokens: int) -> float:
--- a/packages/core/chervilwall/wait_queue.py
+++ b/packages/core/chervilwall/wait_queue.py
@@ -214,9 +214,18 @@
         worth = ticket.density * self._portions.boost(ticket.group)
         return (urgency, got, -worth, ticket.number)
 
-    def in_order(self, now: float, had: Had) -> list[Ticket]:
+    def only_generations(self) -> bool:
+        """Tells whether all that wait are for model engines."""
+        return all(t.demand.is_generation for t in self._live.values())
+
+    def in_order(self, now: float, had: Had) -> list[tuple[Rank, Ticket]]:
         """Returns the waiting requests, the first to start first."""
-        return sorted(self._live.values(), key=lambda t: self.rank(t, now, had))
+        return sorted((self.rank(t, now, had), t) for t in self._live.values())
+
+    def goes_behind(self, ticket: Ticket, now: float, had: Had) -> bool:
+        """Tells whether a waiting request starts before a new one."""
+        rank = self.rank(ticket, now, had)
+        return any(self.rank(t, now, had) < rank for t in self._live.values())
 
     def expired(self, now: float) -> list[Ticket]:
         """Returns the requests that have waited as long as they may."""
--- a/packages/core/tests/test_wait_queue.py
+++ b/packages/core/tests/test_wait_queue.py
@@ -34,7 +34,7 @@
         self.queue = WaitQueue()
 
     def order(self, now=0.0, had=NOBODY):
-        return [t.number for t in self.queue.in_order(now, had)]
+        return [t.number for _, t in self.queue.in_order(now, had)]
 
     def test_more_benefit_for_the_time_goes_first(self):
         self.queue.push(make_ticket(1, work_s=0.2))
--- a/packages/router/chervilwall_router/edge/dispatcher.py
+++ b/packages/router/chervilwall_router/edge/dispatcher.py
@@ -23,6 +23,9 @@
 
 # Waiting requests are looked at this often beside all other occasions.
 PUMP_INTERVAL_S = 0.02
+# Room that becomes free within this time is given out at once; engines have
+# many times as much work queued.
+PUMP_PAUSE_S = 0.003
 # Waiting requests that are tried when the first ones find no room.
 LOOK_AHEAD = 8
 
@@ -174,6 +177,7 @@
         self._unserved = UnservedRequests()
         self._timer: asyncio.TimerHandle | None = None
         self._pending: asyncio.Handle | None = None
+        self._pumped_at = 0.0
 
     def __repr__(self) -> str:
         return f"Dispatcher(waiting={len(self._waiters)})"
@@ -220,7 +224,8 @@
     def _schedule(self) -> None:
         if self._pending is None:
             loop = asyncio.get_running_loop()
-            self._pending = loop.call_soon(self._pump_now)
+            pause_s = self._pumped_at + PUMP_PAUSE_S - self._clock()
+            self._pending = loop.call_later(max(0.0, pause_s), self._pump_now)
 
     def _queue(self, service: str) -> WaitQueue:
         queue = self._queues.get(service)
@@ -253,10 +258,7 @@
     def _goes_behind(
         self, queue: WaitQueue, ticket: Ticket, now: float
     ) -> bool:
-        had = self._had(now)
-        first = queue.in_order(now, had)[:1]
-        rank = queue.rank(ticket, now, had)
-        return any(queue.rank(other, now, had) < rank for other in first)
+        return queue.goes_behind(ticket, now, self._had(now))
 
     def _had(self, now: float) -> Had:
         shares = self._parts.shares
@@ -350,19 +352,19 @@
         if self._pending is not None:
             self._pending.cancel()
             self._pending = None
-        now = self._clock()
-        for queue in self._queues.values():
-            self._pump_queue(queue, now)
+        now = self._pumped_at = self._clock()
+        for service, queue in self._queues.items():
+            if self._has_room(service, queue, now):
+                self._pump_queue(queue, now)
 
     def _pump_queue(self, queue: WaitQueue, now: float) -> None:
         misses = 0
         had = self._had(now)
         overtaking = Overtaking()
-        for ticket in queue.in_order(now, had):
+        for rank, ticket in queue.in_order(now, had):
             waiter = self._waiters.get(ticket.number)
             if waiter is None or waiter.future.done():
                 continue
-            rank = queue.rank(ticket, now, had)
             if not overtaking.allows(rank):
                 return
             grant = self._try(waiter.wish, queue, ticket, now)
@@ -375,6 +377,13 @@
             queue.discard(ticket.number)
             waiter.future.set_result(grant)
 
+    def _has_room(self, service: str, queue: WaitQueue, now: float) -> bool:
+        """Tells whether any target could take a waiting request."""
+        if not queue.only_generations():
+            return True
+        targets = self._parts.registry.of_service(service)
+        return self._parts.placement.has_room(targets, now)
+
     def _expire(self) -> None:
         now = self._clock()
         for queue in self._queues.values():
