Never read again what is older than what peers have told; name lapsed targets

A router cut off from the store took its peers' list at revision 48, in which target i-a5bf1f4b9a was gone.

Ruled out: a late event of the store (the events came in order); the time of doubt itself (its removal was known for certain from peers).

Change: a watch goes on after the newest of its own and its reader's revision; an answer that was asked for before a peer told more is dropped.

Tests, seen failing before: two in test_edge_store_watch (asked since 5 instead of 9; read revision 7 after 9), two in test_edge_state.

Also: hubs are the hosts with most of a processor first (`cpu`, from the settings' limits.cpu_share), as hosts of half a core were hubs on the grown site.

--- a/packages/core/chervilwall/digest.py
+++ b/packages/core/chervilwall/digest.py
@@ -67,6 +67,7 @@
             report.datagrams,
             report.zone,
             report.ready,
+            report.cpu,
         )
         known = self._known.get(name)
         changed = known is None or _differs(known.peer, peer)
--- a/packages/core/chervilwall/hubs.py
+++ b/packages/core/chervilwall/hubs.py
@@ -5,10 +5,11 @@
 all who is there. Hubs also schedule, as they hear the load of all.
 """
 
-from collections.abc import Collection, Container
+import heapq
+from collections.abc import Container, Mapping
 from typing import NamedTuple
 
-from chervilwall.rendezvous import owners
+from chervilwall.rendezvous import score
 
 # Any two may be lost at once, and one be lost on the way to either.
 HUBS = 5
@@ -47,20 +48,25 @@
 
     def choose(
         self,
-        names: Collection[str],
+        cpus: Mapping[str, float],
         heard: Container[str],
         now: float,
     ) -> frozenset[str]:
         """Returns the names of the hubs.
 
         Args:
-            names (Collection): Routers that may be hubs.
+            cpus (Mapping): Processors of the routers that may be hubs; those
+                with most go first.
             heard (Container): Routers whose own reports arrive here.
             now (float): Monotonic time.
         """
         self._forget(heard, now)
-        there = [name for name in names if not self._is_silent(name, now)]
-        found = frozenset(owners(FLEET_KEY, there, HUBS))
+        there = [n for n in cpus if not self._is_silent(n, now)]
+        found = frozenset(
+            heapq.nlargest(
+                HUBS, there, key=lambda n: (cpus[n], score(FLEET_KEY, n))
+            )
+        )
         for name in found:
             if name != self._name and name not in heard:
                 self._told_since.setdefault(name, now)
--- a/packages/core/chervilwall/message.py
+++ b/packages/core/chervilwall/message.py
@@ -372,6 +372,7 @@
         got (dict): Tokens that teams got in the last window.
         suspicions (tuple): Requests that were in flight at crashes.
         hub (bool): Whether it passes on what others tell.
+        cpu (float): Processors of its host.
     """
 
     sequence: int
@@ -388,6 +389,7 @@
     got: dict[str, float] = {}
     suspicions: tuple[Suspicion, ...] = ()
     hub: bool = False
+    cpu: float = 1.0
 
 
 class PresentPeer(NamedTuple):
@@ -401,6 +403,7 @@
         datagrams (str): Its address for reports and snapshots.
         zone (str): Its availability zone.
         ready (bool): Whether callers may be sent to it.
+        cpu (float): Processors of its host.
     """
 
     name: str
@@ -410,6 +413,7 @@
     datagrams: str
     zone: str
     ready: bool
+    cpu: float = 1.0
 
 
 class PeerDigest(NamedTuple):
@@ -532,12 +536,15 @@
         config (bytes): The configuration as stored, b"" if not newer.
         registry_revision (int): Revision of the list of targets.
         targets (tuple): Names and values of the registrations.
+        lapsed (tuple): Names of targets that are gone from the list, but may
+            only have lapsed in an outage of the store.
     """
 
     config_version: int
     config: bytes
     registry_revision: int
     targets: tuple[tuple[str, bytes], ...]
+    lapsed: tuple[str, ...] = ()
 
 
 Message = (
--- a/packages/core/chervilwall/peers.py
+++ b/packages/core/chervilwall/peers.py
@@ -93,6 +93,7 @@
             ready=peer.ready,
             config_version=0,
             registry_revision=0,
+            cpu=peer.cpu,
         )
         state = PeerState(peer.incarnation, report, now)
         self._told[peer.name] = state
--- a/packages/core/chervilwall/registry.py
+++ b/packages/core/chervilwall/registry.py
@@ -1,6 +1,6 @@
 """Targets as they register themselves on the platform."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
 # Registrations that lapsed in an outage of the platform are back within
@@ -85,6 +85,10 @@
             self.remove(target_id)
         return gone
 
+    def lapsed(self) -> Collection[str]:
+        """Returns the ids of targets whose registrations lapsed."""
+        return self._lapsed.keys()
+
     def lapse(self, target_id: str, until: float) -> None:
         """Keeps a target whose registration ended in an outage.
 
--- a/packages/core/tests/test_hubs.py
+++ b/packages/core/tests/test_hubs.py
@@ -9,7 +9,7 @@
     HubChoice,
 )
 
-NAMES = [f"router{i}" for i in range(40)]
+NAMES = {f"router{i}": 1.0 for i in range(40)}
 
 
 class HubChoiceTest(unittest.TestCase):
@@ -18,6 +18,12 @@
         self.assertEqual(len(chosen), 1)
         self.assertEqual(len(next(iter(chosen))), HUBS)
 
+    def test_hosts_with_more_processors_go_first(self):
+        strong = {f"router{i}": 2.0 for i in range(10, 10 + HUBS)}
+        cpus = NAMES | strong
+        found = HubChoice("router1").choose(cpus, NAMES, 0.0)
+        self.assertEqual(found, set(strong))
+
     def test_a_silent_hub_is_replaced_and_later_tried_again(self):
         choice = HubChoice("router1")
         first = choice.choose(NAMES, NAMES, 0.0)
--- a/packages/router/chervilwall_router/edge/edge.py
+++ b/packages/router/chervilwall_router/edge/edge.py
@@ -119,6 +119,7 @@
             FleetParts(
                 name=self._cfg.name,
                 address=self._cfg.listen.peers,
+                cpu=self._cfg.cpu,
                 mesh_most=self._cfg.mesh_most,
                 peers=self.peers,
                 addresses=self._member.addresses,
--- a/packages/router/chervilwall_router/edge/fleet_view.py
+++ b/packages/router/chervilwall_router/edge/fleet_view.py
@@ -16,6 +16,7 @@
     Args:
         name (str): This router's name.
         address (str): Its datagram address.
+        cpu (float): Processors of its host.
         mesh_most (int): Routers up to which each tells each.
         peers (PeerTable): The peers.
         addresses (Mapping): Datagram addresses that the store named.
@@ -25,6 +26,7 @@
 
     name: str
     address: str
+    cpu: float
     mesh_most: int
     peers: PeerTable
     addresses: Mapping[str, str]
@@ -100,9 +102,10 @@
 
     def _candidates(
         self, known: Mapping[str, str], alive: Mapping[str, PeerState]
-    ) -> set[str]:
-        """Returns the routers that may be hubs: the ready ones, if any."""
-        found = {n for n, s in alive.items() if s.report.ready}
+    ) -> dict[str, float]:
+        """Returns the routers that may be hubs, with their processors."""
+        found = {n: s.report.cpu for n, s in alive.items() if s.report.ready}
         if self._parts.is_ready():
-            found.add(self._parts.name)
-        return found or {*known, self._parts.name}
+            found[self._parts.name] = self._parts.cpu
+        # Until one is ready, any may pass on who is there.
+        return found or dict.fromkeys([*known, self._parts.name], 1.0)
--- a/packages/router/chervilwall_router/edge/reports.py
+++ b/packages/router/chervilwall_router/edge/reports.py
@@ -123,6 +123,7 @@
             got={team: round(n) for team, n in got.items()},
             suspicions=self._parts.quarantine.recent(self._parts.clock()),
             hub=is_hub,
+            cpu=self._parts.settings.cpu,
         )
 
     def take_frame(self, frame: Frame, address: str) -> None:
--- a/packages/router/chervilwall_router/edge/settings.py
+++ b/packages/router/chervilwall_router/edge/settings.py
@@ -92,6 +92,8 @@
         address_ttl_s (float): For which callers may keep an address list.
         mesh_most (int): Routers up to which each reports to each. At 16, a
             quarter of a thousand datagrams a second arrive at most at one.
+        cpu (float): Processors that this process may use; one thread uses one
+            at most.
         log (LogSettings): Logging.
     """
 
@@ -103,6 +105,7 @@
     stop: StopSettings = StopSettings()
     address_ttl_s: Seconds = 1.0
     mesh_most: int = 16
+    cpu: float = 1.0
     log: LogSettings = LogSettings(format="json")
 
 
--- a/packages/router/chervilwall_router/edge/state.py
+++ b/packages/router/chervilwall_router/edge/state.py
@@ -1,13 +1,17 @@
 """What a router has read of the platform's store, and from its peers."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from chervilwall import events
 from chervilwall.errors import CodecError
 from chervilwall.message import SnapshotPull, StoreSnapshot
 from chervilwall.protocol import ObjectList, PlatformDecoder, StoredObject
-from chervilwall.registry import RegisteredTarget, TargetRegistry
+from chervilwall.registry import (
+    LAPSE_GRACE_S,
+    RegisteredTarget,
+    TargetRegistry,
+)
 from chervilwall.routing import RoutingTable
 
 LOG = logging.getLogger(__name__)
@@ -30,6 +34,8 @@
         self._changed = changed
         self.table: RoutingTable | None = None
         self.value = b""
+        # Versions order what is read, so nothing is older than what is known.
+        self.revision = 0
 
     def __repr__(self) -> str:
         return f"ConfigState(version={self.version})"
@@ -122,12 +128,20 @@
         """Takes a peer's list, if it is newer than this router's."""
         if snapshot.registry_revision > self.revision:
             self._replace(
-                snapshot.targets, snapshot.registry_revision, doubt_until=0.0
+                snapshot.targets,
+                snapshot.registry_revision,
+                doubt_until=self._clock() + LAPSE_GRACE_S,
+                doubted=snapshot.lapsed,
             )
 
     def entries(self) -> tuple[tuple[str, bytes], ...]:
-        """Returns the registrations as stored."""
-        return tuple(self._values.items())
+        """Returns the registrations as stored, but for lapsed ones."""
+        lapsed = self._registry.lapsed()
+        return tuple(x for x in self._values.items() if x[0] not in lapsed)
+
+    def lapsed(self) -> tuple[str, ...]:
+        """Returns the targets whose registrations may have lapsed."""
+        return tuple(self._registry.lapsed())
 
     def expire(self) -> None:
         """Forgets targets whose registration lapsed and did not come back."""
@@ -140,10 +154,21 @@
         revision: int,
         *,
         doubt_until: float,
+        doubted: Collection[str] | None = None,
     ) -> None:
+        """Takes a whole list.
+
+        Args:
+            entries (Sequence): Names and values.
+            revision (int): Revision of the list.
+            doubt_until (float): Until when missing ones are kept; 0 for not.
+            doubted (Collection | None): The only ones of which the list is
+                in doubt, None for all.
+        """
         listed = {name for name, _ in entries}
         for name in [n for n in self._registry.all() if n not in listed]:
-            self._remove(name, doubt_until=doubt_until)
+            in_doubt = doubted is None or name in doubted
+            self._remove(name, doubt_until=doubt_until if in_doubt else 0.0)
         for name, value in entries:
             self._put(name, value)
         self.revision = max(self.revision, revision)
@@ -213,9 +238,15 @@
     """Returns what a peer that asks does not have yet."""
     value = config.value if config.version > pull.config_version else b""
     newer = registry.revision > pull.registry_revision
-    entries = registry.entries() if newer else ()
-    revision = registry.revision if newer else 0
-    return StoreSnapshot(config.version, value, revision, entries)
+    if not newer:
+        return StoreSnapshot(config.version, value, 0, ())
+    return StoreSnapshot(
+        config.version,
+        value,
+        registry.revision,
+        registry.entries(),
+        registry.lapsed(),
+    )
 
 
 def _is_new_start(old: RegisteredTarget, new: RegisteredTarget) -> bool:
--- a/packages/router/chervilwall_router/edge/store_watch.py
+++ b/packages/router/chervilwall_router/edge/store_watch.py
@@ -26,10 +26,18 @@
 class KindReader(Protocol):
     """Takes what a watch reads.
 
+    `revision` is that up to which the store is known, also from peers; what
+    is older must not be read again, or it would undo what is newer.
+
     Until the monotonic time `doubt_until`, registrations that are missing may
     have lapsed in an outage although their targets live; 0 for no doubt.
     """
 
+    @property
+    def revision(self) -> int:
+        """Revision of the store up to which all is known, 0 if unknown."""
+        ...
+
     def read_list(self, listing: ObjectList, *, doubt_until: float) -> None:
         """Takes all objects of the kind."""
         ...
@@ -105,10 +113,12 @@
         # A short watch shows when the store is back; a long one would bring
         # its first answer with the next change.
         wait_s = RETURN_WAIT_S if self._failures else self._wait_s
-        changes = await self._store.watch_kind(
-            self._kind, self._revision, wait_s
-        )
+        since = max(self._revision, self._reader.revision)
+        changes = await self._store.watch_kind(self._kind, since, wait_s)
         self._note_answer()
+        if self._reader.revision > since:
+            # A peer has told more meanwhile; the next watch starts there.
+            return
         self._reader.read_changes(changes, doubt_until=self._doubt_until())
         self._revision = max(self._revision, changes.revision)
 
--- a/packages/router/tests/test_edge_settings.py
+++ b/packages/router/tests/test_edge_settings.py
@@ -19,6 +19,7 @@
     "bounds.budget_window_s": "10",
     "bounds.budget_slack": "56",
     "bounds.grace_s": "8",
+    "limits.cpu_share": "0.537",
 }
 
 
--- /dev/null
+++ b/packages/router/tests/test_edge_state.py
@@ -0,0 +1,72 @@
+"""Tests of what a router makes of the store and of its peers' reads."""
+
+import json
+import unittest
+
+from chervilwall.errors import CodecError
+from chervilwall.message import SnapshotPull
+from chervilwall.protocol import ObjectList, StoredObject
+from chervilwall.registry import LAPSE_GRACE_S, RegisteredTarget, TargetRegistry
+from chervilwall_router.edge.state import RegistryState, make_snapshot
+
+NOW = 100.0
+NONE_ASKED = SnapshotPull(0, 0)
+
+
+class _Decoder:
+    def target(self, name, value):
+        try:
+            born_ms = json.loads(value)
+        except ValueError as exc:
+            raise CodecError(str(exc), step="decode") from exc
+        return RegisteredTarget(name, "svc", "a:1", "z", 4, born_ms=born_ms)
+
+
+class _NoConfig:
+    version = 0
+    value = b""
+
+
+class RegistryStateTest(unittest.TestCase):
+    def make(self):
+        registry = TargetRegistry()
+        state = RegistryState(
+            _Decoder(), registry, lambda _: None, lambda: None, lambda: self.now
+        )
+        return registry, state
+
+    def setUp(self):
+        self.now = NOW
+        self.registry, self.state = self.make()
+        self.peer_registry, self.peer = self.make()
+        items = tuple(StoredObject(n, 5, b"1") for n in ("t1", "t2"))
+        for state in (self.state, self.peer):
+            state.read_list(ObjectList(5, items), doubt_until=0.0)
+
+    def remove(self, state, name, revision, *, doubt_until):
+        gone = StoredObject(name, revision, b"1", deleted=True)
+        changes = ObjectList(revision, (gone,))
+        state.read_changes(changes, doubt_until=doubt_until)
+
+    def copy_to_peer(self):
+        snapshot = make_snapshot(_NoConfig(), self.state, NONE_ASKED)
+        self.peer.take_snapshot(snapshot)
+
+    def test_what_a_peer_saw_removed_is_removed(self):
+        self.remove(self.state, "t1", 6, doubt_until=0.0)
+        self.copy_to_peer()
+        self.assertEqual(set(self.peer_registry.all()), {"t2"})
+
+    def test_what_a_peer_doubts_does_not_come_back(self):
+        self.remove(self.peer, "t1", 6, doubt_until=0.0)
+        self.remove(self.state, "t1", 7, doubt_until=NOW + LAPSE_GRACE_S)
+        self.copy_to_peer()
+        self.assertEqual(set(self.peer_registry.all()), {"t2"})
+
+    def test_what_a_peer_doubts_is_kept_for_a_while_only(self):
+        self.remove(self.state, "t1", 6, doubt_until=NOW + LAPSE_GRACE_S)
+        self.copy_to_peer()
+        self.assertEqual(set(self.peer_registry.all()), {"t1", "t2"})
+        self.now += LAPSE_GRACE_S + 0.1
+        self.peer.expire()
+        self.assertEqual(set(self.peer_registry.all()), {"t2"})
--- a/packages/router/tests/test_edge_store_watch.py
+++ b/packages/router/tests/test_edge_store_watch.py
@@ -16,12 +16,14 @@
     def __init__(self, *script):
         self.script = list(script)
         self.waits = []
+        self.since = []
 
     async def list_kind(self, kind, *, stale=False):
         return await self._next()
 
     async def watch_kind(self, kind, since, wait_s):
         self.waits.append(wait_s)
+        self.since.append(since)
         return await self._next()
 
     async def _next(self):
@@ -37,6 +39,8 @@
     def setUp(self):
         self.now = 100.0
         self.seen = []
+        # What a peer has told of the store, beside the watch.
+        self.revision = 0
 
     def read_list(self, listing, *, doubt_until):
         self.seen.append(("list", listing.revision, doubt_until))
@@ -95,6 +99,24 @@
         )
         self.assertEqual(store.waits, [1.0, RETURN_WAIT_S, 1.0, 1.0])
 
+    async def test_it_goes_on_after_what_peers_have_told(self):
+        lost = PlatformUnavailableError("away")
+
+        def told():
+            self.revision = 9
+            raise lost
+
+        store = await self.play(ObjectList(5, ()), told, ObjectList(9, ()))
+        self.assertEqual(store.since[:2], [5, 9])
+
+    async def test_changes_older_than_what_peers_have_told_are_not_read(self):
+        def told_meanwhile():
+            self.revision = 9
+            return ObjectList(7, ())
+
+        await self.play(ObjectList(5, ()), told_meanwhile, ObjectList(10, ()))
+        self.assertEqual([s[1] for s in self.seen], [5, 10])
+
     async def test_forgotten_history_is_read_anew(self):
         gone = HistoryGoneError("gone")
         await self.play(ObjectList(5, ()), gone, ObjectList(9, ()))
