Let only hubs follow the store in a large fleet

Ruled out: longer watches (they end with each change, not by time).

Change: hubs follow the store and say in their reports whether it answers them; the others rest their watches and take what hubs have read, as routers cut off from the store did already. Where no hub that the store answers is heard, each one follows it again from what it knows. The first write of an object creates it, so that a new one takes one call, not two.

Tests: test_edge_store_watch (rests, goes on from what peers told); test_edge_hubs (a change is in force in all 14 routers with the hubs' watches only, and without hubs through the routers' own).

--- a/packages/core/chervilwall/message.py
+++ b/packages/core/chervilwall/message.py
@@ -373,6 +373,7 @@
         suspicions (tuple): Requests that were in flight at crashes.
         hub (bool): Whether it passes on what others tell.
         cpu (float): Processors of its host.
+        follows (bool): Whether the store answers it.
     """
 
     sequence: int
@@ -390,6 +391,7 @@
     suspicions: tuple[Suspicion, ...] = ()
     hub: bool = False
     cpu: float = 1.0
+    follows: bool = False
 
 
 class PresentPeer(NamedTuple):
--- a/packages/router/chervilwall_router/edge/edge.py
+++ b/packages/router/chervilwall_router/edge/edge.py
@@ -142,8 +142,12 @@
             wait_s=self._cfg.store.watch_s,
             clock=self._clock,
             rng=self._rng,
+            wanted=self.fleet.follows_store,
         )
 
+    def _has_store(self) -> bool:
+        return not any(watch.lost for watch in self._watches)
+
     def _build_flow(self, wire: WireFormat) -> None:
         self.placement = Placement(
             PlacementSettings(),
@@ -217,6 +221,7 @@
                 dispatcher=self.dispatcher,
                 is_ready=self._is_ready,
                 recipients=self.fleet.recipients,
+                follows=self._has_store,
                 clock=self._clock,
             ),
             self._recent_prefixes,
--- a/packages/router/chervilwall_router/edge/fleet_view.py
+++ b/packages/router/chervilwall_router/edge/fleet_view.py
@@ -45,6 +45,7 @@
         self._parts = parts
         self._choice = HubChoice(parts.name)
         self._hubs: frozenset[str] = frozenset()
+        self._large = False
 
     def __repr__(self) -> str:
         return f"FleetView(name={self._parts.name!r})"
@@ -61,7 +62,8 @@
         known.update((n, s.report.datagrams) for n, s in alive.items())
         known.pop(parts.name, None)
         everyone = frozenset(known.values()) - {parts.address}
-        if not self._is_large(known):
+        self._large = len(known) >= parts.mesh_most
+        if not self._large:
             return Recipients(everyone)
         heard = parts.peers.heard(now)
         candidates = self._candidates(known, alive)
@@ -72,6 +74,18 @@
         brief = everyone - whole if parts.name in hubs else frozenset()
         return Recipients(frozenset(whole), brief)
 
+    def follows_store(self) -> bool:
+        """Tells whether this router follows the store itself.
+
+        In a large fleet hubs do, and the others take what they have read.
+        Without a hub that the store answers, each one does.
+        """
+        parts = self._parts
+        if not self._large or parts.name in self._hubs:
+            return True
+        heard = parts.peers.heard(parts.clock()).values()
+        return not any(s.report.hub and s.report.follows for s in heard)
+
     def find_scheduler(
         self, service: str, avoided: Collection[str]
     ) -> Scheduler | None:
@@ -87,7 +101,7 @@
         names = set(ready)
         if parts.is_ready():
             names.add(parts.name)
-        if self._is_large(parts.addresses):
+        if self._large:
             names.intersection_update(self._hubs)
             # Only hubs know the load, so the next one is asked.
             names.difference_update(avoided)
@@ -97,9 +111,6 @@
         state = ready[found]
         return Scheduler(found, state.incarnation, state.report.datagrams)
 
-    def _is_large(self, others: Collection[str]) -> bool:
-        return len(others) >= self._parts.mesh_most
-
     def _candidates(
         self, known: Mapping[str, str], alive: Mapping[str, PeerState]
     ) -> dict[str, float]:
--- a/packages/router/chervilwall_router/edge/reports.py
+++ b/packages/router/chervilwall_router/edge/reports.py
@@ -51,6 +51,7 @@
         dispatcher (Dispatcher): Requests that wait.
         is_ready (Callable): Tells whether callers may come.
         recipients (Callable): Returns where reports go.
+        follows (Callable): Tells whether the store answers.
         clock (Callable): Returns the monotonic time.
     """
 
@@ -68,6 +69,7 @@
     dispatcher: Dispatcher
     is_ready: Callable[[], bool]
     recipients: Callable[[], Recipients]
+    follows: Callable[[], bool]
     clock: Callable[[], float]
 
 
@@ -124,6 +126,7 @@
             suspicions=self._parts.quarantine.recent(self._parts.clock()),
             hub=is_hub,
             cpu=self._parts.settings.cpu,
+            follows=self._parts.follows(),
         )
 
     def take_frame(self, frame: Frame, address: str) -> None:
--- a/packages/router/chervilwall_router/edge/store_member.py
+++ b/packages/router/chervilwall_router/edge/store_member.py
@@ -60,6 +60,7 @@
         self._datagrams = datagrams
         self._totals = totals
         self._rng = rng
+        self._written: set[tuple[str, str]] = set()
         self.addresses: dict[str, str] = {}
 
     def __repr__(self) -> str:
@@ -97,11 +98,18 @@
 
     async def _put(self, kind: str, name: str, value: bytes) -> None:
         """Writes an object, whether it exists or not."""
+        if (kind, name) not in self._written:
+            # Each call is paid for, and most objects are new.
+            try:
+                await self._store.create(kind, name, value)
+            except VersionConflictError:
+                await self._store.replace(kind, name, value, revision=None)
+            self._written.add((kind, name))
+            return
         try:
             await self._store.replace(kind, name, value, revision=None)
         except MissingObjectError:
-            with contextlib.suppress(VersionConflictError):
-                await self._store.create(kind, name, value)
+            await self._store.create(kind, name, value)
 
     async def _find_routers(self) -> None:
         listing = await self._store.list_kind(ROUTER_KIND)
--- a/packages/router/chervilwall_router/edge/store_watch.py
+++ b/packages/router/chervilwall_router/edge/store_watch.py
@@ -19,6 +19,8 @@
 LOG = logging.getLogger(__name__)
 FIRST_PAUSE_S = 0.1
 MOST_PAUSE_S = 1.0
+# A watch that others make needless looks this often whether it still is.
+REST_S = 0.1
 # Wait of the first watch after a failure.
 RETURN_WAIT_S = 0.2
 
@@ -57,6 +59,8 @@
         wait_s (float): Longest wait of one watch.
         clock (Callable): Returns the monotonic time.
         rng (random.Random): Spreads the routers' retries.
+        wanted (Callable): Tells whether to go on; while not, others tell
+            what they read.
     """
 
     def __init__(
@@ -68,7 +72,9 @@
         wait_s: float,
         clock: Callable[[], float],
         rng: random.Random,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._wanted = wanted
         self._store = store
         self._kind = kind
         self._reader = reader
@@ -89,12 +95,14 @@
 
     @property
     def lost(self) -> bool:
-        """Whether the last call failed."""
-        return self._failures > 0
+        """Whether nothing was read yet or the last call failed."""
+        return self._failures > 0 or self._revision is None
 
     async def run(self) -> None:
         """Follows the kind until it is cancelled."""
         while True:
+            while self._revision is not None and not self._wanted():
+                await asyncio.sleep(REST_S)
             try:
                 await self._step()
             except HistoryGoneError as exc:
--- a/packages/router/tests/test_edge_store_watch.py
+++ b/packages/router/tests/test_edge_store_watch.py
@@ -41,6 +41,7 @@
         self.seen = []
         # What a peer has told of the store, beside the watch.
         self.revision = 0
+        self.wanted = True
 
     def read_list(self, listing, *, doubt_until):
         self.seen.append(("list", listing.revision, doubt_until))
@@ -57,6 +58,7 @@
             wait_s=1.0,
             clock=lambda: self.now,
             rng=random.Random(1),
+            wanted=lambda: self.wanted,
         )
         task = asyncio.create_task(watch.run())
         async with asyncio.timeout(5.0):
@@ -117,6 +119,20 @@
         await self.play(ObjectList(5, ()), told_meanwhile, ObjectList(10, ()))
         self.assertEqual([s[1] for s in self.seen], [5, 10])
 
+    async def test_it_rests_while_others_tell_and_goes_on_from_there(self):
+        def read():
+            self.wanted = False
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.3, self.tell, 8)
+            return ObjectList(5, ())
+
+        store = await self.play(read, ObjectList(9, ()))
+        self.assertEqual(store.since, [8, 9])
+
+    def tell(self, revision):
+        self.revision = revision
+        self.wanted = True
+
     async def test_forgotten_history_is_read_anew(self):
         gone = HistoryGoneError("gone")
         await self.play(ObjectList(5, ()), gone, ObjectList(9, ()))
--- a/packages/standins/tests/test_edge_hubs.py
+++ b/packages/standins/tests/test_edge_hubs.py
@@ -5,13 +5,15 @@
 
 from chervilwall.hubs import HUBS
 from chervilwall.peers import REPORT_INTERVAL_S, WHOLE_DIGEST_S
-from chervilwall_standins.users.fleet import UsersFleet
+from chervilwall_standins.users.fleet import UsersFleet, make_config
 from chervilwall_standins.users.target import UsersTarget
 
 ROUTERS = 14
 MESH_MOST = 4
 # Repeats of a change, and the time after which a router is silent.
 SETTLE_S = 4.0
+# The users' bound for a change of the configuration on their large sites.
+IN_FORCE_S = 3.0
 
 
 class EdgeHubsTest(unittest.IsolatedAsyncioTestCase):
@@ -61,6 +63,31 @@
             )
             self.assertEqual(answer.status, 200)
 
+    async def test_few_calls_reach_the_store_and_all_know_what_changed(self):
+        fleet = await self.start(UsersTarget("m0", "model"))
+        # Long enough for the watches that were begun at the start to end.
+        await asyncio.sleep(2.5)
+        fleet.store.calls.clear()
+        await fleet.store.put("config", "main", make_config(2))
+        await fleet.until(
+            lambda: all(r.config.version == 2 for r in fleet.routers),
+            limit_s=IN_FORCE_S,
+        )
+        watches = [c for c in fleet.store.calls if "watch" in c]
+        # Two kinds, each again after its answer.
+        self.assertLessEqual(len(watches), HUBS * 2 * 3)
+
+    async def test_without_hubs_that_read_the_store_all_read_it(self):
+        fleet = await self.start(UsersTarget("m0", "model"))
+        await asyncio.sleep(1.0)
+        for router in fleet.routers:
+            router.reports.take_frame = lambda frame, address: None
+        await fleet.store.put("config", "main", make_config(2))
+        await fleet.until(
+            lambda: all(r.config.version == 2 for r in fleet.routers),
+            limit_s=IN_FORCE_S,
+        )
+
     async def test_a_leaving_router_is_left_out_by_all(self):
         fleet = await self.start(UsersTarget("m0", "model"))
         leaving = fleet.routers[0]
