Choose a hub in each zone, the strongest host of it

Change: the strongest host of each zone is a hub first, then the strongest of the rest; a router takes what the store holds from a hub of its zone, if it has read as much as the others.

Test: test_hubs, a hub in each of four zones.

--- a/packages/core/chervilwall/hubs.py
+++ b/packages/core/chervilwall/hubs.py
@@ -5,7 +5,6 @@
 all who is there. Hubs also schedule, as they hear the load of all.
 """
 
-import heapq
 from collections.abc import Container, Mapping
 from typing import NamedTuple
 
@@ -32,6 +31,18 @@
     brief: frozenset[str] = frozenset()
 
 
+class Candidate(NamedTuple):
+    """A router that may be a hub.
+
+    Args:
+        cpu (float): Processors of its host.
+        zone (str): Its availability zone.
+    """
+
+    cpu: float = 1.0
+    zone: str = ""
+
+
 class HubChoice:
     """Choose the hubs as all others do, but for those that are silent.
 
@@ -48,25 +59,24 @@
 
     def choose(
         self,
-        cpus: Mapping[str, float],
+        candidates: Mapping[str, Candidate],
         heard: Container[str],
         now: float,
     ) -> frozenset[str]:
         """Returns the names of the hubs.
 
         Args:
-            cpus (Mapping): Processors of the routers that may be hubs; those
-                with most go first.
+            candidates (Mapping): Routers that may be hubs.
             heard (Container): Routers whose own reports arrive here.
             now (float): Monotonic time.
         """
         self._forget(heard, now)
-        there = [n for n in cpus if not self._is_silent(n, now)]
-        found = frozenset(
-            heapq.nlargest(
-                HUBS, there, key=lambda n: (cpus[n], score(FLEET_KEY, n))
-            )
-        )
+        there = {
+            name: candidate
+            for name, candidate in candidates.items()
+            if not self._is_silent(name, now)
+        }
+        found = frozenset(_in_order(there)[:HUBS])
         for name in found:
             if name != self._name and name not in heard:
                 self._told_since.setdefault(name, now)
@@ -80,3 +90,17 @@
         for name, since in list(self._told_since.items()):
             if name in heard or now - since > RETRY_AFTER_S:
                 del self._told_since[name]
+
+
+def _in_order(candidates: Mapping[str, Candidate]) -> list[str]:
+    """Returns names, the best hubs first: the strongest of each zone."""
+    strongest = sorted(
+        candidates,
+        key=lambda n: (candidates[n].cpu, score(FLEET_KEY, n)),
+        reverse=True,
+    )
+    first: dict[str, str] = {}
+    for name in strongest:
+        first.setdefault(candidates[name].zone, name)
+    # What hubs tell then seldom crosses zones, which is paid for.
+    return [*first.values(), *(n for n in strongest if n not in first.values())]
--- a/packages/core/chervilwall/peers.py
+++ b/packages/core/chervilwall/peers.py
@@ -145,12 +145,21 @@
             if state.report.ready
         ]
 
-    def newest(self, now: float) -> PeerState | None:
-        """Returns the peer that has read most of the store."""
+    def newest(self, now: float, *, zone: str = "") -> PeerState | None:
+        """Returns the peer that has read most of the store.
+
+        Args:
+            now (float): Monotonic time.
+            zone (str): Availability zone that goes first among equals.
+        """
         found = self.heard(now).values()
         return max(
             found,
-            key=lambda s: (s.report.config_version, s.report.registry_revision),
+            key=lambda s: (
+                s.report.config_version,
+                s.report.registry_revision,
+                s.report.zone == zone,
+            ),
             default=None,
         )
 
--- a/packages/core/tests/test_hubs.py
+++ b/packages/core/tests/test_hubs.py
@@ -6,10 +6,11 @@
     HUBS,
     RETRY_AFTER_S,
     SILENT_AFTER_S,
+    Candidate,
     HubChoice,
 )
 
-NAMES = {f"router{i}": 1.0 for i in range(40)}
+NAMES = {f"router{i}": Candidate() for i in range(40)}
 
 
 class HubChoiceTest(unittest.TestCase):
@@ -19,11 +20,23 @@
         self.assertEqual(len(next(iter(chosen))), HUBS)
 
     def test_hosts_with_more_processors_go_first(self):
-        strong = {f"router{i}": 2.0 for i in range(10, 10 + HUBS)}
-        cpus = NAMES | strong
-        found = HubChoice("router1").choose(cpus, NAMES, 0.0)
+        strong = {
+            f"router{i}": Candidate(cpu=2.0) for i in range(10, 10 + HUBS)
+        }
+        found = HubChoice("router1").choose(NAMES | strong, NAMES, 0.0)
         self.assertEqual(found, set(strong))
 
+    def test_each_zone_has_a_hub(self):
+        zones = {
+            f"router{i}": Candidate(cpu=1.0 + (i < 20), zone=f"z{i // 10}")
+            for i in range(40)
+        }
+        found = HubChoice("router1").choose(zones, NAMES, 0.0)
+        self.assertEqual(
+            {zones[n].zone for n in found}, {"z0", "z1", "z2", "z3"}
+        )
+        self.assertEqual(len(found), HUBS)
+
     def test_a_silent_hub_is_replaced_and_later_tried_again(self):
         choice = HubChoice("router1")
         first = choice.choose(NAMES, NAMES, 0.0)
--- a/packages/router/chervilwall_router/edge/catch_up.py
+++ b/packages/router/chervilwall_router/edge/catch_up.py
@@ -32,6 +32,7 @@
 
     Args:
         name (str): This router's name.
+        zone (str): Its availability zone.
         config (ConfigState): Its configuration.
         targets (RegistryState): Its list of targets.
         peers (PeerTable): The peers.
@@ -42,6 +43,7 @@
     def __init__(
         self,
         name: str,
+        zone: str,
         config: ConfigState,
         targets: RegistryState,
         peers: PeerTable,
@@ -49,6 +51,7 @@
         clock: Callable[[], float],
     ) -> None:
         self._name = name
+        self._zone = zone
         self._config = config
         self._targets = targets
         self._peers = peers
@@ -63,7 +66,7 @@
     def look(self) -> None:
         """Asks a peer for what it has read and this router has not."""
         now = self._clock()
-        peer = self._peers.newest(now)
+        peer = self._peers.newest(now, zone=self._zone)
         if peer is None or not self._is_behind(peer):
             self._behind_since = now
             return
--- a/packages/router/chervilwall_router/edge/edge.py
+++ b/packages/router/chervilwall_router/edge/edge.py
@@ -11,6 +11,7 @@
 from chervilwall.fair_share import FairShare
 from chervilwall.health import CellHealth
 from chervilwall.held import Granter, HeldRequests
+from chervilwall.hubs import Candidate
 from chervilwall.load_view import LoadView
 from chervilwall.message import Message, RecentPrefix
 from chervilwall.peers import PeerTable
@@ -119,7 +120,7 @@
             FleetParts(
                 name=self._cfg.name,
                 address=self._cfg.listen.peers,
-                cpu=self._cfg.cpu,
+                me=Candidate(self._cfg.cpu, self._cfg.zone),
                 mesh_most=self._cfg.mesh_most,
                 peers=self.peers,
                 addresses=self._member.addresses,
@@ -234,6 +235,7 @@
         )
         self._catching_up = catch_up.CatchUp(
             self._cfg.name,
+            self._cfg.zone,
             self.config,
             self.targets,
             self.peers,
--- a/packages/router/chervilwall_router/edge/fleet_view.py
+++ b/packages/router/chervilwall_router/edge/fleet_view.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Collection, Mapping
 from typing import NamedTuple
 
-from chervilwall.hubs import HubChoice, Recipients
+from chervilwall.hubs import Candidate, HubChoice, Recipients
 from chervilwall.peers import PeerState, PeerTable
 from chervilwall.rendezvous import owner
 
@@ -16,7 +16,7 @@
     Args:
         name (str): This router's name.
         address (str): Its datagram address.
-        cpu (float): Processors of its host.
+        me (Candidate): Its host.
         mesh_most (int): Routers up to which each tells each.
         peers (PeerTable): The peers.
         addresses (Mapping): Datagram addresses that the store named.
@@ -26,7 +26,7 @@
 
     name: str
     address: str
-    cpu: float
+    me: Candidate
     mesh_most: int
     peers: PeerTable
     addresses: Mapping[str, str]
@@ -113,10 +113,14 @@
 
     def _candidates(
         self, known: Mapping[str, str], alive: Mapping[str, PeerState]
-    ) -> dict[str, float]:
-        """Returns the routers that may be hubs, with their processors."""
-        found = {n: s.report.cpu for n, s in alive.items() if s.report.ready}
+    ) -> dict[str, Candidate]:
+        """Returns the routers that may be hubs: the ready ones, if any."""
+        found = {
+            name: Candidate(state.report.cpu, state.report.zone)
+            for name, state in alive.items()
+            if state.report.ready
+        }
         if self._parts.is_ready():
-            found[self._parts.name] = self._parts.cpu
+            found[self._parts.name] = self._parts.me
         # Until one is ready, any may pass on who is there.
-        return found or dict.fromkeys([*known, self._parts.name], 1.0)
+        return found or dict.fromkeys([*known, self._parts.name], Candidate())
