Take the messages of edge routers out of message.py

Change: edge_message.py holds those between edge routers; the union of both is AnyMessage. A router of the older path logs and drops one of an edge router, which it took for a message of a cell before.

--- a/packages/core/chervilwall/codec.py
+++ b/packages/core/chervilwall/codec.py
@@ -8,8 +8,9 @@
 
 import msgspec
 
-from chervilwall import message
+from chervilwall import edge_message, message
 from chervilwall.config import Config, VersionedConfig
+from chervilwall.edge_message import AnyMessage
 from chervilwall.errors import CodecError
 
 MAC_BYTES = 16
@@ -37,16 +38,16 @@
     message.Move,
     message.CellService,
     message.Handover,
-    message.EdgeReport,
-    message.Place,
-    message.PlaceQueued,
-    message.PlaceGranted,
-    message.PlaceRefused,
-    message.PlaceRead,
-    message.PlaceEnded,
-    message.SnapshotPull,
-    message.StoreSnapshot,
-    message.PeerDigest,
+    edge_message.EdgeReport,
+    edge_message.Place,
+    edge_message.PlaceQueued,
+    edge_message.PlaceGranted,
+    edge_message.PlaceRefused,
+    edge_message.PlaceRead,
+    edge_message.PlaceEnded,
+    edge_message.SnapshotPull,
+    edge_message.StoreSnapshot,
+    edge_message.PeerDigest,
 )
 _CODES = {cls: code for code, cls in enumerate(_TYPES)}
 _DECODERS: tuple[msgspec.msgpack.Decoder, ...] = tuple(
@@ -66,7 +67,7 @@
 
     sender: str
     incarnation: int
-    messages: tuple[message.Message, ...]
+    messages: tuple[AnyMessage, ...]
 
 
 class _Wire(NamedTuple):
@@ -98,7 +99,7 @@
         self,
         sender: str,
         incarnation: int,
-        messages: Iterable[message.Message],
+        messages: Iterable[AnyMessage],
     ) -> bytes:
         """Returns the frame that carries the messages."""
         items = [(_CODES[type(msg)], msg) for msg in messages]
--- a/packages/core/chervilwall/digest.py
+++ b/packages/core/chervilwall/digest.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from chervilwall.message import PeerDigest, PresentPeer
+from chervilwall.edge_message import PeerDigest, PresentPeer
 from chervilwall.peers import WHOLE_DIGEST_S, PeerState
 
 # Changes are repeated for some reports, as datagrams may be lost.
--- a/packages/core/chervilwall/peers.py
+++ b/packages/core/chervilwall/peers.py
@@ -2,8 +2,8 @@
 
 from typing import NamedTuple
 
+from chervilwall.edge_message import EdgeReport, PresentPeer
 from chervilwall.load_view import PEER_TTL_S
-from chervilwall.message import EdgeReport, PresentPeer
 
 # Pause between reports; several may be lost before a peer counts as silent.
 REPORT_INTERVAL_S = 0.25
--- a/packages/core/tests/test_digest.py
+++ b/packages/core/tests/test_digest.py
@@ -3,7 +3,7 @@
 import unittest
 
 from chervilwall.digest import MAX_PRESENT, REPEAT_S, DigestMaker
-from chervilwall.message import EdgeReport
+from chervilwall.edge_message import EdgeReport
 from chervilwall.peers import TOLD_TTL_S, WHOLE_DIGEST_S, PeerState, PeerTable
 
 
--- a/packages/core/tests/test_peers.py
+++ b/packages/core/tests/test_peers.py
@@ -2,8 +2,8 @@
 
 import unittest
 
+from chervilwall.edge_message import EdgeReport
 from chervilwall.load_view import PEER_TTL_S
-from chervilwall.message import EdgeReport
 from chervilwall.peers import PeerTable
 
 
--- a/packages/router/chervilwall_router/edge/catch_up.py
+++ b/packages/router/chervilwall_router/edge/catch_up.py
@@ -6,8 +6,8 @@
 
 from chervilwall import events
 from chervilwall.codec import FrameCodec
+from chervilwall.edge_message import SnapshotPull, StoreSnapshot
 from chervilwall.errors import CodecError
-from chervilwall.message import SnapshotPull, StoreSnapshot
 from chervilwall.peers import PeerState, PeerTable
 from tornado.httputil import HTTPServerRequest
 
--- a/packages/router/chervilwall_router/edge/edge.py
+++ b/packages/router/chervilwall_router/edge/edge.py
@@ -8,12 +8,12 @@
 
 import msgspec
 from chervilwall import events
+from chervilwall.edge_message import EdgeMessage, RecentPrefix
 from chervilwall.fair_share import FairShare
 from chervilwall.health import CellHealth
 from chervilwall.held import Granter, HeldRequests
 from chervilwall.hubs import Candidate
 from chervilwall.load_view import LoadView
-from chervilwall.message import Message, RecentPrefix
 from chervilwall.peers import PeerTable
 from chervilwall.placement import Placement, PlacementSettings
 from chervilwall.prefill import PrefillModel
@@ -372,7 +372,7 @@
 
     # Reports between routers.
 
-    def _send(self, address: str, item: Message) -> None:
+    def _send(self, address: str, item: EdgeMessage) -> None:
         self.link.send(address, item)
 
     def _is_ready(self) -> bool:
--- a/packages/router/chervilwall_router/edge/granting.py
+++ b/packages/router/chervilwall_router/edge/granting.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable, Collection
 from typing import NamedTuple
 
-from chervilwall import message
+from chervilwall import edge_message, message
+from chervilwall.edge_message import GranterLoad
 from chervilwall.errors import RequestRefusedError
 from chervilwall.health import CellHealth
 from chervilwall.held import Granter, HeldRequests
-from chervilwall.message import GranterLoad
 from chervilwall.placement import Demand
 from chervilwall.prefix import PromptPart
 from chervilwall.registry import TargetRegistry
@@ -54,7 +54,7 @@
     held: HeldRequests
     health: Callable[[str], CellHealth]
     find: Callable[[str, Collection[str]], Scheduler | None]
-    send: Callable[[str, message.Message], None]
+    send: Callable[[str, edge_message.EdgeMessage], None]
     clock: Callable[[], float]
 
 
@@ -78,15 +78,15 @@
     def __repr__(self) -> str:
         return f"Granting(grants={len(self._grants)})"
 
-    def receive(self, sender: Scheduler, item: message.Message) -> None:
+    def receive(self, sender: Scheduler, item: edge_message.AnyMessage) -> None:
         """Takes a message of a router that asks."""
-        if isinstance(item, message.Place):
+        if isinstance(item, edge_message.Place):
             self._place(sender, item)
-        elif isinstance(item, message.PlaceRead):
+        elif isinstance(item, edge_message.PlaceRead):
             grant = self._grants.get((sender.name, item.number))
             if grant is not None:
                 grant.note_first_token(item.first_token_ms / 1000)
-        elif isinstance(item, message.PlaceEnded):
+        elif isinstance(item, edge_message.PlaceEnded):
             self._end((sender.name, item.number), item.outcome)
 
     def hear_held(self, name: str, loads: tuple[GranterLoad, ...]) -> None:
@@ -106,14 +106,16 @@
         for key in [k for k in self._asks if k[0] == name]:
             self._end(key, message.OUTCOME_CANCELLED)
 
-    def _place(self, sender: Scheduler, item: message.Place) -> None:
+    def _place(self, sender: Scheduler, item: edge_message.Place) -> None:
         key = (sender.name, item.number)
         grant = self._grants.get(key)
         if grant is not None:
             self._answer(sender, item.number, grant)
             return
         if key in self._asks:
-            self._parts.send(sender.address, message.PlaceQueued(item.number))
+            self._parts.send(
+                sender.address, edge_message.PlaceQueued(item.number)
+            )
             return
         work = self._serve(sender, item)
         task = asyncio.get_running_loop().create_task(work)
@@ -123,15 +125,15 @@
 
     def _queued(self, sender: Scheduler, key: tuple[str, int]) -> None:
         if key in self._asks and key not in self._grants:
-            self._parts.send(sender.address, message.PlaceQueued(key[1]))
+            self._parts.send(sender.address, edge_message.PlaceQueued(key[1]))
 
-    async def _serve(self, sender: Scheduler, item: message.Place) -> None:
+    async def _serve(self, sender: Scheduler, item: edge_message.Place) -> None:
         key = (sender.name, item.number)
         try:
             grant = await self._parts.dispatcher.acquire(self._wish(item))
         except RequestRefusedError as exc:
             self._asks.pop(key, None)
-            refusal = message.PlaceRefused(
+            refusal = edge_message.PlaceRefused(
                 item.number, round(exc.retry_after_s * 1000), exc.reason
             )
             self._parts.send(sender.address, refusal)
@@ -141,7 +143,7 @@
 
     def _answer(self, sender: Scheduler, number: int, grant: Grant) -> None:
         choice = grant.choice
-        answer = message.PlaceGranted(
+        answer = edge_message.PlaceGranted(
             number,
             choice.target.id,
             choice.miss_tokens,
@@ -150,7 +152,7 @@
         )
         self._parts.send(sender.address, answer)
 
-    def _wish(self, item: message.Place) -> Wish:
+    def _wish(self, item: edge_message.Place) -> Wish:
         now = self._parts.clock()
         demand = Demand(
             item.service,
--- a/packages/router/chervilwall_router/edge/peer_link.py
+++ b/packages/router/chervilwall_router/edge/peer_link.py
@@ -7,8 +7,8 @@
 
 from chervilwall import events
 from chervilwall.codec import Frame, FrameCodec
+from chervilwall.edge_message import EdgeMessage
 from chervilwall.errors import CodecError
-from chervilwall.message import Message
 from chervilwall.peers import REPORT_INTERVAL_S
 
 from chervilwall_router.settings import split_address
@@ -29,7 +29,7 @@
     """
 
     addresses: Collection[str]
-    items: tuple[Message, ...]
+    items: tuple[EdgeMessage, ...]
 
 
 MessageHandler = Callable[[Frame, str], None]
@@ -59,7 +59,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._refusals = 0
-        self._outbox: dict[str, list[Message]] = {}
+        self._outbox: dict[str, list[EdgeMessage]] = {}
         self.codec: FrameCodec | None = None
         self.bytes_sent = 0
         self.frames_sent = 0
@@ -106,7 +106,7 @@
         """Notes that a peer's port was closed."""
         LOG.debug("datagram not delivered: %s", exc)
 
-    def send(self, address: str, item: Message) -> None:
+    def send(self, address: str, item: EdgeMessage) -> None:
         """Sends a message soon, with others to the same peer."""
         if not self._outbox:
             asyncio.get_running_loop().call_soon(self._flush)
@@ -120,7 +120,7 @@
                 self._send_frame((address,), items_now)
 
     def _send_frame(
-        self, addresses: Iterable[str], items: Sequence[Message]
+        self, addresses: Iterable[str], items: Sequence[EdgeMessage]
     ) -> None:
         transport = self._transport
         if self.codec is None or transport is None or transport.is_closing():
--- a/packages/router/chervilwall_router/edge/reports.py
+++ b/packages/router/chervilwall_router/edge/reports.py
@@ -7,16 +7,16 @@
 from chervilwall import events
 from chervilwall.codec import Frame
 from chervilwall.digest import DigestMaker
-from chervilwall.fair_share import FairShare
-from chervilwall.held import Granter, HeldRequests
-from chervilwall.hubs import Recipients
-from chervilwall.load_view import LoadView, TargetLoad
-from chervilwall.message import (
+from chervilwall.edge_message import (
     EdgeReport,
     PeerDigest,
     RecentPrefix,
     TargetLoadItem,
 )
+from chervilwall.fair_share import FairShare
+from chervilwall.held import Granter, HeldRequests
+from chervilwall.hubs import Recipients
+from chervilwall.load_view import LoadView, TargetLoad
 from chervilwall.peers import PeerTable
 from chervilwall.prefix import PrefixMap, PromptPart
 from chervilwall.quarantine import Quarantine
--- a/packages/router/chervilwall_router/edge/scheduling.py
+++ b/packages/router/chervilwall_router/edge/scheduling.py
@@ -10,10 +10,10 @@
 import logging
 from collections.abc import Callable
 
-from chervilwall import events, message
+from chervilwall import edge_message, events, message
+from chervilwall.edge_message import GranterLoad
 from chervilwall.errors import RequestRefusedError
 from chervilwall.held import Granter, HeldRequest
-from chervilwall.message import GranterLoad
 from chervilwall.placement import Choice
 from chervilwall.registry import RegisteredTarget
 
@@ -36,7 +36,11 @@
 AVOID_S = 0.5
 
 
-_Answer = message.PlaceQueued | message.PlaceGranted | message.PlaceRefused
+_Answer = (
+    edge_message.PlaceQueued
+    | edge_message.PlaceGranted
+    | edge_message.PlaceRefused
+)
 
 
 class Placed:
@@ -117,16 +121,18 @@
                 continue
             return await self._place_here(number, wish)
 
-    def receive(self, sender: Scheduler, item: message.Message) -> None:
+    def receive(self, sender: Scheduler, item: edge_message.AnyMessage) -> None:
         """Takes a message of a peer."""
         if isinstance(
             item,
-            message.PlaceQueued | message.PlaceGranted | message.PlaceRefused,
+            edge_message.PlaceQueued
+            | edge_message.PlaceGranted
+            | edge_message.PlaceRefused,
         ):
             inbox = self._asked.get(item.number)
             if inbox is not None:
                 inbox.put_nowait(item)
-            elif isinstance(item, message.PlaceGranted):
+            elif isinstance(item, edge_message.PlaceGranted):
                 self._end(sender, item.number, message.OUTCOME_CANCELLED)
         else:
             self._granting.receive(sender, item)
@@ -184,7 +190,7 @@
         granted = False
         try:
             answer = await self._exchange(scheduler, number, wish)
-            if isinstance(answer, message.PlaceRefused):
+            if isinstance(answer, edge_message.PlaceRefused):
                 raise RequestRefusedError(
                     answer.reason,
                     answer.retry_after_ms / 1000,
@@ -203,7 +209,7 @@
 
     async def _exchange(
         self, scheduler: Scheduler, number: int, wish: Wish
-    ) -> message.PlaceGranted | message.PlaceRefused:
+    ) -> edge_message.PlaceGranted | edge_message.PlaceRefused:
         """Asks until there is an answer.
 
         Raises:
@@ -226,14 +232,14 @@
                 question = self._question(number, wish)
                 self._parts.send(scheduler.address, question)
                 continue
-            if not isinstance(answer, message.PlaceQueued):
+            if not isinstance(answer, edge_message.PlaceQueued):
                 return answer
             pause_s, unanswered = REMIND_S, 0
 
-    def _question(self, number: int, wish: Wish) -> message.Place:
+    def _question(self, number: int, wish: Wish) -> edge_message.Place:
         now = self._parts.clock()
         demand = wish.demand
-        return message.Place(
+        return edge_message.Place(
             number=number,
             service=demand.service,
             team=wish.team,
@@ -256,7 +262,7 @@
         number: int,
         wish: Wish,
         target: RegisteredTarget,
-        answer: message.PlaceGranted,
+        answer: edge_message.PlaceGranted,
     ) -> Placed:
         choice = Choice(
             target,
@@ -269,7 +275,7 @@
 
         def read(first_token_s: float) -> None:
             self._parts.held.note_read(number)
-            item = message.PlaceRead(number, round(first_token_s * 1000))
+            item = edge_message.PlaceRead(number, round(first_token_s * 1000))
             self._parts.send(scheduler.address, item)
 
         def ended(outcome: str) -> None:
@@ -279,5 +285,5 @@
         return Placed(number, choice, self._parts.clock(), read, ended)
 
     def _end(self, scheduler: Scheduler, number: int, outcome: str) -> None:
-        item = message.PlaceEnded(number, outcome)
+        item = edge_message.PlaceEnded(number, outcome)
         self._parts.send(scheduler.address, item)
--- a/packages/router/chervilwall_router/edge/state.py
+++ b/packages/router/chervilwall_router/edge/state.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable, Collection
 
 from chervilwall import events
+from chervilwall.edge_message import SnapshotPull, StoreSnapshot
 from chervilwall.errors import CodecError
-from chervilwall.message import SnapshotPull, StoreSnapshot
 from chervilwall.protocol import ObjectList, PlatformDecoder, StoredObject
 from chervilwall.registry import (
     LAPSE_GRACE_S,
--- a/packages/router/chervilwall_router/fleet.py
+++ b/packages/router/chervilwall_router/fleet.py
@@ -7,6 +7,7 @@
 
 from chervilwall import codec, events, message
 from chervilwall.codec import Frame
+from chervilwall.edge_message import EdgeMessage
 from chervilwall.errors import CodecError
 from chervilwall.membership import STATE_DEAD, Membership
 from chervilwall.message import Envelope, MemberUpdate
@@ -123,6 +124,12 @@
         if known is None or known.incarnation != frame.incarnation:
             return
         for msg in frame.messages:
+            if isinstance(msg, EdgeMessage):
+                reason = f"{type(msg).__name__} of an edge router"
+                events.log_event(
+                    LOG, events.FRAME_REFUSED, peer=frame.sender, reason=reason
+                )
+                continue
             self._handle(frame.sender, msg, now)
 
     def prune(self) -> None:
--- a/packages/router/tests/test_edge_scheduling.py
+++ b/packages/router/tests/test_edge_scheduling.py
@@ -4,7 +4,7 @@
 import time
 import unittest
 
-from chervilwall import message
+from chervilwall import edge_message
 from chervilwall.errors import RequestRefusedError
 from chervilwall.health import CellHealth
 from chervilwall.held import Granter, HeldRequests
@@ -51,7 +51,7 @@
 
     def send(self, address, item):
         self.sent.append(item)
-        if isinstance(item, message.Place):
+        if isinstance(item, edge_message.Place):
             loop = asyncio.get_running_loop()
             loop.call_soon(self.answer, item.number)
 
@@ -69,10 +69,10 @@
         return placed, time.monotonic() - started
 
     def granted(self, number):
-        return message.PlaceGranted(number, "t1", 100, 5, 10)
+        return edge_message.PlaceGranted(number, "t1", 100, 5, 10)
 
     async def test_a_grant_that_comes_with_the_queued_note_is_taken(self):
-        self.answers = [message.PlaceQueued, self.granted]
+        self.answers = [edge_message.PlaceQueued, self.granted]
         placed, took_s = await self.acquire()
         self.assertLess(took_s, REMIND_S / 2)
         self.assertEqual(placed.choice.target, TARGET)
@@ -87,8 +87,8 @@
 
     async def test_a_refusal_says_when_to_come_back(self):
         self.answers = [
-            message.PlaceQueued,
-            lambda number: message.PlaceRefused(number, 700, "full"),
+            edge_message.PlaceQueued,
+            lambda number: edge_message.PlaceRefused(number, 700, "full"),
         ]
         with self.assertRaises(RequestRefusedError) as caught:
             await self.acquire()
@@ -98,7 +98,7 @@
         with self.assertRaises(RequestRefusedError) as caught:
             await self.acquire()
         self.assertEqual(caught.exception.reason, "placed here")
-        asked = [m for m in self.sent if isinstance(m, message.Place)]
+        asked = [m for m in self.sent if isinstance(m, edge_message.Place)]
         self.assertGreater(len(asked), 1)
         self.assertEqual(len({m.number for m in asked}), 1)
 
--- a/packages/router/tests/test_edge_state.py
+++ b/packages/router/tests/test_edge_state.py
@@ -3,8 +3,8 @@
 import json
 import unittest
 
+from chervilwall.edge_message import SnapshotPull
 from chervilwall.errors import CodecError
-from chervilwall.message import SnapshotPull
 from chervilwall.protocol import ObjectList, StoredObject
 from chervilwall.registry import LAPSE_GRACE_S, RegisteredTarget, TargetRegistry
 from chervilwall_router.edge.state import RegistryState, make_snapshot
