--- /dev/null
+++ b/packages/standins/tests/test_edge_fuzz.py
@@ -0,0 +1,143 @@
+"""Bytes of other writers: they decode, or are refused, and nothing else."""
+
+import asyncio
+import json
+import unittest
+from unittest import mock
+
+import object_client
+from chervilwall.errors import CodecError, PlatformError
+from chervilwall.protocol import ObjectList
+from chervilwall.routing import RoutingTable
+from chervilwall_router.edge._call import CallAnswer
+from chervilwall_router.edge.settings import StoreSettings
+from chervilwall_standins.users.fleet import make_config
+from chervilwall_standins.users.target import UsersTarget
+from configuration import StoredDecoder
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from tornado.httputil import HTTPHeaders
+
+SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**70), 2**70)
+    | st.floats()
+    | st.text(max_size=20)
+)
+VALUES = st.recursive(
+    SCALARS,
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+def paths_of(value, at=()):
+    """Generates the places in a JSON value."""
+    yield at
+    children = ()
+    if isinstance(value, dict):
+        children = value.items()
+    elif isinstance(value, list):
+        children = enumerate(value)
+    for key, child in children:
+        yield from paths_of(child, (*at, key))
+
+
+def changed(value, path, new):
+    """Returns a JSON value with another one at a place."""
+    if not path:
+        return new
+    copy = dict(value) if isinstance(value, dict) else list(value)
+    copy[path[0]] = changed(copy[path[0]], path[1:], new)
+    return copy
+
+
+CONFIG = json.loads(json.dumps(make_config(3)))
+TARGET = json.loads(json.dumps(UsersTarget("t", "model").spec()))
+CONFIG_PATHS = list(paths_of(CONFIG))
+TARGET_PATHS = list(paths_of(TARGET))
+
+
+class DecoderFuzzTest(unittest.TestCase):
+    decoder = StoredDecoder()
+
+    def routing(self, value):
+        try:
+            table = self.decoder.routing(value)
+        except CodecError:
+            return
+        self.assertIsInstance(table, RoutingTable)
+        table.match("a.example", "/read/x")
+
+    def target(self, value):
+        try:
+            target = self.decoder.target("t", value)
+        except CodecError:
+            return
+        self.assertEqual(target.id, "t")
+        self.assertIsInstance(target.slots, int)
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes(self, blob):
+        self.routing(blob)
+        self.target(blob)
+
+    @settings(max_examples=300)
+    @given(st.sampled_from(CONFIG_PATHS), VALUES)
+    def test_a_configuration_with_any_value_at_any_place(self, path, new):
+        self.routing(json.dumps(changed(CONFIG, path, new)).encode())
+
+    @settings(max_examples=300)
+    @given(st.sampled_from(TARGET_PATHS), VALUES)
+    def test_a_registration_with_any_value_at_any_place(self, path, new):
+        self.target(json.dumps(changed(TARGET, path, new)).encode())
+
+
+class StoreAnswerFuzzTest(unittest.TestCase):
+    def read(self, status, body):
+        answer = CallAnswer(status, HTTPHeaders(), body)
+        client = object_client.ObjectClient(StoreSettings("127.0.0.1:1"))
+
+        async def calls():
+            for work in (
+                client.list_kind("servers"),
+                client.watch_kind("servers", 1, 0.1),
+                client.read("config", "main"),
+            ):
+                try:
+                    found = await work
+                except PlatformError:
+                    continue
+                if isinstance(found, ObjectList):
+                    self.assertIsInstance(found.revision, int)
+
+        with mock.patch.object(
+            object_client, "call", mock.AsyncMock(return_value=answer)
+        ):
+            asyncio.run(calls())
+
+    @given(st.sampled_from([200, 204, 302, 404, 409, 410, 429, 500, 503]),
+           st.binary(max_size=200))  # fmt: skip
+    def test_any_bytes(self, status, body):
+        self.read(status, body)
+
+    @settings(max_examples=200)
+    @given(
+        st.fixed_dictionaries(
+            {},
+            optional={
+                "items": VALUES,
+                "events": VALUES,
+                "has_more": VALUES,
+                "store_revision": VALUES,
+                "metadata": VALUES,
+                "spec": VALUES,
+            },
+        )
+    )
+    def test_any_values_of_known_fields(self, answer):
+        self.read(200, json.dumps(answer).encode())
--- a/packages/standins/tests/test_edge_input.py
+++ b/packages/standins/tests/test_edge_input.py
@@ -1,6 +1,7 @@
 """Tests of bad input from callers."""
 
 import asyncio
+import random
 import unittest
 
 from chervilwall_standins.users.fleet import HOST, KEY, UsersFleet
@@ -38,6 +39,23 @@
 }
 
 
+SEED = 11
+MUTANTS = 200
+PIECES = (b"\r\n", b"\n", b"\r", b":", b" ", b"\t", b"\0", b"\xff", b"0", b"-")
+
+
+def mutate(data, rng):
+    """Returns a request with a few bytes of its head changed."""
+    blob = bytearray(data)
+    for _ in range(rng.randint(1, 3)):
+        at = rng.randrange(len(blob))
+        if rng.random() < 0.5:
+            blob[at : at + rng.randint(0, 3)] = rng.choice(PIECES)
+        else:
+            del blob[at : at + rng.randint(1, 4)]
+    return bytes(blob)
+
+
 class BadInputTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.target = UsersTarget("p0", "plain")
@@ -76,3 +94,26 @@
         self.assertTrue(first.body.endswith(b":r1"))
         self.assertTrue(second.body.endswith(b":r2"))
         caller.close()
+
+    async def test_no_changed_byte_stops_the_router_or_reaches_others(self):
+        rng = random.Random(SEED)
+        sound = raw_request("Content-Length: 3", body=b"abc")
+        for _ in range(MUTANTS):
+            data = mutate(sound, rng)
+            with self.subTest(data=data):
+                await self.exchange(data)
+        for seen in self.target.seen:
+            self.assertIn(seen.body, (b"abc", b"ab", b"a", b""))
+        answer = await self.fleet.call("/read/x", request_id="after")
+        self.assertEqual(answer.status, 200)
+
+    async def exchange(self, data):
+        """Sends bytes and no more; what comes back is an answer or nothing."""
+        caller = await self.fleet.connect()
+        caller.writer.write(data)
+        caller.writer.write_eof()
+        async with asyncio.timeout(2.0):
+            reply = await caller.reader.read()
+        caller.close()
+        if reply:
+            self.assertTrue(reply.startswith(b"HTTP/1.1 "), reply)
