--- a/packages/core/chervilwall/service_totals.py
+++ b/packages/core/chervilwall/service_totals.py
@@ -1,11 +1,17 @@
 """Service delivered by one router, as grow-only totals for the reports."""
 
+import logging
+from collections.abc import Iterable
 from typing import NamedTuple
 
 import msgspec
 
 from chervilwall.errors import CodecError
 
+LOG = logging.getLogger(__name__)
+# Kind of the objects in the store that hold the totals of one incarnation.
+SERVICE_KIND = "service-totals"
+
 
 class TotalKey(NamedTuple):
     """What a total counts.
@@ -76,3 +82,25 @@
     except msgspec.MsgspecError as exc:
         raise CodecError(str(exc), step="read service totals") from exc
     return dict(rows)
+
+
+def sum_totals(
+    objects: Iterable[tuple[str, bytes]],
+) -> tuple[dict[TotalKey, Total], list[str]]:
+    """Returns the sum over all routers, and the names that do not decode.
+
+    Args:
+        objects (Iterable): Names and values, one for each incarnation.
+    """
+    found: dict[TotalKey, Total] = {}
+    missing = []
+    for name, value in objects:
+        try:
+            rows = decode_totals(value)
+        except CodecError as exc:
+            LOG.warning("totals of %s left out: %s", name, exc)
+            missing.append(name)
+            continue
+        for key, total in rows.items():
+            found[key] = found.get(key, Total()).plus(total)
+    return dict(sorted(found.items())), missing
--- a/packages/operator/chervilwall_ctl/commands.py
+++ b/packages/operator/chervilwall_ctl/commands.py
@@ -16,7 +16,9 @@
     hash_key,
 )
 from chervilwall.errors import ChervilwallError, SheetError
+from chervilwall.protocol import ObjectStore
 from chervilwall.report import ReportLine, report_lines
+from chervilwall.service_totals import SERVICE_KIND, Total, sum_totals
 from chervilwall.sheet import diff_configs, parse_sheet
 from chervilwall_platform.client import HttpPlatform
 
@@ -47,11 +49,13 @@
         args (argparse.Namespace): The command line.
         platform (HttpPlatform): The platform.
         routers (RouterClient): Calls to routers.
+        store (ObjectStore | None): The users' store, where one was given.
     """
 
     args: argparse.Namespace
     platform: HttpPlatform
     routers: RouterClient
+    store: ObjectStore | None = None
 
     def emit(self, data: object, text: str) -> None:
         """Prints JSON where it was asked for, and text otherwise."""
@@ -211,6 +215,8 @@
 
 async def report(session: Session) -> int:
     """Shows service delivered per team, service and class."""
+    if session.store is not None:
+        return await _report_store(session, session.store)
     found = await fleet_view.gather_totals(
         session.routers, session.platform, session.args.router
     )
@@ -245,6 +251,22 @@
     return EXIT_PARTIAL if missing else EXIT_OK
 
 
+async def _report_store(session: Session, store: ObjectStore) -> int:
+    """Shows what routers wrote to the users' store, by team and route."""
+    listing = await store.list_kind(SERVICE_KIND)
+    found, missing = sum_totals((x.name, x.value) for x in listing.objects)
+    columns = [Column("team"), Column("route")]
+    table = Table([*columns, *(Column(f, True) for f in Total._fields)])
+    for key, total in found.items():
+        table.add(*key, *total)
+    lines = [{**k._asdict(), **t._asdict()} for k, t in found.items()]
+    data = {"lines": lines, "missing": missing}
+    session.emit(data, table.to_csv() if session.args.csv else table.to_text())
+    for name in missing:
+        print(f"chervilctl: cannot read totals of {name}", file=sys.stderr)
+    return EXIT_PARTIAL if missing else EXIT_OK
+
+
 def _report_totals(line: ReportLine) -> dict[str, float]:
     return {title: getattr(line.row, title) for title in REPORT_TOTALS}
 
--- a/packages/operator/chervilwall_ctl/main.py
+++ b/packages/operator/chervilwall_ctl/main.py
@@ -9,6 +9,7 @@
 
 import msgspec
 from chervilwall.errors import ChervilwallError, SheetError
+from chervilwall.protocol import ObjectStore
 from chervilwall.sheet import InvalidSheetError
 from chervilwall_platform.client import HttpPlatform
 
@@ -19,10 +20,13 @@
 PLATFORM_VARIABLE = "CHERVILWALL_PLATFORM"
 ROUTERS_VARIABLE = "CHERVILWALL_ROUTERS"
 
+StoreMaker = Callable[[str], ObjectStore]
+
 _EPILOG = f"""examples:
   chervilctl check sheet.csv
   chervilctl apply sheet.csv --operator ana
   chervilctl report --csv > service.csv
+  python platform/ctl.py report --store 10.0.0.9:8781 --json
   chervilctl explain --team traders
 
 The variables {PLATFORM_VARIABLE}, {ROUTERS_VARIABLE} (addresses divided by
@@ -49,6 +53,9 @@
     _add(subs, shared, "status", commands.status)
     sub = _add(subs, shared, "report", commands.report)
     sub.add_argument("--csv", action="store_true", help="print CSV")
+    sub.add_argument(
+        "--store", default="", help="IP:port of the users' store to read"
+    )
     sub = _add(subs, shared, "drain", commands.drain)
     sub.add_argument("name", help="router to stop")
     sub = _add(subs, shared, "target", commands.mark_target)
@@ -61,14 +68,22 @@
     return parser
 
 
-def main(argv: Sequence[str] | None = None) -> int:
-    """Runs the command line and returns its exit code."""
+def main(
+    argv: Sequence[str] | None = None, *, connect: StoreMaker | None = None
+) -> int:
+    """Runs the command line and returns its exit code.
+
+    Args:
+        argv (Sequence | None): Arguments. Defaults to those of the process.
+        connect (Callable | None): Makes a client of the users' store from
+            its address; only the start in `platform/` has one.
+    """
     args = make_parser().parse_args(argv)
     if args.router is None:
         known = os.environ.get(ROUTERS_VARIABLE, "127.0.0.1:8080")
         args.router = [a.strip() for a in known.split(",") if a.strip()]
     try:
-        return asyncio.run(_run(args))
+        return asyncio.run(_run(args, connect))
     except InvalidSheetError as exc:
         _print_faults(args, exc)
         return commands.EXIT_REFUSED
@@ -80,9 +95,16 @@
         return commands.EXIT_FAILED
 
 
-async def _run(args: argparse.Namespace) -> int:
+async def _run(args: argparse.Namespace, connect: StoreMaker | None) -> int:
+    store = None
+    address = getattr(args, "store", "")
+    if address:
+        if connect is None:
+            reason = "start platform/ctl.py for --store"
+            raise ChervilwallError(reason, step="connect to the store")
+        store = connect(address)
     platform = HttpPlatform(args.platform)
-    session = commands.Session(args, platform, RouterClient(args.key))
+    session = commands.Session(args, platform, RouterClient(args.key), store)
     try:
         return await args.func(session)
     finally:
--- a/packages/router/chervilwall_router/edge/store_member.py
+++ b/packages/router/chervilwall_router/edge/store_member.py
@@ -16,11 +16,10 @@
     VersionConflictError,
 )
 from chervilwall.protocol import ObjectStore
-from chervilwall.service_totals import ServiceTotals
+from chervilwall.service_totals import SERVICE_KIND, ServiceTotals
 
 LOG = logging.getLogger(__name__)
 ROUTER_KIND = "routers"
-SERVICE_KIND = "service-totals"
 KEY_KIND = "fleet-keys"
 KEY_NAME = "main"
 KEY_BYTES = 32
