--- a/packages/standins/chervilwall_standins/demo.py
+++ b/packages/standins/chervilwall_standins/demo.py
@@ -1,12 +1,15 @@
 """The whole path, shown with real processes on loopback addresses."""
 
 import asyncio
+import logging
 import pathlib
 import signal
 import subprocess
 import sys
 import tempfile
 
+from chervilwall_ctl.commands import EXIT_FAILED
+
 from chervilwall_standins.caller import (
     Answer,
     Caller,
@@ -22,6 +25,9 @@
 from chervilwall_standins.loopback import TARGET_PORT, own_address
 from chervilwall_standins.sheets import Deployment, make_sheet, team_key
 
+LOG = logging.getLogger(__name__)
+# An operator repeats what failed as the platform did not answer in time.
+APPLY_TRIES = 3
 ENGINES = 6
 PLAINS = 3
 REQUESTS_PER_TEAM = 4
@@ -64,7 +70,11 @@
     """Accepts a sheet and waits until it is in force everywhere."""
     with tempfile.NamedTemporaryFile(suffix=".csv") as file:
         pathlib.Path(file.name).write_bytes(sheet)
-        done = run_ctl(fleet, "apply", file.name, "--operator", "demo")
+        for _ in range(APPLY_TRIES):
+            done = run_ctl(fleet, "apply", file.name, "--operator", "demo")
+            if done.returncode != EXIT_FAILED:
+                break
+            LOG.warning("applied again: %s", done.stderr)
     if done.returncode:
         raise DemoError(f"sheet not accepted: {done.stderr}")
     took_s = wait_for(
