Lose no cancel that comes at the moment of a connection

Change: `dial` uses asyncio.timeout; so does the stand-in store.

Test: test_edge_dial, seen failing before (no CancelledError).

--- a/packages/router/chervilwall_router/edge/_dial.py
+++ b/packages/router/chervilwall_router/edge/_dial.py
@@ -56,9 +56,9 @@
     tune(sock)
     stream = Connection(sock)
     try:
-        await asyncio.wait_for(
-            stream.connect(split_address(address)), timeout_s
-        )
+        # Unlike wait_for, this loses no cancel that comes with the connection.
+        async with asyncio.timeout(timeout_s):
+            await stream.connect(split_address(address))
     except (OSError, TimeoutError, StreamClosedError) as exc:
         stream.close()
         cause = getattr(exc, "real_error", None) or exc
--- a/packages/standins/chervilwall_standins/fleet.py
+++ b/packages/standins/chervilwall_standins/fleet.py
@@ -95,12 +95,10 @@
         return f"Fleet(processes={len(self._procs)})"
 
     def __enter__(self) -> "Fleet":
-        if self.relays is not None:
-            self.relays.start(
-                {self.host(n): self._relay_hosts[n] for n in self.names},
-                PEER_PORT,
-            )
         try:
+            if self.relays is not None:
+                hosts = {self.host(n): self._relay_hosts[n] for n in self.names}
+                self.relays.start(hosts, PEER_PORT)
             self._start_platform()
             for name in self.names:
                 self.start_router(name)
--- a/packages/standins/chervilwall_standins/users/store.py
+++ b/packages/standins/chervilwall_standins/users/store.py
@@ -103,7 +103,8 @@
             if found or left_s <= 0:
                 return found
             try:
-                await asyncio.wait_for(self._changed.wait(), left_s)
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
             except TimeoutError:
                 continue
 
