Log what is found out about each broken attempt, and who told of a crash

Cause: after the report on repeated requests that crash targets, the log could not tell whether a crash was not seen, not added up or not acted on. A broken attempt that was not recorded left no line; E603 did not name the request's digest.

Change: E606 with the verdict of the probe (or that none was made) and whether the answer had begun, E607 for each suspicion that a peer tells, the digest in E601 and E603. No logic changed.

--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -75,12 +75,28 @@
             fate = await self._exchange(exchange, target, relay)
         finally:
             self._put_back(exchange, target, conn)
+        verdict = "not examined"
         if fate is Fate.BROKEN and exchange.head is None:
-            await self._suspect(target)
+            verdict = await self._suspect(target)
+        if fate is not Fate.ANSWERED:
+            events.log_event(
+                LOG,
+                events.ATTEMPT_EXAMINED,
+                request=self._admitted.req.id,
+                digest=self._admitted.fingerprint.hex(),
+                target=target.id,
+                fate=fate.value,
+                begun=exchange.head is not None,
+                verdict=verdict,
+            )
         return Attempt(fate, target, exchange.head, exchange.reason)
 
-    async def _suspect(self, target: RegisteredTarget) -> None:
-        """Records a crash if the target no longer takes connections."""
+    async def _suspect(self, target: RegisteredTarget) -> str:
+        """Records a crash if the target no longer takes connections.
+
+        Returns:
+            What was found, for the log.
+        """
         parts = self._parts
         try:
             conn = await parts.connections.acquire(target, fresh=True)
@@ -96,13 +112,15 @@
                 LOG,
                 events.REQUEST_QUARANTINED,
                 request=self._admitted.req.id,
+                digest=fingerprint.hex(),
                 target=target.id,
                 crashes=crashes,
                 reason=exc.reason,
             )
             parts.suspected()
-            return
+            return exc.reason
         conn.close()
+        return "takes connections"
 
     async def _exchange(
         self,
--- a/packages/router/chervilwall_router/edge/flow.py
+++ b/packages/router/chervilwall_router/edge/flow.py
@@ -91,7 +91,8 @@
             problem = Problem(
                 503, "quarantined", detail, retry_after_s=QUARANTINE_RETRY_S
             )
-            self._refuse(req, answer, problem, "quarantine")
+            digest = admitted.fingerprint.hex()
+            self._refuse(req, answer, problem, "quarantine", digest=digest)
             return
         self.memory.note_arrival(admitted.req, admitted.route, admitted.team)
         budget = self.budget(admitted.service)
@@ -161,6 +162,8 @@
         answer: CallerAnswer,
         problem: Problem,
         step: str,
+        *,
+        digest: str = "",
     ) -> None:
         self._parts.metrics.count(f"refused_{problem.reason}")
         table, now = self._parts.table(), self._parts.clock()
@@ -169,6 +172,7 @@
             events.REQUEST_REFUSED,
             request=req.id,
             step=step,
+            digest=digest,
             status=problem.status,
             reason=problem.reason,
             config=table.version if table else 0,
--- a/packages/router/chervilwall_router/edge/reports.py
+++ b/packages/router/chervilwall_router/edge/reports.py
@@ -155,7 +155,7 @@
         elif old != incarnation:
             self._parts.scheduling.drop_peer(name)
         self._parts.scheduling.hear_held(name, report.loads)
-        self._memory.quarantine.merge(report.suspicions, now)
+        self._take_suspicions(name, report, now)
         self._take_marks(name, report, now)
         self._memory.load.set_peer(name, self._loads_of(report), now)
         self._memory.shares.set_peer(name, report.asked, report.got, now)
@@ -164,6 +164,21 @@
             self._memory.prefixes.record(prefix.target_id, parts, now)
         self._parts.dispatcher.pump()
 
+    def _take_suspicions(
+        self, name: str, report: EdgeReport, now: float
+    ) -> None:
+        quarantine = self._memory.quarantine
+        for entry in report.suspicions:
+            if quarantine.merge((entry,), now):
+                events.log_event(
+                    LOG,
+                    events.SUSPICION_HEARD,
+                    peer=name,
+                    digest=entry.fingerprint.hex(),
+                    crashes=entry.crashes,
+                    age_s=round(entry.age_s, 2),
+                )
+
     def _take_marks(self, name: str, report: EdgeReport, now: float) -> None:
         for mark in report.leaving:
             if self._memory.registry.mark_leaving(mark, now):
