--- a/packages/standins/chervilwall_standins/users/fleet.py
+++ b/packages/standins/chervilwall_standins/users/fleet.py
@@ -25,6 +25,8 @@
 FIRST_PORT = 21_000
 # As long as processes may take to start.
 START_LIMIT_S = 20.0
+# The registration of a target that crashed ends after so long.
+LAPSE_S = 0.4
 KEY = "key-of-team-1"
 TEAM = "team-1"
 
@@ -200,14 +202,28 @@
         for target in self.targets:
             await self._stack.enter_async_context(target)
             await self.store.put("servers", target.id, target.spec())
+            target.restarted = self._register_again
         for number in range(self._count):
             await self.add_router(f"router{number}")
         await self.until(self.is_ready, START_LIMIT_S)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
+        for router in list(self.routers):
+            await self.stop_router(router)
         await self._stack.aclose()
 
+    async def stop_router(self, router: EdgeRouter) -> None:
+        """Ends a router at once; it tells nobody."""
+        self.routers.remove(router)
+        await router.__aexit__()
+
+    async def _register_again(self, target: UsersTarget, old_id: str) -> None:
+        """Registers a target's new start; the old entry lapses later."""
+        await self.store.put("servers", target.id, target.spec())
+        await asyncio.sleep(LAPSE_S)
+        await self.store.delete("servers", old_id)
+
     async def add_router(self, name: str, **stop: float) -> EdgeRouter:
         """Starts another router."""
         address = own_address()
@@ -227,7 +243,7 @@
         )
         store = ObjectClient(cfg.store)
         router = EdgeRouter(cfg, store, StoredDecoder(), HeaderFormat())
-        await self._stack.enter_async_context(router)
+        await router.__aenter__()
         self.routers.append(router)
         return router
 
--- a/packages/standins/chervilwall_standins/users/target.py
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from tornado.httputil import HTTPHeaders
@@ -43,6 +44,8 @@
 PIECE_BYTES = 65_536
 LATE_COPY_S = 0.002
 DRIP_S = 0.1
+DARK_LOOK_S = 0.05
+EVENT_STREAM = {"Content-Type": "text/event-stream"}
 # Stops a test that would otherwise fill the memory.
 MAX_ENDLESS_BYTES = 1 << 28
 
@@ -83,6 +86,20 @@
         self.mode = NORMAL
         # A request with this body ends the target.
         self.crashing_body = b""
+        # Events of a stream that such a request still gets.
+        self.crash_after = 0
+        # Time for which such a request runs before.
+        self.crash_delay_s = 0.0
+        # Whether it then falls silent and closes nothing until it is back.
+        self.crashes_dark = False
+        self._is_dark = False
+        # Seconds after which the target is back at its address, as a new start
+        # with another id; None for never.
+        self.restart_s: float | None = None
+        # Called with the old id when it is back.
+        self.restarted: Callable[[UsersTarget, str], Awaitable[None]] | None
+        self.restarted = None
+        self.born_ms = 1000
         # Whether its answers say that it leaves.
         self.leaving = False
         # Seconds that it asks for when it turns a request away.
@@ -97,6 +114,7 @@
         self.address = ""
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._restart: asyncio.Task[None] | None = None
 
     def __repr__(self) -> str:
         return f"UsersTarget(id={self.id!r}, mode={self.mode!r})"
@@ -108,15 +126,40 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
+        self.restart_s = None
+        if self._restart is not None:
+            self._restart.cancel()
         self.crash()
 
     def crash(self) -> None:
         """Ends all connections and listens no more."""
+        if self.restart_s is not None:
+            work = self._start_again(self.restart_s)
+            self._restart = asyncio.get_running_loop().create_task(work)
+            if self.crashes_dark:
+                self._is_dark = True
+                return
+        self._close()
+
+    def _close(self) -> None:
         assert self._server is not None
         self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def _start_again(self, pause_s: float) -> None:
+        await asyncio.sleep(pause_s)
+        if self.crashes_dark:
+            self._close()
+            self._is_dark = False
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+        old_id = self.id
+        self.born_ms += 1
+        self.id = f"{old_id.partition('+')[0]}+{self.born_ms}"
+        if self.restarted is not None:
+            await self.restarted(self, old_id)
+
     def spec(self, **changes: object) -> dict:
         """Returns its registration."""
         return {
@@ -128,7 +171,7 @@
             "state": "ready",
             "cold_remaining_ms": 0,
             "sequence": 1,
-            "born": 1000,
+            "born": self.born_ms,
         } | changes
 
     async def _serve(
@@ -153,6 +196,9 @@
             headers.get("Attempt-Id", ""), line, headers, body
         )
         self.seen.append(request)
+        if self._is_dark:
+            await self._wait_while_dark()
+            return False
         expected = headers.get("Expect-Instance")
         if expected and expected != self.id:
             writer.write(_head(421, {"Instance-Id": self.id}, 0))
@@ -165,21 +211,40 @@
             return True
         self.ran.append(request.id)
         if body and body == self.crashing_body:
-            self.crash()
+            await self._run_and_crash(request, writer)
             return False
         return await self._run(request, reader, writer)
 
+    async def _run_and_crash(
+        self, request: SeenRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.crash_after:
+            writer.write(_head(200, self._signed(request) | EVENT_STREAM, -1))
+        for number in range(1, self.crash_after + 1):
+            writer.write(_event(number))
+        await writer.drain()
+        await asyncio.sleep(self.crash_delay_s)
+        self.crash()
+        await self._wait_while_dark()
+
+    async def _wait_while_dark(self) -> None:
+        while self._is_dark:
+            await asyncio.sleep(DARK_LOOK_S)
+
+    def _signed(self, request: SeenRequest) -> dict[str, str]:
+        return {
+            "Attempt-Id": request.id,
+            "Response-Signature": f"sig-{self.id}",
+            "Instance-Id": self.id,
+        }
+
     async def _run(
         self,
         request: SeenRequest,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        signed = {
-            "Attempt-Id": request.id,
-            "Response-Signature": f"sig-{self.id}",
-            "Instance-Id": self.id,
-        }
+        signed = self._signed(request)
         if self.leaving:
             signed["Server-Leaving"] = "1"
         if self.mode in _ENDLESS:
@@ -248,8 +313,7 @@
         writer: asyncio.StreamWriter,
         signed: dict[str, str],
     ) -> bool:
-        kind = {"Content-Type": "text/event-stream"}
-        writer.write(_head(200, signed | kind, -1))
+        writer.write(_head(200, signed | EVENT_STREAM, -1))
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         gone = asyncio.ensure_future(reader.read(1))
         while self.mode == DRIP and not gone.done():
@@ -262,7 +326,7 @@
                     await writer.drain()
                     writer.transport.abort()
                     return False
-                writer.write(_chunk(b"id: %d\ndata: %d\n\n" % (number, number)))
+                writer.write(_event(number))
                 await asyncio.sleep(self.event_s)
                 if gone.done():
                     self.cancelled.append(request.id)
@@ -289,8 +353,11 @@
         return _head(200, signed, -1), filler
     if mode == ENDLESS_TAIL:
         return _head(200, signed, 4) + b"done", filler
-    kind = {"Content-Type": "text/event-stream"}
-    return _head(200, signed | kind, -1), _chunk(filler)
+    return _head(200, signed | EVENT_STREAM, -1), _chunk(filler)
+
+
+def _event(number: int) -> bytes:
+    return _chunk(b"id: %d\ndata: %d\n\n" % (number, number))
 
 
 def _chunk(data: bytes) -> bytes:
--- /dev/null
+++ b/packages/standins/tests/test_edge_crashing_request.py
@@ -0,0 +1,162 @@
+"""Tests of requests that end the targets that run them."""
+
+import asyncio
+import unittest
+
+from chervilwall_standins.users import target as t
+from chervilwall_standins.users.fleet import START_LIMIT_S, UsersFleet
+from chervilwall_standins.users.target import UsersTarget
+
+POISON = b"poison"
+# Three targets end, and three retries may still reach one.
+MOST_RUNS = 6
+PAUSE_S = 0.3
+# A harmless request is served again within the bound of stability.
+STABILITY_S = 3.0
+CHAT = {"token_usage": "100,30"}
+
+
+class CrashingRequestTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, service, count=6, *, events=0, **changes):
+        """Starts three routers before targets that the request ends."""
+        self.targets = [
+            UsersTarget(f"s{i}", service, events=events) for i in range(count)
+        ]
+        for target in self.targets:
+            target.crashing_body = POISON
+            for name, value in changes.items():
+                setattr(target, name, value)
+        self.fleet = UsersFleet(*self.targets, routers=3)
+        await self.fleet.__aenter__()
+        self.addAsyncCleanup(self.fleet.__aexit__)
+        return self.fleet
+
+    def runs(self):
+        return sum(len(target.ran) for target in self.targets)
+
+    async def send_all(self, path, count, **options):
+        """Sends the request again and again, at each router in turn."""
+        for number in range(count):
+            await self.fleet.call(
+                path,
+                router=number % 3,
+                body=POISON,
+                request_id=f"r{number}",
+                **options,
+            )
+            await asyncio.sleep(PAUSE_S)
+
+    async def test_a_stream_that_ends_targets_after_an_event_is_refused(self):
+        await self.start("model", 13, events=3, crash_after=1)
+        await self.send_all("/chat/x", 12, **CHAT)
+        self.assertLessEqual(self.runs(), MOST_RUNS)
+
+    async def test_a_resumable_stream_that_ends_targets_is_refused(self):
+        await self.start("model", 28, events=3, crash_after=1)
+        await self.send_all("/draft/x", 9, **CHAT)
+        self.assertLessEqual(self.runs(), MOST_RUNS)
+
+    async def test_a_request_that_ends_targets_which_return_is_refused(self):
+        await self.start("plain", 4, restart_s=0.0)
+        await self.send_all("/read/x", 12)
+        self.assertLessEqual(self.runs(), MOST_RUNS)
+
+    async def test_a_request_that_ends_targets_for_a_while_is_refused(self):
+        await self.start("plain", 4, restart_s=0.5)
+        await self.send_all("/read/x", 12)
+        self.assertLessEqual(self.runs(), MOST_RUNS)
+
+    async def test_a_request_whose_callers_leave_is_refused(self):
+        await self.start("plain", 13, crash_delay_s=0.05)
+        for number in range(12):
+            caller = await self.fleet.connect(number % 3)
+            await caller.send("/read/x", body=POISON, request_id=f"r{number}")
+            await asyncio.sleep(0.03)
+            caller.close()
+            await asyncio.sleep(PAUSE_S)
+        self.assertLessEqual(self.runs(), MOST_RUNS)
+
+    async def test_a_request_that_ends_targets_in_silence_is_refused(self):
+        await self.start("plain", 13, restart_s=1.0, crashes_dark=True)
+        await self.send_all("/read/x", 12, timeout_remaining="600")
+        self.assertLessEqual(self.runs(), MOST_RUNS)
+
+    async def test_a_request_is_refused_after_all_routers_were_replaced(self):
+        await self.start("plain", 13)
+        for generation in range(4):
+            await self.send_all("/read/x", 3)
+            for router in list(self.fleet.routers):
+                await self.fleet.stop_router(router)
+            for number in range(3):
+                await self.fleet.add_router(f"router{generation}{number}")
+            await self.fleet.until(self.knows_targets, START_LIMIT_S)
+        self.assertLessEqual(self.runs(), MOST_RUNS)
+
+    def knows_targets(self):
+        return all(
+            router.config.table is not None and router.targets.revision
+            for router in self.fleet.routers
+        )
+
+    async def test_a_request_sent_by_many_at_once_is_refused(self):
+        await self.start("plain", 13)
+        for turn in range(4):
+            await asyncio.gather(
+                *(
+                    self.fleet.call(
+                        "/read/x",
+                        router=router,
+                        body=POISON,
+                        request_id=f"r{turn}-{router}",
+                    )
+                    for router in range(3)
+                )
+            )
+            await asyncio.sleep(PAUSE_S)
+        self.assertLessEqual(self.runs(), MOST_RUNS)
+
+    async def test_a_harmless_request_beside_two_losses_is_served_again(self):
+        await self.start("plain", 6)
+        for target in self.targets:
+            target.mode = t.HANG
+        waiting = [
+            asyncio.create_task(
+                self.fleet.call(
+                    "/read/x", router=i, body=b"lookup", request_id=f"w{i}"
+                )
+            )
+            for i in range(3)
+        ]
+        for _ in range(2):
+            await self.fleet.until(self.is_running)
+            lost = next(x for x in self.targets if self.has_work(x))
+            lost.ran.clear()
+            lost.crash()
+            await asyncio.sleep(PAUSE_S)
+        for target in self.targets:
+            target.mode = t.NORMAL
+        started = asyncio.get_running_loop().time()
+        for number in range(100):
+            answer = await self.fleet.call(
+                "/read/x",
+                router=number % 3,
+                body=b"lookup",
+                request_id=f"n{number}",
+            )
+            if answer.status == 200:
+                break
+            await asyncio.sleep(0.1)
+        took_s = asyncio.get_running_loop().time() - started
+        await asyncio.gather(*waiting)
+        self.assertEqual(answer.status, 200)
+        self.assertLess(took_s, STABILITY_S)
+
+    def has_work(self, target):
+        return bool(target.ran) and not target.cancelled
+
+    def is_running(self):
+        return any(self.has_work(x) for x in self.targets)
+
+
+if __name__ == "__main__":
+    unittest.main()
