Judge requests by the starts of targets that ended under them

Numbers of two routers cannot be added, as nobody knows whether they saw the same crash, so the larger one stood; a number cannot be taken back for one crash alone; and of a crash with many in flight only the newest eight were told.

Change: CrashLedger holds which start of a target ended, who saw it and what was in flight, and joins what peers tell by union, so order and repetition do not matter (40 random histories agree, told in any order). An answer lets a request go, an answer of the target withdraws the crash unless a later start was seen, a request that was there at three crashes explains them for its neighbours, and one that is refused gets a trial after pauses that grow. News is told whole, in parts, and what is refused is told again and again to routers that come later. TargetStart takes the place of LeavingMark, which names the same thing.

Ruled out on the way, by the random histories: times alone do not tell an answer that is told again from a new one, as each telling ages; hence stamps.

--- /dev/null
+++ b/packages/core/chervilwall/crash_ledger.py
@@ -0,0 +1,447 @@
+"""Crashes of targets, and the requests that they are laid to.
+
+Answers the load pattern of a request that ends each target that runs it, and
+that comes again through any router. A crash names all requests that were in
+flight on the target; what tells the one that caused it from those beside it is
+that it is there at each crash and never ends well. So a request is judged by
+the number of target starts that ended under it since it was last answered, a
+crash that one request explains counts against no other, and a request that is
+refused gets a trial of its own after a pause.
+"""
+
+import math
+import secrets
+from collections import OrderedDict
+from collections.abc import Collection, Iterator
+from typing import NamedTuple
+
+from chervilwall._latest import LatestTimes, Occurrence
+from chervilwall.crash_news import (
+    AliveNote,
+    AnsweredNote,
+    CrashNews,
+    CrashNote,
+)
+from chervilwall.registry import TargetStart
+
+# A request under which so many targets ended is refused until its trial.
+HELD_CRASHES = 2
+# A request under which so many ended explains their crashes.
+NAMED_CRASHES = 3
+# Pauses in seconds before a trial, from the second crash on.
+TRIAL_PAUSES_S = (2.0, 30.0, 300.0, 3600.0, 86_400.0)
+# Crashes beyond these are forgotten, the oldest first.
+MAX_CRASHES = 1000
+# Requests that one crash may name.
+MAX_NAMED = 1024
+ENTRY_TTL_S = 2 * 86_400.0
+# News is repeated for this long, as datagrams may be lost.
+NEWS_S = 2.0
+# Requests named in one report, to keep it in a datagram.
+MAX_TOLD = 64
+# Refused requests that each report names beside the news, in turn.
+HELD_TOLD = 4
+# Reports of answers and withdrawn crashes are kept for late news this long.
+ANSWER_KEPT_S = 600.0
+MAX_ANSWERS = 4096
+STAMP_BITS = 62
+REASON_CRASH = "another crash"
+REASON_ANSWERED = "answered"
+REASON_ALIVE = "the target did not crash"
+REASON_OLD = "forgotten"
+
+
+class Crash(NamedTuple):
+    """The end of one start of a target.
+
+    Args:
+        start (TargetStart): The start.
+        at (float): Monotonic time at which it ended.
+        proven (bool): Whether a later start of it was seen.
+        seen_by (str): Router that saw it first.
+    """
+
+    start: TargetStart
+    at: float
+    proven: bool
+    seen_by: str
+
+
+class Standing(NamedTuple):
+    """What is held against a request.
+
+    Args:
+        crashes (tuple): Crashes that may be laid to it, the oldest first.
+        trial_at (float): Monotonic time from which a trial may run; it is
+            refused before if it is held.
+    """
+
+    crashes: tuple[Crash, ...] = ()
+    trial_at: float = 0.0
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether any crash may be laid to it."""
+        return bool(self.crashes)
+
+    @property
+    def is_held(self) -> bool:
+        """Whether it runs as a trial only."""
+        return len(self.crashes) >= HELD_CRASHES
+
+    def is_refused(self, now: float) -> bool:
+        """Tells whether it may not run now."""
+        return self.is_held and now < self.trial_at
+
+
+class Change(NamedTuple):
+    """A request that is refused from now on, or let go.
+
+    Args:
+        fingerprint (bytes): Digest of the request.
+        standing (Standing): What is held against it now.
+        reason (str): What changed it.
+    """
+
+    fingerprint: bytes
+    standing: Standing
+    reason: str
+
+
+class _Key(NamedTuple):
+    start: TargetStart
+    seen_by: str
+
+
+CLEAR = Standing()
+
+
+class _Entry:
+    """What one router saw of a crash."""
+
+    def __init__(self, crash: Crash) -> None:
+        self.crash = crash
+        self.named: set[bytes] = set()
+        self.changed_at = -math.inf
+
+    def __repr__(self) -> str:
+        return f"_Entry(target={self.crash.start.target_id!r})"
+
+    @property
+    def key(self) -> _Key:
+        return _Key(self.crash.start, self.crash.seen_by)
+
+
+class CrashLedger:
+    """Hold the crashes that any router saw, and judge requests by them.
+
+    What peers tell is joined: what each router saw by a union, answers by the
+    newest one. So it does not matter in which order, or how often, it is told.
+    """
+
+    def __init__(self) -> None:
+        self._entries: OrderedDict[_Key, _Entry] = OrderedDict()
+        self._by_start: dict[TargetStart, dict[_Key, _Entry]] = {}
+        self._by_request: dict[bytes, dict[_Key, _Entry]] = {}
+        self._alive = LatestTimes[TargetStart](
+            kept_s=ANSWER_KEPT_S, most=MAX_ANSWERS
+        )
+        self._answered = LatestTimes[bytes](
+            kept_s=ANSWER_KEPT_S, most=MAX_ANSWERS
+        )
+        self._trials: dict[bytes, float] = {}
+        # Refused requests, with the number of crashes last made known.
+        self._held: dict[bytes, int] = {}
+        self._changes: list[Change] = []
+        self._turn = 0
+
+    def __repr__(self) -> str:
+        return f"CrashLedger(crashes={len(self._by_start)})"
+
+    def standing(self, fingerprint: bytes) -> Standing:
+        """Returns what is held against a request."""
+        if fingerprint not in self._by_request:
+            return CLEAR
+        crashes = self._laid_to(fingerprint)
+        if not crashes:
+            return CLEAR
+        trial_at = 0.0
+        if len(crashes) >= HELD_CRASHES:
+            at = len(crashes) - HELD_CRASHES
+            pause_s = TRIAL_PAUSES_S[min(at, len(TRIAL_PAUSES_S) - 1)]
+            began_at = self._trials.get(fingerprint, -math.inf)
+            trial_at = max(crashes[-1].at, began_at) + pause_s
+        return Standing(crashes, trial_at)
+
+    def note_trial(self, fingerprint: bytes, now: float) -> None:
+        """Notes that a refused request runs once more."""
+        self._trials[fingerprint] = now
+
+    def knows_crash(self, start: TargetStart, since: float) -> bool:
+        """Tells whether a start of a target ended after a time."""
+        entries = self._by_start.get(start, {}).values()
+        return any(entry.crash.at >= since for entry in entries)
+
+    def note_crash(
+        self, crash: Crash, fingerprints: Collection[bytes], now: float
+    ) -> bool:
+        """Takes in what a router saw; returns whether anything of it is news.
+
+        Args:
+            crash (Crash): The crash.
+            fingerprints (Collection): Requests that were in flight.
+            now (float): Monotonic time.
+        """
+        entry = self._entries.get(_Key(crash.start, crash.seen_by))
+        if entry is None:
+            entry = _Entry(crash)
+        is_proven = entry.crash.proven or crash.proven
+        at = entry.crash.at
+        is_over = not is_proven and self._alive.at(crash.start) >= at
+        if is_over or now - at > ENTRY_TTL_S:
+            return False
+        fresh = [
+            f
+            for f in fingerprints
+            if f not in entry.named and self._answered.at(f) < at
+        ]
+        if not fresh and (is_proven == entry.crash.proven or not entry.named):
+            return False
+        entry.crash = entry.crash._replace(proven=is_proven)
+        entry.changed_at = now
+        self._name(entry, fresh)
+        self._review(self._beside(entry.named), REASON_CRASH)
+        self._trim(now)
+        return True
+
+    def note_alive(self, start: TargetStart, at: float, now: float) -> bool:
+        """Takes in an answer of a target; returns whether it withdraws a crash.
+
+        Args:
+            start (TargetStart): The start of the target that answered.
+            at (float): Monotonic time after which it was asked.
+            now (float): Monotonic time.
+        """
+        if not self._doubtful(start, at):
+            return False
+        self._alive.put(Occurrence(start, at, _stamp()), now)
+        self._withdraw(start, at)
+        return True
+
+    def note_answered(self, fingerprint: bytes, at: float, now: float) -> bool:
+        """Takes in that a request ended well; returns whether that is news.
+
+        Args:
+            fingerprint (bytes): Digest of the request.
+            at (float): Monotonic time of the answer.
+            now (float): Monotonic time.
+        """
+        if fingerprint not in self._by_request:
+            return False
+        self._answered.put(Occurrence(fingerprint, at, _stamp()), now)
+        self._let_go(fingerprint, at)
+        return True
+
+    def held(self) -> Collection[bytes]:
+        """Returns the requests that are refused or run as trials only."""
+        return self._held.keys()
+
+    def take_changes(self) -> list[Change]:
+        """Returns the requests that were refused or let go since the last."""
+        changes, self._changes = self._changes, []
+        return changes
+
+    def news(self, now: float, *, held_only: bool) -> CrashNews:
+        """Returns what to tell peers now.
+
+        Args:
+            now (float): Monotonic time.
+            held_only (bool): Whether to leave out requests that are only
+                suspected, of which schedulers alone make use.
+        """
+        self._turn += 1
+        crashes = [*self._recent(now, held_only), *self._held_in_turn(now)]
+        alive = [
+            AliveNote(found.key, now - found.at, found.stamp)
+            for found in self._alive.newest(now - NEWS_S, MAX_TOLD)
+        ]
+        answered = [
+            AnsweredNote(found.key, now - found.at, found.stamp)
+            for found in self._answered.newest(now - NEWS_S, MAX_TOLD)
+        ]
+        return CrashNews(tuple(crashes), tuple(alive), tuple(answered))
+
+    def merge(self, news: CrashNews, now: float) -> list[CrashNote]:
+        """Takes in what a peer told; returns the crashes that were news."""
+        for alive in news.alive:
+            at = now - alive.age_s
+            if self._alive.put(Occurrence(alive.start, at, alive.stamp), now):
+                self._withdraw(alive.start, at)
+        for done in news.answered:
+            at = now - done.age_s
+            latest = Occurrence(done.fingerprint, at, done.stamp)
+            if self._answered.put(latest, now):
+                self._let_go(done.fingerprint, at)
+        found = []
+        for note in news.crashes:
+            at = now - note.age_s
+            crash = Crash(note.start, at, note.proven, note.seen_by)
+            if self.note_crash(crash, note.fingerprints, now):
+                found.append(note)
+        return found
+
+    def _doubtful(self, start: TargetStart, at: float) -> list[_Entry]:
+        """Returns what an answer of a target after a time withdraws."""
+        return [
+            entry
+            for entry in self._by_start.get(start, {}).values()
+            if entry.crash.at <= at and not entry.crash.proven
+        ]
+
+    def _withdraw(self, start: TargetStart, at: float) -> None:
+        for entry in self._doubtful(start, at):
+            self._drop(entry, REASON_ALIVE)
+
+    def _let_go(self, fingerprint: bytes, at: float) -> None:
+        """Takes a request out of the crashes up to a time."""
+        beside = self._beside((fingerprint,))
+        for entry in list(self._by_request.get(fingerprint, {}).values()):
+            if entry.crash.at <= at:
+                self._unname(entry, fingerprint)
+        self._review(beside, REASON_ANSWERED)
+
+    def _laid_to(self, fingerprint: bytes) -> tuple[Crash, ...]:
+        """Returns the crashes that no other request explains."""
+        found: dict[TargetStart, Crash] = {}
+        for entry in self._by_request.get(fingerprint, {}).values():
+            start = entry.crash.start
+            known = found.get(start)
+            if known is None or entry.crash.at < known.at:
+                found[start] = entry.crash
+        crashes = [
+            crash
+            for start, crash in found.items()
+            if self._cause(start) in (None, fingerprint)
+        ]
+        return tuple(sorted(crashes, key=lambda crash: crash.at))
+
+    def _cause(self, start: TargetStart) -> bytes | None:
+        """Returns the request that explains a crash, or None."""
+        best, most = None, NAMED_CRASHES - 1
+        for fingerprint in self._named_at(start):
+            count = self._count(fingerprint)
+            if count > most:
+                best, most = fingerprint, count
+            elif count == most:
+                best = None
+        return best
+
+    def _named_at(self, start: TargetStart) -> set[bytes]:
+        found: set[bytes] = set()
+        for entry in self._by_start.get(start, {}).values():
+            found |= entry.named
+        return found
+
+    def _count(self, fingerprint: bytes) -> int:
+        """Returns at how many crashes a request was there."""
+        return len({key.start for key in self._by_request.get(fingerprint, ())})
+
+    def _beside(self, fingerprints: Collection[bytes]) -> set[bytes]:
+        """Returns some requests and those in flight at the same crashes."""
+        found = set(fingerprints)
+        for fingerprint in fingerprints:
+            # Fewer explain no crash, so nobody else is judged by them.
+            if self._count(fingerprint) >= NAMED_CRASHES:
+                for key in self._by_request[fingerprint]:
+                    found |= self._named_at(key.start)
+        return found
+
+    def _review(self, fingerprints: Collection[bytes], reason: str) -> None:
+        """Notes which of some requests are refused now, or let go."""
+        for fingerprint in fingerprints:
+            standing = self.standing(fingerprint)
+            count = len(standing.crashes)
+            if standing.is_held and count != self._held.get(fingerprint):
+                self._held[fingerprint] = count
+                self._changes.append(Change(fingerprint, standing, reason))
+            elif not standing.is_held and fingerprint in self._held:
+                del self._held[fingerprint]
+                self._changes.append(Change(fingerprint, standing, reason))
+
+    def _recent(self, now: float, held_only: bool) -> Iterator[CrashNote]:
+        left = MAX_TOLD
+        for entry in reversed(self._entries.values()):
+            if left <= 0 or now - entry.changed_at > NEWS_S:
+                return
+            named = sorted(
+                f for f in entry.named if not held_only or f in self._held
+            )
+            if named:
+                # One that names many is told in parts.
+                at = self._turn * left % len(named)
+                told = (named[at:] + named[:at])[:left]
+                yield _note(entry.crash, told, now)
+                left -= len(told)
+
+    def _held_in_turn(self, now: float) -> Iterator[CrashNote]:
+        """Generates what routers must know that were not there before."""
+        held = list(self._held)
+        for _ in range(min(HELD_TOLD, len(held))):
+            self._turn += 1
+            fingerprint = held[self._turn % len(held)]
+            for crash in self._laid_to(fingerprint):
+                yield _note(crash, [fingerprint], now)
+
+    def _name(self, entry: _Entry, fingerprints: Collection[bytes]) -> None:
+        key = entry.key
+        self._entries[key] = entry
+        self._entries.move_to_end(key)
+        self._by_start.setdefault(key.start, {})[key] = entry
+        for fingerprint in fingerprints:
+            if len(entry.named) >= MAX_NAMED:
+                return
+            entry.named.add(fingerprint)
+            self._by_request.setdefault(fingerprint, {})[key] = entry
+
+    def _unname(self, entry: _Entry, fingerprint: bytes) -> None:
+        """Takes a request out of a crash, and forgets one without any."""
+        key = entry.key
+        entry.named.discard(fingerprint)
+        known = self._by_request.get(fingerprint, {})
+        known.pop(key, None)
+        if not known:
+            self._by_request.pop(fingerprint, None)
+            self._trials.pop(fingerprint, None)
+        if entry.named:
+            return
+        self._entries.pop(key, None)
+        at_start = self._by_start.get(key.start, {})
+        at_start.pop(key, None)
+        if not at_start:
+            self._by_start.pop(key.start, None)
+
+    def _drop(self, entry: _Entry, reason: str) -> None:
+        """Forgets a crash."""
+        beside = self._beside(entry.named)
+        for fingerprint in list(entry.named):
+            self._unname(entry, fingerprint)
+        self._review(beside, reason)
+
+    def _trim(self, now: float) -> None:
+        while self._entries:
+            oldest = next(iter(self._entries.values()))
+            is_fresh = now - oldest.crash.at <= ENTRY_TTL_S
+            if is_fresh and len(self._entries) <= MAX_CRASHES:
+                return
+            self._drop(oldest, REASON_OLD)
+
+
+def _stamp() -> int:
+    return secrets.randbits(STAMP_BITS)
+
+
+def _note(crash: Crash, named: list[bytes], now: float) -> CrashNote:
+    age_s = now - crash.at
+    return CrashNote(
+        crash.start, age_s, crash.proven, crash.seen_by, tuple(named)
+    )
--- /dev/null
+++ b/packages/core/chervilwall/crash_news.py
@@ -0,0 +1,66 @@
+"""What routers tell each other of crashes."""
+
+from typing import NamedTuple
+
+from chervilwall.registry import TargetStart
+
+
+class CrashNote(NamedTuple):
+    """Tells that a target ended with requests in flight.
+
+    Args:
+        start (TargetStart): The start of the target that ended.
+        age_s (float): Seconds since it ended.
+        proven (bool): Whether a later start of the target was seen, so that no
+            answer can withdraw it.
+        seen_by (str): Router that saw it first.
+        fingerprints (tuple): Digests of requests that were in flight.
+    """
+
+    start: TargetStart
+    age_s: float
+    proven: bool
+    seen_by: str
+    fingerprints: tuple[bytes, ...]
+
+
+class AliveNote(NamedTuple):
+    """Tells that a target which was thought to have ended has answered.
+
+    Args:
+        start (TargetStart): The start of the target.
+        age_s (float): Seconds since it was asked.
+        stamp (int): Tells what is told again from what happened again.
+    """
+
+    start: TargetStart
+    age_s: float
+    stamp: int
+
+
+class AnsweredNote(NamedTuple):
+    """Tells that a request under suspicion was answered whole.
+
+    Args:
+        fingerprint (bytes): Digest of the request.
+        age_s (float): Seconds since then.
+        stamp (int): Tells what is told again from what happened again.
+    """
+
+    fingerprint: bytes
+    age_s: float
+    stamp: int
+
+
+class CrashNews(NamedTuple):
+    """What a router tells its peers of crashes.
+
+    Args:
+        crashes (tuple): Crashes.
+        alive (tuple): Targets that did not crash.
+        answered (tuple): Requests that are let go.
+    """
+
+    crashes: tuple[CrashNote, ...] = ()
+    alive: tuple[AliveNote, ...] = ()
+    answered: tuple[AnsweredNote, ...] = ()
--- a/packages/core/chervilwall/edge_message.py
+++ b/packages/core/chervilwall/edge_message.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from chervilwall.message import Message, Suspicion
-from chervilwall.registry import LeavingMark
+from chervilwall.registry import TargetStart
 
 
 class TargetLoadItem(NamedTuple):
@@ -84,7 +84,7 @@
     hub: bool = False
     cpu: float = 1.0
     follows: bool = False
-    leaving: tuple[LeavingMark, ...] = ()
+    leaving: tuple[TargetStart, ...] = ()
 
 
 class PresentPeer(NamedTuple):
--- a/packages/core/chervilwall/registry.py
+++ b/packages/core/chervilwall/registry.py
@@ -12,8 +12,8 @@
 TELL_LEAVING_S = 2.0
 
 
-class LeavingMark(NamedTuple):
-    """One start of a target that said in an answer that it leaves.
+class TargetStart(NamedTuple):
+    """One start of a target; what is known of it ends with it.
 
     Args:
         target_id (str): The target.
@@ -49,6 +49,11 @@
     warmup_s: float = 0.0
     born_ms: int = 0
 
+    @property
+    def start(self) -> TargetStart:
+        """What tells this start of the target from others."""
+        return TargetStart(self.id, self.born_ms, self.address)
+
 
 class TargetRegistry:
     """Hold the targets and keep those that vanish in an outage a while.
@@ -63,7 +68,7 @@
         self._targets: dict[str, RegisteredTarget] = {}
         self._by_service: dict[str, list[RegisteredTarget]] = {}
         self._lapsed: dict[str, float] = {}
-        self._marked_at: dict[LeavingMark, float] = {}
+        self._marked_at: dict[TargetStart, float] = {}
         self.revision = 0
 
     def __repr__(self) -> str:
@@ -87,7 +92,7 @@
     def put(self, target: RegisteredTarget) -> RegisteredTarget | None:
         """Takes in a registration; returns the one that it replaces."""
         old = self._targets.get(target.id)
-        if _mark_of(target) in self._marked_at:
+        if target.start in self._marked_at:
             target = target._replace(draining=True)
         self._targets[target.id] = target
         self._lapsed.pop(target.id, None)
@@ -122,11 +127,11 @@
         if target_id in self._targets:
             self._lapsed.setdefault(target_id, until)
 
-    def mark_leaving(self, mark: LeavingMark, now: float) -> bool:
+    def mark_leaving(self, mark: TargetStart, now: float) -> bool:
         """Takes in that a target leaves; returns whether that is news.
 
         Args:
-            mark (LeavingMark): The start of the target that leaves.
+            mark (TargetStart): The start of the target that leaves.
             now (float): Monotonic time.
         """
         if mark in self._marked_at:
@@ -135,12 +140,12 @@
         while len(self._marked_at) > MAX_LEAVING_MARKS:
             del self._marked_at[next(iter(self._marked_at))]
         target = self._targets.get(mark.target_id)
-        if target is not None and _mark_of(target) == mark:
+        if target is not None and target.start == mark:
             self._targets[target.id] = target._replace(draining=True)
             self._index()
         return True
 
-    def recent_marks(self, now: float) -> tuple[LeavingMark, ...]:
+    def recent_marks(self, now: float) -> tuple[TargetStart, ...]:
         """Returns the marks that peers may not have heard of."""
         found = []
         for mark, at in reversed(self._marked_at.items()):
@@ -155,7 +160,3 @@
             if not target.draining:
                 found = self._by_service.setdefault(target.service, [])
                 found.append(target)
-
-
-def _mark_of(target: RegisteredTarget) -> LeavingMark:
-    return LeavingMark(target.id, target.born_ms, target.address)
--- /dev/null
+++ b/packages/core/tests/test_crash_ledger.py
@@ -0,0 +1,239 @@
+"""Tests of what is held against requests that were there at crashes."""
+
+import random
+import unittest
+
+from chervilwall.crash_ledger import (
+    HELD_CRASHES,
+    NEWS_S,
+    TRIAL_PAUSES_S,
+    Crash,
+    CrashLedger,
+)
+from chervilwall.in_flight import UNANSWERED_KEPT_S, InFlight
+from chervilwall.registry import TargetStart
+
+NOW = 1000.0
+POISON = b"poison"
+LOOKUP = b"lookup"
+
+
+def start(number):
+    return TargetStart(f"t{number}", 1, f"10.0.0.{number}:1")
+
+
+def crash(number, at=NOW, *, proven=False, seen_by="r0"):
+    return Crash(start(number), at, proven, seen_by)
+
+
+class CrashLedgerTest(unittest.TestCase):
+    def setUp(self):
+        self.ledger = CrashLedger()
+        self.peer = CrashLedger()
+
+    def tell(self, source, target, now, *, held_only=False):
+        return target.merge(source.news(now, held_only=held_only), now)
+
+    def count(self, ledger, fingerprint, now=NOW):
+        return len(ledger.standing(fingerprint).crashes)
+
+    def test_crashes_that_two_routers_saw_are_added_up(self):
+        self.ledger.note_crash(crash(1), (POISON,), NOW)
+        self.peer.note_crash(crash(2), (POISON,), NOW)
+        self.assertFalse(self.ledger.standing(POISON).is_held)
+        self.tell(self.peer, self.ledger, NOW + 0.1)
+        self.assertTrue(self.ledger.standing(POISON).is_held)
+
+    def test_a_crash_that_two_routers_saw_counts_once(self):
+        self.ledger.note_crash(crash(1), (POISON,), NOW)
+        late = crash(1, NOW + 0.2, seen_by="r1")
+        self.peer.note_crash(late, (POISON,), NOW + 0.2)
+        self.tell(self.peer, self.ledger, NOW + 0.3)
+        self.assertEqual(self.count(self.ledger, POISON), 1)
+
+    def test_a_later_start_of_the_same_target_counts_again(self):
+        again = Crash(start(1)._replace(born_ms=2), NOW + 5, False, "r0")
+        self.ledger.note_crash(crash(1), (POISON,), NOW)
+        self.ledger.note_crash(again, (POISON,), NOW + 5)
+        self.assertEqual(self.count(self.ledger, POISON), 2)
+
+    def test_an_answered_request_is_let_go_everywhere(self):
+        for number in (1, 2):
+            self.ledger.note_crash(crash(number), (LOOKUP,), NOW)
+        late = self.ledger.news(NOW, held_only=False)
+        self.tell(self.ledger, self.peer, NOW)
+        self.assertTrue(self.ledger.note_answered(LOOKUP, NOW + 1, NOW + 1))
+        self.tell(self.ledger, self.peer, NOW + 1)
+        self.assertEqual(self.count(self.peer, LOOKUP), 0)
+        self.assertFalse(self.peer.held())
+        self.peer.merge(late, NOW)
+        self.assertEqual(self.count(self.peer, LOOKUP), 0)
+
+    def test_an_answer_without_suspicion_is_no_news(self):
+        self.assertFalse(self.ledger.note_answered(LOOKUP, NOW, NOW))
+        self.assertEqual(self.ledger.news(NOW, held_only=False).answered, ())
+
+    def test_a_target_that_answers_did_not_crash(self):
+        self.ledger.note_crash(crash(1), (LOOKUP,), NOW)
+        self.tell(self.ledger, self.peer, NOW)
+        self.assertTrue(self.ledger.note_alive(start(1), NOW + 1, NOW + 2))
+        self.assertEqual(self.count(self.ledger, LOOKUP), 0)
+        self.tell(self.ledger, self.peer, NOW + 2)
+        self.assertEqual(self.count(self.peer, LOOKUP), 0)
+
+    def test_what_was_asked_before_the_crash_proves_nothing(self):
+        self.ledger.note_crash(crash(1), (LOOKUP,), NOW)
+        self.assertFalse(self.ledger.note_alive(start(1), NOW - 1, NOW + 2))
+        self.assertEqual(self.count(self.ledger, LOOKUP), 1)
+
+    def test_no_answer_withdraws_a_crash_of_a_target_that_began_anew(self):
+        self.ledger.note_crash(crash(1), (POISON,), NOW)
+        self.ledger.note_alive(start(1), NOW + 1, NOW + 1)
+        proven = crash(1, proven=True)
+        self.ledger.note_crash(proven, (POISON,), NOW + 2)
+        self.assertEqual(self.count(self.ledger, POISON), 1)
+        self.assertFalse(self.ledger.note_alive(start(1), NOW + 3, NOW + 3))
+
+    def test_what_was_beside_a_named_request_is_let_go(self):
+        for number in (1, 2):
+            self.ledger.note_crash(crash(number), (POISON, LOOKUP), NOW)
+        self.assertTrue(self.ledger.standing(LOOKUP).is_held)
+        self.ledger.take_changes()
+        self.ledger.note_crash(crash(3), (POISON,), NOW)
+        self.assertEqual(self.count(self.ledger, POISON), 3)
+        self.assertFalse(self.ledger.standing(LOOKUP).is_suspect)
+        changed = {c.fingerprint: c for c in self.ledger.take_changes()}
+        self.assertFalse(changed[LOOKUP].standing.is_held)
+
+    def test_one_of_two_that_were_always_together_explains_nothing(self):
+        for number in (1, 2, 3):
+            self.ledger.note_crash(crash(number), (POISON, LOOKUP), NOW)
+        self.assertEqual(self.count(self.ledger, LOOKUP), 3)
+        self.ledger.note_answered(LOOKUP, NOW + 1, NOW + 1)
+        self.assertEqual(self.count(self.ledger, POISON), 3)
+
+    def test_a_refused_request_gets_a_trial_after_growing_pauses(self):
+        at = NOW
+        for number in range(1, HELD_CRASHES):
+            self.ledger.note_crash(crash(number, at), (POISON,), at)
+        self.assertFalse(self.ledger.standing(POISON).is_held)
+        for number, pause_s in enumerate(TRIAL_PAUSES_S, HELD_CRASHES):
+            self.ledger.note_crash(crash(number, at), (POISON,), at)
+            standing = self.ledger.standing(POISON)
+            self.assertTrue(standing.is_refused(at + pause_s - 0.1))
+            self.assertFalse(standing.is_refused(at + pause_s))
+            at += pause_s
+
+    def test_one_trial_at_a_time(self):
+        for number in (1, 2):
+            self.ledger.note_crash(crash(number), (POISON,), NOW)
+        at = NOW + TRIAL_PAUSES_S[0]
+        self.assertFalse(self.ledger.standing(POISON).is_refused(at))
+        self.ledger.note_trial(POISON, at)
+        self.assertTrue(self.ledger.standing(POISON).is_refused(at))
+
+    def test_a_crash_with_many_in_flight_is_told_whole(self):
+        named = [b"%d" % number for number in range(300)]
+        self.ledger.note_crash(crash(1), named, NOW)
+        for turn in range(8):
+            self.tell(self.ledger, self.peer, NOW + turn * 0.25)
+        self.assertTrue(all(self.count(self.peer, f) for f in named))
+
+    def test_a_router_that_starts_later_is_told_what_is_refused(self):
+        for number in (1, 2):
+            self.ledger.note_crash(crash(number), (POISON, LOOKUP), NOW)
+        self.ledger.note_answered(LOOKUP, NOW + 1, NOW + 1)
+        self.tell(self.ledger, self.peer, NOW + 600, held_only=True)
+        self.assertEqual(self.count(self.peer, POISON), 2)
+        self.assertEqual(self.count(self.peer, LOOKUP), 0)
+
+    def test_routers_that_do_not_schedule_hear_of_refused_requests_alone(self):
+        self.ledger.note_crash(crash(1), (POISON, LOOKUP), NOW)
+        self.ledger.note_crash(crash(2), (POISON,), NOW)
+        self.tell(self.ledger, self.peer, NOW, held_only=True)
+        self.assertEqual(self.count(self.peer, POISON), 2)
+        self.assertEqual(self.count(self.peer, LOOKUP), 0)
+
+    def test_routers_agree_in_whatever_order_they_are_told(self):
+        for seed in range(40):
+            with self.subTest(seed=seed):
+                self.agree(random.Random(seed))
+
+    def agree(self, rng):
+        ledgers = [CrashLedger() for _ in range(4)]
+        seen = set()
+        requests = [b"a", b"b", b"c", b"d"]
+        sent = []
+        now = NOW
+        for _ in range(60):
+            now += rng.uniform(0.01, 0.2)
+            at = rng.randrange(len(ledgers))
+            ledger = ledgers[at]
+            number = rng.randrange(8)
+            step = rng.random()
+            if step < 0.5 and (at, number) not in seen:
+                seen.add((at, number))
+                named = rng.sample(requests, rng.randint(1, 3))
+                proven = rng.random() < 0.3
+                ended = crash(number, now, proven=proven, seen_by=f"r{at}")
+                ledger.note_crash(ended, named, now)
+            elif step < 0.6:
+                ledger.note_answered(rng.choice(requests), now, now)
+            elif step < 0.7:
+                ledger.note_alive(start(number), now, now)
+            sent.append((now, ledger.news(now, held_only=False)))
+        # Each report arrives everywhere, late and in any order.
+        for ledger in ledgers:
+            rng.shuffle(sent)
+            for at, news in sent:
+                ledger.merge(news, at)
+        for _ in range(3):
+            now += NEWS_S / 3
+            for ledger in ledgers:
+                for other in ledgers:
+                    self.tell(other, ledger, now)
+        for fingerprint in requests:
+            found = {
+                frozenset(c.start for c in x.standing(fingerprint).crashes)
+                for x in ledgers
+            }
+            self.assertEqual(len(found), 1, fingerprint)
+
+
+class InFlightTest(unittest.TestCase):
+    def setUp(self):
+        self.flights = InFlight()
+        self.number = self.flights.begin(start(1), POISON, NOW)
+
+    def on(self):
+        return [f.fingerprint for f in self.flights.on(start(1))]
+
+    def test_what_runs_was_there(self):
+        self.assertEqual(self.on(), [POISON])
+        self.assertEqual(self.flights.on(start(2)), [])
+
+    def test_what_was_answered_was_not(self):
+        self.flights.end(start(1), self.number, NOW + 1, answered=True)
+        self.assertEqual(self.on(), [])
+
+    def test_what_ended_without_an_answer_was_there_for_a_while(self):
+        self.flights.end(start(1), self.number, NOW + 1, answered=False)
+        self.flights.sweep(NOW + 1 + UNANSWERED_KEPT_S)
+        self.assertEqual(self.on(), [POISON])
+        self.flights.sweep(NOW + 1.1 + UNANSWERED_KEPT_S)
+        self.assertEqual(self.on(), [])
+
+    def test_a_request_that_another_attempt_answered_was_not(self):
+        self.flights.end(start(1), self.number, NOW + 1, answered=False)
+        other = self.flights.begin(start(2), POISON, NOW + 1)
+        self.flights.end(start(2), other, NOW + 2, answered=True)
+        self.flights.forgive(POISON)
+        self.assertEqual(self.on(), [])
+
+    def test_what_runs_long_is_kept(self):
+        self.flights.sweep(NOW + 100 * UNANSWERED_KEPT_S)
+        self.assertEqual(self.on(), [POISON])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/core/tests/test_registry.py
+++ b/packages/core/tests/test_registry.py
@@ -3,9 +3,9 @@
 import unittest
 
 from chervilwall.registry import (
-    LeavingMark,
     RegisteredTarget,
     TargetRegistry,
+    TargetStart,
 )
 
 T1 = RegisteredTarget("t1", "s", "10.0.0.1:80", "z", 8)
@@ -49,7 +49,7 @@
         self.assertEqual(self.ids(), {"t1"})
 
     def test_a_target_that_says_it_leaves_takes_no_requests(self):
-        mark = LeavingMark("t1", T1.born_ms, T1.address)
+        mark = TargetStart("t1", T1.born_ms, T1.address)
         self.assertTrue(self.registry.mark_leaving(mark, 1.0))
         self.assertFalse(self.registry.mark_leaving(mark, 1.1))
         self.assertEqual(self.ids(), {"t2"})
@@ -57,20 +57,20 @@
         self.assertEqual(self.ids(), {"t2"})
 
     def test_the_mark_outlasts_its_registration(self):
-        mark = LeavingMark("t1", T1.born_ms, T1.address)
+        mark = TargetStart("t1", T1.born_ms, T1.address)
         self.registry.remove("t1")
         self.registry.mark_leaving(mark, 1.0)
         self.registry.put(T1)
         self.assertEqual(self.ids(), {"t2"})
 
     def test_the_next_start_is_not_marked(self):
-        mark = LeavingMark("t1", T1.born_ms, T1.address)
+        mark = TargetStart("t1", T1.born_ms, T1.address)
         self.registry.mark_leaving(mark, 1.0)
         self.registry.put(T1._replace(born_ms=7))
         self.assertEqual(self.ids(), {"t1", "t2"})
 
     def test_peers_are_told_for_a_while(self):
-        mark = LeavingMark("t1", 0, T1.address)
+        mark = TargetStart("t1", 0, T1.address)
         self.registry.mark_leaving(mark, 1.0)
         self.assertEqual(self.registry.recent_marks(1.5), (mark,))
         self.assertEqual(self.registry.recent_marks(9.0), ())
--- a/packages/router/chervilwall_router/edge/target_notices.py
+++ b/packages/router/chervilwall_router/edge/target_notices.py
@@ -7,7 +7,7 @@
 from chervilwall import events
 from chervilwall.inbound import AnswerHead
 from chervilwall.pauses import TargetPauses
-from chervilwall.registry import LeavingMark, RegisteredTarget, TargetRegistry
+from chervilwall.registry import RegisteredTarget, TargetRegistry
 
 LOG = logging.getLogger(__name__)
 
@@ -60,7 +60,7 @@
         )
 
     def _mark(self, target: RegisteredTarget) -> None:
-        mark = LeavingMark(target.id, target.born_ms, target.address)
-        if self._parts.registry.mark_leaving(mark, self._parts.clock()):
+        now = self._parts.clock()
+        if self._parts.registry.mark_leaving(target.start, now):
             events.log_event(LOG, events.TARGET_LEAVING, target=target.id)
             self._parts.tell_peers()
--- a/packages/standins/tests/test_edge_target_says.py
+++ b/packages/standins/tests/test_edge_target_says.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from chervilwall.registry import LeavingMark
+from chervilwall.registry import TargetStart
 from chervilwall_standins.users import target as t
 from chervilwall_standins.users.fleet import UsersFleet
 from chervilwall_standins.users.target import UsersTarget
@@ -59,7 +59,7 @@
 
     def mark(self, target):
         known = self.fleet.routers[0].registry.get(target.id)
-        return LeavingMark(known.id, known.born_ms, known.address)
+        return TargetStart(known.id, known.born_ms, known.address)
 
     async def test_a_new_start_of_it_takes_requests(self):
         first = self.plain[0]
