--- a/packages/core/chervilwall/crash_ledger.py
+++ b/packages/core/chervilwall/crash_ledger.py
@@ -21,6 +21,7 @@
     AnsweredNote,
     CrashNews,
     CrashNote,
+    LostNote,
 )
 from chervilwall.registry import TargetStart
 
@@ -30,6 +31,9 @@
 NAMED_CRASHES = 3
 # Pauses in seconds before a trial, from the second crash on.
 TRIAL_PAUSES_S = (2.0, 30.0, 300.0, 3600.0, 86_400.0)
+# Bounds in seconds of what callers of a refused request are told.
+LEAST_RETRY_S = 0.5
+MOST_RETRY_S = 30.0
 # Crashes beyond these are forgotten, the oldest first.
 MAX_CRASHES = 1000
 # Requests that one crash may name.
@@ -45,7 +49,10 @@
 ANSWER_KEPT_S = 600.0
 MAX_ANSWERS = 4096
 STAMP_BITS = 62
+# A target that still refuses connections is told of again after this time.
+LOST_AGAIN_S = 5.0
 REASON_CRASH = "another crash"
+REASON_EXPLAINED = "its crashes are laid to another request"
 REASON_ANSWERED = "answered"
 REASON_ALIVE = "the target did not crash"
 REASON_OLD = "forgotten"
@@ -93,6 +100,10 @@
         """Tells whether it may not run now."""
         return self.is_held and now < self.trial_at
 
+    def retry_after_s(self, now: float) -> float:
+        """Returns the seconds until a refused request may come again."""
+        return min(max(self.trial_at - now, LEAST_RETRY_S), MOST_RETRY_S)
+
 
 class Change(NamedTuple):
     """A request that is refused from now on, or let go.
@@ -146,6 +157,9 @@
         self._alive = LatestTimes[TargetStart](
             kept_s=ANSWER_KEPT_S, most=MAX_ANSWERS
         )
+        self._lost = LatestTimes[TargetStart](
+            kept_s=ANSWER_KEPT_S, most=MAX_ANSWERS
+        )
         self._answered = LatestTimes[bytes](
             kept_s=ANSWER_KEPT_S, most=MAX_ANSWERS
         )
@@ -177,6 +191,25 @@
         """Notes that a refused request runs once more."""
         self._trials[fingerprint] = now
 
+    def drop_trial(self, fingerprint: bytes) -> None:
+        """Notes that a trial was not run."""
+        self._trials.pop(fingerprint, None)
+
+    def note_lost(self, start: TargetStart, at: float, now: float) -> bool:
+        """Takes in that a target refuses connections, to be told to peers.
+
+        Args:
+            start (TargetStart): The start of the target.
+            at (float): Monotonic time at which it was seen.
+            now (float): Monotonic time.
+
+        Returns:
+            Whether that is news.
+        """
+        if at - self._lost.at(start) < LOST_AGAIN_S:
+            return False
+        return self._lost.put(Occurrence(start, at, _stamp()), now)
+
     def knows_crash(self, start: TargetStart, since: float) -> bool:
         """Tells whether a start of a target ended after a time."""
         entries = self._by_start.get(start, {}).values()
@@ -261,6 +294,10 @@
         """
         self._turn += 1
         crashes = [*self._recent(now, held_only), *self._held_in_turn(now)]
+        lost = [
+            LostNote(found.key, now - found.at, found.stamp)
+            for found in self._lost.newest(now - NEWS_S, MAX_TOLD)
+        ]
         alive = [
             AliveNote(found.key, now - found.at, found.stamp)
             for found in self._alive.newest(now - NEWS_S, MAX_TOLD)
@@ -269,26 +306,40 @@
             AnsweredNote(found.key, now - found.at, found.stamp)
             for found in self._answered.newest(now - NEWS_S, MAX_TOLD)
         ]
-        return CrashNews(tuple(crashes), tuple(alive), tuple(answered))
+        return CrashNews(
+            tuple(crashes), tuple(lost), tuple(alive), tuple(answered)
+        )
 
-    def merge(self, news: CrashNews, now: float) -> list[CrashNote]:
-        """Takes in what a peer told; returns the crashes that were news."""
+    def merge(self, news: CrashNews, now: float) -> CrashNews:
+        """Takes in what a peer told; returns what of it was new."""
+        alive_now, answered_now = [], []
         for alive in news.alive:
             at = now - alive.age_s
             if self._alive.put(Occurrence(alive.start, at, alive.stamp), now):
                 self._withdraw(alive.start, at)
+                alive_now.append(alive)
         for done in news.answered:
             at = now - done.age_s
             latest = Occurrence(done.fingerprint, at, done.stamp)
             if self._answered.put(latest, now):
                 self._let_go(done.fingerprint, at)
-        found = []
+                answered_now.append(done)
+        lost = tuple(
+            note
+            for note in news.lost
+            if self._lost.put(
+                Occurrence(note.start, now - note.age_s, note.stamp), now
+            )
+        )
+        crashes = []
         for note in news.crashes:
             at = now - note.age_s
             crash = Crash(note.start, at, note.proven, note.seen_by)
             if self.note_crash(crash, note.fingerprints, now):
-                found.append(note)
-        return found
+                crashes.append(note)
+        return CrashNews(
+            tuple(crashes), lost, tuple(alive_now), tuple(answered_now)
+        )
 
     def _doubtful(self, start: TargetStart, at: float) -> list[_Entry]:
         """Returns what an answer of a target after a time withdraws."""
@@ -366,6 +417,8 @@
                 self._changes.append(Change(fingerprint, standing, reason))
             elif not standing.is_held and fingerprint in self._held:
                 del self._held[fingerprint]
+                if reason == REASON_CRASH:
+                    reason = REASON_EXPLAINED
                 self._changes.append(Change(fingerprint, standing, reason))
 
     def _recent(self, now: float, held_only: bool) -> Iterator[CrashNote]:
--- a/packages/core/chervilwall/crash_news.py
+++ b/packages/core/chervilwall/crash_news.py
@@ -52,15 +52,31 @@
     stamp: int
 
 
+class LostNote(NamedTuple):
+    """Tells that a target which did not leave refuses connections.
+
+    Args:
+        start (TargetStart): The start of the target.
+        age_s (float): Seconds since it was seen.
+        stamp (int): Tells what is told again from what happened again.
+    """
+
+    start: TargetStart
+    age_s: float
+    stamp: int
+
+
 class CrashNews(NamedTuple):
     """What a router tells its peers of crashes.
 
     Args:
         crashes (tuple): Crashes.
+        lost (tuple): Targets that refuse connections, whatever ran there.
         alive (tuple): Targets that did not crash.
         answered (tuple): Requests that are let go.
     """
 
     crashes: tuple[CrashNote, ...] = ()
+    lost: tuple[LostNote, ...] = ()
     alive: tuple[AliveNote, ...] = ()
     answered: tuple[AnsweredNote, ...] = ()
--- a/packages/core/chervilwall/edge_message.py
+++ b/packages/core/chervilwall/edge_message.py
@@ -2,7 +2,8 @@
 
 from typing import NamedTuple
 
-from chervilwall.message import Message, Suspicion
+from chervilwall.crash_news import CrashNews
+from chervilwall.message import Message
 from chervilwall.registry import TargetStart
 
 
@@ -61,7 +62,7 @@
         prefixes (tuple): Prompts that it placed since its last report.
         asked (dict): Tokens that teams asked for in the last window.
         got (dict): Tokens that teams got in the last window.
-        suspicions (tuple): Requests that were in flight at crashes.
+        crashes (CrashNews): What is news of crashes.
         hub (bool): Whether it passes on what others tell.
         cpu (float): Processors of its host.
         follows (bool): Whether the store answers it.
@@ -80,7 +81,7 @@
     prefixes: tuple[RecentPrefix, ...] = ()
     asked: dict[str, float] = {}
     got: dict[str, float] = {}
-    suspicions: tuple[Suspicion, ...] = ()
+    crashes: CrashNews = CrashNews()
     hub: bool = False
     cpu: float = 1.0
     follows: bool = False
@@ -142,6 +143,7 @@
         first (bool): Whether the caller sends it for the first time.
         route (str): Its route.
         size_class (int): 0 for most requests, 2 for the largest of a route.
+        fingerprint (bytes): Digest by which it is known when it comes again.
     """
 
     number: int
@@ -158,6 +160,7 @@
     first: bool
     route: str
     size_class: int
+    fingerprint: bytes = b""
 
 
 class PlaceQueued(NamedTuple):
--- a/packages/core/chervilwall/errors.py
+++ b/packages/core/chervilwall/errors.py
@@ -98,7 +98,25 @@
 
 
 class DialError(ChervilwallError):
-    """A connection could not be opened; nothing was sent."""
+    """A connection could not be opened; nothing was sent.
+
+    Args:
+        reason (str): What went wrong, in one sentence.
+        step (str): The step of the work at which it arose. Defaults to "".
+        peer (str): The process on the other side. Defaults to "".
+        refused (bool): Whether nothing listens there. Defaults to False.
+    """
+
+    def __init__(
+        self,
+        reason: str,
+        *,
+        step: str = "",
+        peer: str = "",
+        refused: bool = False,
+    ) -> None:
+        super().__init__(reason, step=step, peer=peer)
+        self.refused = refused
 
 
 class FoldedError(PlatformError):
--- a/packages/core/chervilwall/in_flight.py
+++ b/packages/core/chervilwall/in_flight.py
@@ -31,6 +31,8 @@
         self._by_start: dict[TargetStart, dict[int, Flight]] = {}
         # Where requests ended without an answer, by request.
         self._unanswered: dict[bytes, dict[int, TargetStart]] = {}
+        # Numbers of those by target.
+        self._ended_on: dict[TargetStart, set[int]] = {}
         self._last = 0
 
     def __repr__(self) -> str:
@@ -60,31 +62,52 @@
             self._remove(start, number)
             return
         self._by_start[start][number] = flight._replace(ended_at=now)
-        ended = self._unanswered.setdefault(flight.fingerprint, {})
-        ended[number] = start
+        self._unanswered.setdefault(flight.fingerprint, {})[number] = start
+        self._ended_on.setdefault(start, set()).add(number)
 
     def forgive(self, fingerprint: bytes) -> None:
         """Forgets the attempts of a request that another one answered."""
-        for number, start in self._unanswered.pop(fingerprint, {}).items():
+        for number, start in list(
+            self._unanswered.get(fingerprint, {}).items()
+        ):
             self._remove(start, number)
 
+    def note_alive(self, start: TargetStart, at: float) -> None:
+        """Forgets attempts that ended before a target was asked and answered.
+
+        Args:
+            start (TargetStart): The target.
+            at (float): Monotonic time at which it was asked.
+        """
+        for number in list(self._ended_on.get(start, ())):
+            ended_at = self._by_start[start][number].ended_at
+            if ended_at is not None and ended_at < at:
+                self._remove(start, number)
+
     def on(self, start: TargetStart) -> list[Flight]:
         """Returns the attempts on a target that may have ended with it."""
         return list(self._by_start.get(start, {}).values())
 
     def sweep(self, now: float) -> None:
         """Forgets attempts that ended long ago."""
-        for fingerprint, ended in list(self._unanswered.items()):
-            for number, start in list(ended.items()):
+        for start, numbers in list(self._ended_on.items()):
+            for number in list(numbers):
                 ended_at = self._by_start[start][number].ended_at
                 if ended_at is not None and now - ended_at > UNANSWERED_KEPT_S:
                     self._remove(start, number)
-                    del ended[number]
-            if not ended:
-                del self._unanswered[fingerprint]
 
     def _remove(self, start: TargetStart, number: int) -> None:
         flights = self._by_start[start]
-        del flights[number]
+        flight = flights.pop(number)
         if not flights:
             del self._by_start[start]
+        if flight.ended_at is None:
+            return
+        ended = self._unanswered[flight.fingerprint]
+        del ended[number]
+        if not ended:
+            del self._unanswered[flight.fingerprint]
+        numbers = self._ended_on[start]
+        numbers.discard(number)
+        if not numbers:
+            del self._ended_on[start]
--- a/packages/core/chervilwall/message.py
+++ b/packages/core/chervilwall/message.py
@@ -10,6 +10,8 @@
 OUTCOME_ERROR = "error"
 OUTCOME_NOT_SENT = "not_sent"
 OUTCOME_TIMEOUT = "timeout"
+# Of a request that no target began to run.
+OUTCOMES_NOT_RUN = frozenset((OUTCOME_REFUSED, OUTCOME_NOT_SENT))
 # Cost of an attempt that did not end: its team keeps paying the estimate.
 KEEP_CHARGE = -1.0
 
--- a/packages/core/tests/test_crash_ledger.py
+++ b/packages/core/tests/test_crash_ledger.py
@@ -124,6 +124,21 @@
             self.assertFalse(standing.is_refused(at + pause_s))
             at += pause_s
 
+    def test_a_trial_that_did_not_run_may_be_made_again(self):
+        for number in (1, 2):
+            self.ledger.note_crash(crash(number), (POISON,), NOW)
+        at = NOW + TRIAL_PAUSES_S[0]
+        self.ledger.note_trial(POISON, at)
+        self.ledger.drop_trial(POISON)
+        self.assertFalse(self.ledger.standing(POISON).is_refused(at))
+
+    def test_peers_are_told_that_a_target_ended_under_nobody(self):
+        self.assertTrue(self.ledger.note_lost(start(1), NOW, NOW))
+        found = self.peer.merge(self.ledger.news(NOW, held_only=True), NOW)
+        self.assertEqual([x.start for x in found.lost], [start(1)])
+        again = self.peer.merge(self.ledger.news(NOW, held_only=True), NOW)
+        self.assertEqual(again.lost, ())
+
     def test_one_trial_at_a_time(self):
         for number in (1, 2):
             self.ledger.note_crash(crash(number), (POISON,), NOW)
@@ -230,6 +245,13 @@
         self.flights.forgive(POISON)
         self.assertEqual(self.on(), [])
 
+    def test_what_ended_before_the_target_answered_was_not(self):
+        self.flights.end(start(1), self.number, NOW + 1, answered=False)
+        self.flights.note_alive(start(1), NOW + 0.5)
+        self.assertEqual(self.on(), [POISON])
+        self.flights.note_alive(start(1), NOW + 1.5)
+        self.assertEqual(self.on(), [])
+
     def test_what_runs_long_is_kept(self):
         self.flights.sweep(NOW + 100 * UNANSWERED_KEPT_S)
         self.assertEqual(self.on(), [POISON])
--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -4,16 +4,24 @@
 import logging
 from collections.abc import Callable
 
-from chervilwall import events
+from chervilwall import events, message
 from chervilwall.errors import DialError
+from chervilwall.inbound import AnswerHead
 from chervilwall.registry import RegisteredTarget
 
 from chervilwall_router.edge.connections import most_kept
+from chervilwall_router.edge.crash_watch import WatchedAttempt
 from chervilwall_router.edge.exchange import Exchange
 from chervilwall_router.edge.relay import PlainRelay, StreamRelay, may_pass
 from chervilwall_router.edge.scheduling import Placed
 from chervilwall_router.edge.target_connection import TargetConnection
-from chervilwall_router.edge.work import Admitted, Attempt, Fate, FlowParts
+from chervilwall_router.edge.work import (
+    Admitted,
+    Attempt,
+    Fate,
+    FlowParts,
+    outcome_of,
+)
 
 LOG = logging.getLogger(__name__)
 # Time taken off what a target is told, for the way back.
@@ -24,6 +32,8 @@
 SILENCE_GAPS = 5.0
 # A long prompt is read for longer than this silence would allow otherwise.
 SILENCE_PREDICTIONS = 4.0
+# The target lived on after attempts that ended so, or never had them.
+_NOT_ENDED_BY = frozenset((Fate.ANSWERED, Fate.NOT_EXECUTED, Fate.NOT_SENT))
 
 
 class AttemptRunner:
@@ -63,64 +73,47 @@
         try:
             conn = await self._parts.connections.acquire(target)
         except DialError as exc:
+            if exc.refused:
+                self._parts.crashes.note_refused(target)
             return Attempt(Fate.NOT_SENT, target, reason=exc.reason)
-        exchange = Exchange(
-            conn,
-            self._parts.wire,
-            relay,
-            lambda head: self._parts.heard(target, head),
+        crashes, fingerprint = self._parts.crashes, self._admitted.fingerprint
+        with crashes.attempt(target, fingerprint) as watched:
+
+            def hear(head: AnswerHead) -> None:
+                self._parts.heard(target, head)
+                crashes.hear(target, head, watched.begun_at)
+
+            exchange = Exchange(conn, self._parts.wire, relay, hear)
+            fate = Fate.BROKEN
+            try:
+                fate = await self._exchange(exchange, target, relay)
+            finally:
+                self._put_back(exchange, target, conn)
+            watched.answered = fate in _NOT_ENDED_BY
+        if fate is Fate.BROKEN:
+            await self._examine(target, watched, exchange)
+        attempt = Attempt(fate, target, exchange.head, exchange.reason)
+        if outcome_of(attempt) == message.OUTCOME_COMPLETED:
+            crashes.note_success(fingerprint)
+        return attempt
+
+    async def _examine(
+        self,
+        target: RegisteredTarget,
+        watched: WatchedAttempt,
+        exchange: Exchange,
+    ) -> None:
+        """Finds out whether the target ended under this attempt."""
+        verdict = await self._parts.crashes.examine(target, watched)
+        events.log_event(
+            LOG,
+            events.ATTEMPT_EXAMINED,
+            request=self._admitted.req.id,
+            digest=self._admitted.fingerprint.hex(),
+            target=target.id,
+            begun=exchange.head is not None,
+            verdict=verdict,
         )
-        fate = Fate.BROKEN
-        try:
-            fate = await self._exchange(exchange, target, relay)
-        finally:
-            self._put_back(exchange, target, conn)
-        verdict = "not examined"
-        if fate is Fate.BROKEN and exchange.head is None:
-            verdict = await self._suspect(target)
-        if fate is not Fate.ANSWERED:
-            events.log_event(
-                LOG,
-                events.ATTEMPT_EXAMINED,
-                request=self._admitted.req.id,
-                digest=self._admitted.fingerprint.hex(),
-                target=target.id,
-                fate=fate.value,
-                begun=exchange.head is not None,
-                verdict=verdict,
-            )
-        return Attempt(fate, target, exchange.head, exchange.reason)
-
-    async def _suspect(self, target: RegisteredTarget) -> str:
-        """Records a crash if the target no longer takes connections.
-
-        Returns:
-            What was found, for the log.
-        """
-        parts = self._parts
-        try:
-            conn = await parts.connections.acquire(target, fresh=True)
-        except DialError as exc:
-            fingerprint, now = self._admitted.fingerprint, parts.clock()
-            crashes = parts.quarantine.record_crash(
-                fingerprint,
-                zone=target.zone,
-                suspect=parts.quarantine.is_suspect(fingerprint, now),
-                now=now,
-            )
-            events.log_event(
-                LOG,
-                events.REQUEST_QUARANTINED,
-                request=self._admitted.req.id,
-                digest=fingerprint.hex(),
-                target=target.id,
-                crashes=crashes,
-                reason=exc.reason,
-            )
-            parts.suspected()
-            return exc.reason
-        conn.close()
-        return "takes connections"
 
     async def _exchange(
         self,
--- a/packages/router/chervilwall_router/edge/connections.py
+++ b/packages/router/chervilwall_router/edge/connections.py
@@ -55,21 +55,15 @@
         for target_id in list(self._idle):
             self.close_all(target_id)
 
-    async def acquire(
-        self, target: RegisteredTarget, *, fresh: bool = False
-    ) -> TargetConnection:
+    async def acquire(self, target: RegisteredTarget) -> TargetConnection:
         """Returns a kept connection, or opens one.
 
-        Args:
-            target (RegisteredTarget): Where to.
-            fresh (bool): Whether only a new connection will do.
-
         Raises:
             DialError: None could be opened.
         """
         kept = self._idle.get(target.id, [])
         now = self._clock()
-        while kept and not fresh:
+        while kept:
             item = kept.pop()
             if item.conn.closed():
                 continue
@@ -80,6 +74,16 @@
         self.opened += 1
         return await dial_target(target.address, DIAL_TIMEOUT_S)
 
+    async def probe(self, target: RegisteredTarget) -> None:
+        """Opens a connection and closes it.
+
+        Raises:
+            DialError: None could be opened.
+        """
+        self.opened += 1
+        conn = await dial_target(target.address, DIAL_TIMEOUT_S)
+        conn.close()
+
     def release(
         self,
         target: RegisteredTarget,
--- /dev/null
+++ b/packages/router/chervilwall_router/edge/crash_watch.py
@@ -0,0 +1,325 @@
+"""Evidence that a target has crashed, and what was in flight on it."""
+
+import contextlib
+import http
+import logging
+from collections.abc import Callable, Iterator, Sequence
+from typing import NamedTuple, Protocol
+
+from chervilwall import events
+from chervilwall.crash_ledger import (
+    Change,
+    Crash,
+    CrashLedger,
+    Standing,
+)
+from chervilwall.crash_news import CrashNews
+from chervilwall.errors import DialError
+from chervilwall.in_flight import UNANSWERED_KEPT_S, Flight, InFlight
+from chervilwall.inbound import AnswerHead
+from chervilwall.protocol import Metrics
+from chervilwall.registry import (
+    RegisteredTarget,
+    TargetRegistry,
+    TargetStart,
+)
+
+LOG = logging.getLogger(__name__)
+# Digests named in one log line.
+MAX_LOGGED = 8
+# Verdicts on a broken attempt, and evidence of a crash.
+LEAVING = "the target was leaving"
+KNOWN = "a crash that is known"
+TAKES_CONNECTIONS = "takes connections"
+REFUSES = "refuses connections"
+MISDIRECTED = "another target answers at its address"
+ADDRESS_TAKEN = "another target is registered at its address"
+
+
+class Prober(Protocol):
+    """Opens a connection to a target and closes it."""
+
+    async def __call__(self, target: RegisteredTarget) -> None:
+        """Raises DialError where none can be opened."""
+        ...
+
+
+class CrashWatchParts(NamedTuple):
+    """What the watch is made of.
+
+    Args:
+        name (str): This router's name.
+        ledger (CrashLedger): Judges requests.
+        registry (TargetRegistry): The targets.
+        probe (Prober): Tells whether a target takes connections.
+        tell_peers (Callable): Called when peers must hear of a crash.
+        judged (Callable): Called with each request that is refused from now
+            on, or let go.
+        metrics (Metrics): Counts crashes.
+        clock (Callable): Returns the monotonic time.
+    """
+
+    name: str
+    ledger: CrashLedger
+    registry: TargetRegistry
+    probe: Prober
+    tell_peers: Callable[[], None]
+    judged: Callable[[Change], None]
+    metrics: Metrics
+    clock: Callable[[], float]
+
+
+class WatchedAttempt:
+    """An attempt that is under way.
+
+    Args:
+        begun_at (float): Monotonic time at which it was sent.
+    """
+
+    def __init__(self, begun_at: float) -> None:
+        self.begun_at = begun_at
+        # Whether the target answered it whole or did not run it.
+        self.answered = False
+
+    def __repr__(self) -> str:
+        return f"WatchedAttempt(answered={self.answered})"
+
+
+class _Seen(NamedTuple):
+    """The target that was registered last at an address."""
+
+    target: RegisteredTarget
+    gone_at: float | None = None
+
+
+class CrashWatch:
+    """Tell crashes of targets from cuts and planned stops.
+
+    A target has crashed if it refuses connections right after an answer broke
+    off, or if a later start of it, or another target at its address, shows. A
+    target that was leaving, or takes connections and goes on, has not.
+
+    Args:
+        parts (CrashWatchParts): What it is made of.
+    """
+
+    def __init__(self, parts: CrashWatchParts) -> None:
+        self._parts = parts
+        self._ledger = parts.ledger
+        self._flights = InFlight()
+        self._at_address: dict[str, _Seen] = {}
+
+    def __repr__(self) -> str:
+        return f"CrashWatch(flights={self._flights!r})"
+
+    def standing(self, fingerprint: bytes) -> Standing:
+        """Returns what is held against a request."""
+        return self._ledger.standing(fingerprint)
+
+    @contextlib.contextmanager
+    def attempt(
+        self, target: RegisteredTarget, fingerprint: bytes
+    ) -> Iterator[WatchedAttempt]:
+        """Watches over an attempt of a request on a target."""
+        begun_at = self._parts.clock()
+        watched = WatchedAttempt(begun_at)
+        number = self._flights.begin(target.start, fingerprint, begun_at)
+        try:
+            yield watched
+        finally:
+            self._flights.end(
+                target.start,
+                number,
+                self._parts.clock(),
+                answered=watched.answered,
+            )
+
+    def note_success(self, fingerprint: bytes) -> None:
+        """Lets go a request that was answered whole."""
+        self._flights.forgive(fingerprint)
+        now = self._parts.clock()
+        if self._ledger.note_answered(fingerprint, now, now):
+            self._publish()
+
+    def hear(
+        self, target: RegisteredTarget, head: AnswerHead, begun_at: float
+    ) -> None:
+        """Takes in the head of an answer.
+
+        Args:
+            target (RegisteredTarget): Where the request was sent.
+            head (AnswerHead): The head.
+            begun_at (float): Monotonic time at which it was sent.
+        """
+        if head.status == http.HTTPStatus.MISDIRECTED_REQUEST:
+            found = self._ended_on(target.start)
+            self._record(target.start, found, MISDIRECTED, proven=True)
+            return
+        self._flights.note_alive(target.start, begun_at)
+        if self._ledger.note_alive(target.start, begun_at, self._parts.clock()):
+            events.log_event(LOG, events.CRASH_WITHDRAWN, target=target.id)
+            self._publish()
+
+    async def examine(
+        self, target: RegisteredTarget, attempt: WatchedAttempt
+    ) -> str:
+        """Finds out whether a target ended under an attempt that broke off.
+
+        Returns:
+            What was found, for the log.
+        """
+        if not self._is_serving(target):
+            return LEAVING
+        if self._ledger.knows_crash(target.start, attempt.begun_at):
+            found = self._flights.on(target.start)
+            self._record(target.start, found, KNOWN, proven=False)
+            return KNOWN
+        try:
+            await self._parts.probe(target)
+        except DialError as exc:
+            if exc.refused:
+                self.note_refused(target)
+            return exc.reason
+        return TAKES_CONNECTIONS
+
+    def note_refused(self, target: RegisteredTarget) -> None:
+        """Takes in that nothing listens at a target's address."""
+        if not self._is_serving(target):
+            return
+        now = self._parts.clock()
+        found = self._flights.on(target.start)
+        self._record(target.start, found, REFUSES, proven=False)
+        if self._ledger.note_lost(target.start, now, now):
+            # Others may have had requests there that ended in silence.
+            self._parts.tell_peers()
+
+    def target_added(self, target: RegisteredTarget) -> None:
+        """Takes in a registration, of a new start or a changed one."""
+        seen = self._at_address.get(target.address)
+        self._at_address[target.address] = _Seen(target)
+        if seen is None or seen.target.id == target.id:
+            return
+        now = self._parts.clock()
+        if seen.gone_at is None or now - seen.gone_at <= UNANSWERED_KEPT_S:
+            self.target_lost(seen.target, ADDRESS_TAKEN, proven=True)
+
+    def target_lost(
+        self, target: RegisteredTarget, reason: str, *, proven: bool
+    ) -> None:
+        """Takes in that a start of a target is over.
+
+        Args:
+            target (RegisteredTarget): The target as it was registered.
+            reason (str): Why, for the log.
+            proven (bool): Whether a later start shows that it has ended. A
+                target whose registration alone is gone may serve on.
+        """
+        seen = self._at_address.get(target.address)
+        if seen is not None and seen.target.start == target.start:
+            gone = _Seen(target, self._parts.clock())
+            self._at_address[target.address] = gone
+        if target.draining:
+            return
+        found = self._ended_on(target.start)
+        if proven:
+            found = self._flights.on(target.start)
+        self._record(target.start, found, reason, proven=proven)
+
+    def take_news(self, peer: str, news: CrashNews) -> None:
+        """Takes in what a peer tells of crashes."""
+        found = self._ledger.merge(news, self._parts.clock())
+        for note in found.crashes:
+            events.log_event(
+                LOG,
+                events.CRASH_HEARD,
+                peer=peer,
+                target=note.start.target_id,
+                seen_by=note.seen_by,
+                proven=note.proven,
+                age_s=round(note.age_s, 2),
+                requests=len(note.fingerprints),
+                digests=_digests(note.fingerprints),
+            )
+        self._log_changes()
+        for lost in found.lost:
+            ended = self._ended_on(lost.start)
+            self._record(lost.start, ended, REFUSES, proven=False)
+
+    def sweep(self) -> None:
+        """Forgets what is too old to be evidence."""
+        now = self._parts.clock()
+        self._flights.sweep(now)
+        for address, seen in list(self._at_address.items()):
+            gone_at = seen.gone_at
+            if gone_at is not None and now - gone_at > UNANSWERED_KEPT_S:
+                del self._at_address[address]
+
+    def _is_serving(self, target: RegisteredTarget) -> bool:
+        known = self._parts.registry.get(target.id)
+        same = known is not None and known.start == target.start
+        return known is not None and same and not known.draining
+
+    def _ended_on(self, start: TargetStart) -> list[Flight]:
+        """Returns what ended unanswered on a target, which is silent since."""
+        return [f for f in self._flights.on(start) if f.ended_at is not None]
+
+    def _record(
+        self,
+        start: TargetStart,
+        flights: Sequence[Flight],
+        evidence: str,
+        *,
+        proven: bool,
+    ) -> None:
+        if not flights:
+            return
+        parts, now = self._parts, self._parts.clock()
+        at = max(now if f.ended_at is None else f.ended_at for f in flights)
+        crash = Crash(start, at, proven, parts.name)
+        named = {flight.fingerprint for flight in flights}
+        if not self._ledger.note_crash(crash, named, now):
+            return
+        parts.metrics.count("target_crashed")
+        events.log_event(
+            LOG,
+            events.TARGET_CRASHED,
+            target=start.target_id,
+            evidence=evidence,
+            proven=proven,
+            age_s=round(now - at, 2),
+            requests=len(named),
+            digests=_digests(named),
+        )
+        self._publish()
+
+    def _publish(self) -> None:
+        self._log_changes()
+        self._parts.tell_peers()
+
+    def _log_changes(self) -> None:
+        for change in self._ledger.take_changes():
+            crashes = change.standing.crashes
+            is_held = change.standing.is_held
+            event = (
+                events.REQUEST_QUARANTINED
+                if is_held
+                else events.REQUEST_RELEASED
+            )
+            self._parts.metrics.count(
+                "request_quarantined" if is_held else "request_released"
+            )
+            events.log_event(
+                LOG,
+                event,
+                digest=change.fingerprint.hex(),
+                reason=change.reason,
+                crashes=len(crashes),
+                targets=",".join(c.start.target_id for c in crashes),
+                seen_by=",".join(c.seen_by for c in crashes),
+            )
+            self._parts.judged(change)
+
+
+def _digests(fingerprints: "Sequence[bytes] | set[bytes]") -> str:
+    """Returns some digests, for the log."""
+    return ",".join(f.hex() for f in sorted(fingerprints)[:MAX_LOGGED])
--- a/packages/router/chervilwall_router/edge/dispatcher.py
+++ b/packages/router/chervilwall_router/edge/dispatcher.py
@@ -1,12 +1,16 @@
 """Grants of targets to waiting requests."""
 
 import asyncio
+import functools
 import itertools
 from collections.abc import Callable
 from typing import NamedTuple
 
+from chervilwall import message
+from chervilwall.crash_ledger import CrashLedger, Standing
 from chervilwall.errors import RequestRefusedError
 from chervilwall.fair_share import FairShare
+from chervilwall.isolation import Isolation
 from chervilwall.load_view import LoadView
 from chervilwall.placement import Choice, Demand, Placement
 from chervilwall.prefill import PrefillModel
@@ -28,6 +32,7 @@
 PUMP_PAUSE_S = 0.003
 # Pause between two looks at all that waits, in times that the last one took.
 PUMP_REST = 2.0
+REASON_CRASHES = "targets ended under it"
 # Waiting requests that are tried when the first ones find no room.
 LOOK_AHEAD = 8
 
@@ -46,6 +51,7 @@
         first (bool): Whether no target was tried for it before.
         route (str): Its route.
         size_class (int): 0 for most requests, 2 for the largest of a route.
+        fingerprint (bytes): Digest by which it is known when it comes again.
     """
 
     demand: Demand
@@ -58,6 +64,7 @@
     first: bool = True
     route: str = ""
     size_class: int = 0
+    fingerprint: bytes = b""
 
     @property
     def tokens(self) -> float:
@@ -75,6 +82,7 @@
         model (PrefillModel): Learns from its first token.
         released (Callable): Called when room becomes free.
         started_at (float): Monotonic time of the grant.
+        ended (Callable | None): Called at its end. Defaults to None.
     """
 
     def __init__(
@@ -85,8 +93,12 @@
         model: PrefillModel,
         released: Callable[[], None],
         started_at: float,
+        ended: Callable[[], None] | None = None,
     ) -> None:
         self.first_token_s = 0.0
+        self._ended = ended
+        # The request, if this is a trial of one that crashed targets.
+        self.trial_of = b""
         self._model = model
         self.choice = choice
         self.started_at = started_at
@@ -112,6 +124,8 @@
             return
         self._open = False
         self._load.end(self.choice.target.id, self._number, self._kv_tokens)
+        if self._ended is not None:
+            self._ended()
         self._released()
 
     def note_first_token(self, first_token_s: float) -> None:
@@ -144,6 +158,7 @@
         prefixes (PrefixMap): Their caches.
         model (PrefillModel): Their speed.
         shares (FairShare): What teams had of late.
+        crashes (CrashLedger): Requests that crash targets.
         capacity (Callable): Returns the tokens a second of all engines.
         routers (Callable): Returns how many routers there are.
         granted (Callable): Called with the target and the prompt of a grant.
@@ -157,6 +172,7 @@
     prefixes: PrefixMap
     model: PrefillModel
     shares: FairShare
+    crashes: CrashLedger
     capacity: Callable[[], float]
     routers: Callable[[], int]
     granted: Callable[[str, tuple[PromptPart, ...]], None]
@@ -177,6 +193,7 @@
         self._queues: dict[str, WaitQueue] = {}
         self._waiters: dict[int, _Waiter] = {}
         self._unserved = UnservedRequests()
+        self._isolation = Isolation()
         self._timer: asyncio.TimerHandle | None = None
         self._pending: asyncio.Handle | None = None
         self._pumped_at = 0.0
@@ -196,6 +213,8 @@
             RequestRefusedError: The request would wait too long.
         """
         now = self._clock()
+        if self._parts.crashes.standing(wish.fingerprint).is_refused(now):
+            raise self._crash_refusal(wish, now)
         if wish.first:
             self._parts.shares.ask(wish.team, wish.tokens, now)
             wish = self._with_first_due(wish, now)
@@ -327,26 +346,95 @@
         self, wish: Wish, queue: WaitQueue, ticket: Ticket, now: float
     ) -> Grant | None:
         parts, demand = self._parts, wish.demand
-        choice = parts.placement.choose(
-            demand,
-            parts.registry.of_service(demand.service),
-            now,
-            slack_s=ticket.due_at - now,
-            urgency=ticket.urgency(now, self._had(now).over),
-            excluded=wish.excluded,
-        )
+        standing = parts.crashes.standing(wish.fingerprint)
+        if standing.is_refused(now):
+            return None
+        choice = self._choose(wish, ticket, standing, now)
         if choice is None:
             return None
         target_id = choice.target.id
+        if standing.is_held:
+            parts.crashes.note_trial(wish.fingerprint, now)
+            # Others of the kind wait no longer.
+            asyncio.get_running_loop().call_soon(self.refuse_crashing)
         if demand.is_generation:
             parts.prefixes.record(target_id, demand.parts, now)
             parts.shares.give(wish.team, wish.tokens, now)
         queue.note_start(ticket.work_s, now)
         queue.note_end(ticket, now, True)
-        grant = Grant(choice, demand, parts.load, parts.model, self.pump, now)
+        ended = None
+        if standing.is_suspect:
+            self._isolation.begin(target_id)
+            ended = functools.partial(self._isolation.end, target_id)
+        grant = Grant(
+            choice, demand, parts.load, parts.model, self.pump, now, ended
+        )
+        if standing.is_held:
+            grant.trial_of = wish.fingerprint
         parts.granted(target_id, demand.parts)
         return grant
 
+    def _choose(
+        self, wish: Wish, ticket: Ticket, standing: Standing, now: float
+    ) -> Choice | None:
+        """Returns a target; a suspect goes where no other one is.
+
+        A trial waits for such a target, other suspects do not.
+        """
+        parts, demand = self._parts, wish.demand
+        choose = functools.partial(
+            parts.placement.choose,
+            demand,
+            parts.registry.of_service(demand.service),
+            now,
+            slack_s=ticket.due_at - now,
+            urgency=ticket.urgency(now, self._had(now).over),
+        )
+        if standing.is_suspect:
+            ended = {c.start.target_id for c in standing.crashes}
+            apart = wish.excluded | self._isolation.targets() | ended
+            choice = choose(excluded=apart)
+            if choice is not None or standing.is_held:
+                return choice
+        return choose(excluded=wish.excluded)
+
+    def refuse_trial(self, wish: Wish) -> None:
+        """Refuses a request that runs as a trial only, which one router grants.
+
+        Raises:
+            RequestRefusedError: It is such a request.
+        """
+        if self._parts.crashes.standing(wish.fingerprint).is_held:
+            raise self._crash_refusal(wish, self._clock())
+
+    def note_outcome(self, grant: Grant, outcome: str) -> None:
+        """Takes back a trial that was not run.
+
+        Args:
+            grant (Grant): The grant.
+            outcome (str): How it ended.
+        """
+        if grant.trial_of and outcome in message.OUTCOMES_NOT_RUN:
+            self._parts.crashes.drop_trial(grant.trial_of)
+
+    def refuse_crashing(self) -> None:
+        """Refuses what waits and has become known to crash targets."""
+        now = self._clock()
+        for waiter in list(self._waiters.values()):
+            standing = self._parts.crashes.standing(waiter.wish.fingerprint)
+            if standing.is_refused(now) and not waiter.future.done():
+                refusal = self._crash_refusal(waiter.wish, now)
+                waiter.future.set_exception(refusal)
+
+    def _crash_refusal(self, wish: Wish, now: float) -> RequestRefusedError:
+        standing = self._parts.crashes.standing(wish.fingerprint)
+        return RequestRefusedError(
+            REASON_CRASHES,
+            standing.retry_after_s(now),
+            step="schedule",
+            peer=wish.demand.service,
+        )
+
     def _arm(self) -> None:
         if self._timer is None and self._waiters:
             loop = asyncio.get_running_loop()
--- a/packages/router/chervilwall_router/edge/edge.py
+++ b/packages/router/chervilwall_router/edge/edge.py
@@ -8,6 +8,7 @@
 import msgspec
 from chervilwall import events
 from chervilwall.address_list import CallerAddress
+from chervilwall.crash_ledger import Change
 from chervilwall.edge_message import EdgeMessage, RecentPrefix
 from chervilwall.held import Granter
 from chervilwall.hubs import Candidate
@@ -22,6 +23,7 @@
 from chervilwall_router.edge import catch_up
 from chervilwall_router.edge.clock import elapsed_s
 from chervilwall_router.edge.connections import TargetConnections
+from chervilwall_router.edge.crash_watch import CrashWatch, CrashWatchParts
 from chervilwall_router.edge.directory import Directory, DirectoryParts
 from chervilwall_router.edge.dispatcher import Dispatcher, DispatcherParts
 from chervilwall_router.edge.fleet_view import FleetParts, FleetView
@@ -46,7 +48,7 @@
 from chervilwall_router.edge.side_server import Reply, SideServer
 from chervilwall_router.edge.state import ConfigState, RegistryState
 from chervilwall_router.edge.store_member import StoreMember
-from chervilwall_router.edge.store_watch import StoreWatch
+from chervilwall_router.edge.store_watch import KindReader, StoreWatch
 from chervilwall_router.edge.target_notices import NoticeParts, TargetNotices
 from chervilwall_router.edge.work import FlowParts
 from chervilwall_router.metrics import RouterMetrics, render_text
@@ -107,6 +109,19 @@
             self.totals,
             self._rng,
         )
+        self.connections = TargetConnections(self._clock)
+        self.crashes = CrashWatch(
+            CrashWatchParts(
+                name=self._cfg.name,
+                ledger=memory.crashes,
+                registry=self.registry,
+                probe=self.connections.probe,
+                tell_peers=lambda: self.link.send_now(),
+                judged=self._judged,
+                metrics=self.metrics,
+                clock=self._clock,
+            )
+        )
         self.config = ConfigState(decoder, self._config_changed)
         self.targets = RegistryState(
             decoder,
@@ -114,6 +129,7 @@
             self._target_ended,
             self._targets_changed,
             self._clock,
+            self.crashes,
         )
         self.fleet = FleetView(
             FleetParts(
@@ -132,9 +148,7 @@
             self._watch(decoder.target_kind, self.targets),
         ]
 
-    def _watch(
-        self, kind: str, reader: ConfigState | RegistryState
-    ) -> StoreWatch:
+    def _watch(self, kind: str, reader: KindReader) -> StoreWatch:
         return StoreWatch(
             self._store,
             kind,
@@ -166,6 +180,7 @@
                 prefixes=self._memory.prefixes,
                 model=self._memory.model,
                 shares=self._memory.shares,
+                crashes=self._memory.crashes,
                 capacity=self._capacity,
                 routers=self.fleet.count,
                 granted=self._note_grant,
@@ -187,7 +202,6 @@
         )
 
     def _build_flow(self, wire: WireFormat) -> None:
-        self.connections = TargetConnections(self._clock)
         self._notices = TargetNotices(
             NoticeParts(
                 registry=self.registry,
@@ -209,8 +223,7 @@
                 totals=self.totals,
                 clock=self._clock,
                 rng=self._rng,
-                quarantine=self._memory.quarantine,
-                suspected=lambda: self.link.send_now(),
+                crashes=self.crashes,
                 heard=self._notices.hear,
                 host_load=self.host_load,
             )
@@ -236,6 +249,7 @@
                 memory=self._memory,
                 scheduling=self.scheduling,
                 dispatcher=self.dispatcher,
+                crashes=self.crashes,
                 is_ready=self._is_ready,
                 recipients=self.fleet.recipients,
                 follows=self._has_store,
@@ -262,6 +276,7 @@
             HousekeepingParts(
                 targets=self.targets,
                 connections=self.connections,
+                crashes=self.crashes,
                 dispatcher=self.dispatcher,
                 memory=self._memory,
                 scheduling=self.scheduling,
@@ -372,6 +387,10 @@
         self._health.set_targets(self.registry.all().values())
         self.dispatcher.pump()
 
+    def _judged(self, change: Change) -> None:
+        del change
+        self.dispatcher.refuse_crashing()
+
     def _target_ended(self, target_id: str) -> None:
         self._memory.prefixes.forget(target_id)
         self._memory.model.forget(target_id)
--- a/packages/router/chervilwall_router/edge/flow.py
+++ b/packages/router/chervilwall_router/edge/flow.py
@@ -18,8 +18,6 @@
 # Streams last up to this many times their route's mean.
 STREAM_RESERVE = 2.5
 FINGERPRINT_BYTES = 16
-# A request that crashes targets is not served for as long as callers retry.
-QUARANTINE_RETRY_S = 30.0
 NO_CONFIG_RETRY_S = 0.5
 LEAVING_RETRY_S = 0.1
 
@@ -84,12 +82,14 @@
     async def _serve(
         self, req: InboundRequest, admitted: Admitted, answer: CallerAnswer
     ) -> None:
-        if self._parts.quarantine.is_refused(
-            admitted.fingerprint, self._parts.clock()
-        ):
-            detail = "This request has crashed targets."
+        standing = self._parts.crashes.standing(admitted.fingerprint)
+        now = self._parts.clock()
+        if standing.is_refused(now):
             problem = Problem(
-                503, "quarantined", detail, retry_after_s=QUARANTINE_RETRY_S
+                503,
+                "quarantined",
+                "Targets ended under this request.",
+                retry_after_s=standing.retry_after_s(now),
             )
             digest = admitted.fingerprint.hex()
             self._refuse(req, answer, problem, "quarantine", digest=digest)
--- a/packages/router/chervilwall_router/edge/granting.py
+++ b/packages/router/chervilwall_router/edge/granting.py
@@ -175,6 +175,7 @@
             first=item.first,
             route=item.route,
             size_class=item.size_class,
+            fingerprint=item.fingerprint,
         )
 
     def _end(self, key: tuple[str, int], outcome: str) -> None:
@@ -192,6 +193,7 @@
     parts: SchedulingParts, service: str, grant: Grant, outcome: str
 ) -> None:
     """Tells the health of a service how a request ended on its target."""
+    parts.dispatcher.note_outcome(grant, outcome)
     health = parts.health(service)
     now = parts.clock()
     target_id = grant.choice.target.id
--- a/packages/router/chervilwall_router/edge/housekeeping.py
+++ b/packages/router/chervilwall_router/edge/housekeeping.py
@@ -10,6 +10,7 @@
 
 from chervilwall_router.edge.catch_up import CatchUp
 from chervilwall_router.edge.connections import TargetConnections
+from chervilwall_router.edge.crash_watch import CrashWatch
 from chervilwall_router.edge.dispatcher import Dispatcher
 from chervilwall_router.edge.memory import RouterMemory
 from chervilwall_router.edge.scheduling import Scheduling
@@ -25,6 +26,7 @@
     Args:
         targets (RegistryState): Registrations that may have lapsed.
         connections (TargetConnections): Connections that rest.
+        crashes (CrashWatch): Evidence of crashes.
         dispatcher (Dispatcher): Requests that wait.
         memory (RouterMemory): What silent routers are taken out of, and the
             lateness of the event loop goes into.
@@ -36,6 +38,7 @@
 
     targets: RegistryState
     connections: TargetConnections
+    crashes: CrashWatch
     dispatcher: Dispatcher
     memory: RouterMemory
     scheduling: Scheduling
@@ -74,6 +77,7 @@
         parts = self._parts
         parts.targets.expire()
         parts.connections.sweep()
+        parts.crashes.sweep()
         parts.dispatcher.pump()
         for name in parts.memory.peers.expire(parts.clock()):
             parts.memory.load.drop_peer(name)
--- a/packages/router/chervilwall_router/edge/memory.py
+++ b/packages/router/chervilwall_router/edge/memory.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from chervilwall.crash_ledger import CrashLedger
 from chervilwall.fair_share import FairShare
 from chervilwall.held import HeldRequests
 from chervilwall.host_load import HostLoad
@@ -10,7 +11,6 @@
 from chervilwall.peers import PeerTable
 from chervilwall.prefill import PrefillModel
 from chervilwall.prefix import PrefixMap
-from chervilwall.quarantine import Quarantine
 from chervilwall.registry import TargetRegistry
 
 from chervilwall_router.edge.settings import EdgeSettings
@@ -27,7 +27,7 @@
         model (PrefillModel): How fast they read prompts.
         shares (FairShare): What teams asked for and got.
         held (HeldRequests): Requests in flight here.
-        quarantine (Quarantine): Requests that crash targets.
+        crashes (CrashLedger): Requests that crash targets.
         peers (PeerTable): The other routers.
         host_load (HostLoad): Whether this host falls behind.
     """
@@ -39,7 +39,7 @@
     model: PrefillModel
     shares: FairShare
     held: HeldRequests
-    quarantine: Quarantine
+    crashes: CrashLedger
     peers: PeerTable
     host_load: HostLoad
 
@@ -54,7 +54,7 @@
         model=PrefillModel(),
         shares=FairShare(),
         held=HeldRequests(),
-        quarantine=Quarantine(),
+        crashes=CrashLedger(),
         peers=PeerTable(settings.name),
         host_load=HostLoad(settings.event_delay_ms / 1000),
     )
--- a/packages/router/chervilwall_router/edge/reports.py
+++ b/packages/router/chervilwall_router/edge/reports.py
@@ -18,6 +18,7 @@
 from chervilwall.load_view import TargetLoad
 from chervilwall.prefix import PromptPart
 
+from chervilwall_router.edge.crash_watch import CrashWatch
 from chervilwall_router.edge.dispatcher import Dispatcher
 from chervilwall_router.edge.granting import Scheduler
 from chervilwall_router.edge.memory import RouterMemory
@@ -42,6 +43,7 @@
         memory (RouterMemory): What it remembers.
         scheduling (Scheduling): Grants to and from peers.
         dispatcher (Dispatcher): Requests that wait.
+        crashes (CrashWatch): Takes what peers tell of crashes.
         is_ready (Callable): Tells whether callers may come.
         recipients (Callable): Returns where reports go.
         follows (Callable): Tells whether the store answers.
@@ -55,6 +57,7 @@
     memory: RouterMemory
     scheduling: Scheduling
     dispatcher: Dispatcher
+    crashes: CrashWatch
     is_ready: Callable[[], bool]
     recipients: Callable[[], Recipients]
     follows: Callable[[], bool]
@@ -97,9 +100,12 @@
         if not to.brief or not in_turn:
             return
         # What only schedulers need would cost more than the work itself.
-        brief = report._replace(loads=(), prefixes=(), asked={}, got={})
-        yield Post(to.brief, (brief,))
         now = self._parts.clock()
+        held = self._memory.crashes.news(now, held_only=True)
+        brief = report._replace(
+            loads=(), prefixes=(), asked={}, got={}, crashes=held
+        )
+        yield Post(to.brief, (brief,))
         digests = self._digests.make(self._memory.peers.heard(now), now)
         for digest in digests.whole:
             yield Post(to.near, (digest,))
@@ -125,7 +131,9 @@
             prefixes=prefixes,
             asked={team: round(n) for team, n in asked.items()},
             got={team: round(n) for team, n in got.items()},
-            suspicions=self._memory.quarantine.recent(self._parts.clock()),
+            crashes=self._memory.crashes.news(
+                self._parts.clock(), held_only=False
+            ),
             hub=is_hub,
             cpu=self._parts.settings.cpu,
             follows=self._parts.follows(),
@@ -155,7 +163,7 @@
         elif old != incarnation:
             self._parts.scheduling.drop_peer(name)
         self._parts.scheduling.hear_held(name, report.loads)
-        self._take_suspicions(name, report, now)
+        self._parts.crashes.take_news(name, report.crashes)
         self._take_marks(name, report, now)
         self._memory.load.set_peer(name, self._loads_of(report), now)
         self._memory.shares.set_peer(name, report.asked, report.got, now)
@@ -164,21 +172,6 @@
             self._memory.prefixes.record(prefix.target_id, parts, now)
         self._parts.dispatcher.pump()
 
-    def _take_suspicions(
-        self, name: str, report: EdgeReport, now: float
-    ) -> None:
-        quarantine = self._memory.quarantine
-        for entry in report.suspicions:
-            if quarantine.merge((entry,), now):
-                events.log_event(
-                    LOG,
-                    events.SUSPICION_HEARD,
-                    peer=name,
-                    digest=entry.fingerprint.hex(),
-                    crashes=entry.crashes,
-                    age_s=round(entry.age_s, 2),
-                )
-
     def _take_marks(self, name: str, report: EdgeReport, now: float) -> None:
         for mark in report.leaving:
             if self._memory.registry.mark_leaving(mark, now):
--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -5,6 +5,7 @@
 
 from chervilwall import events, message
 from chervilwall.budget import RetryWindow
+from chervilwall.crash_ledger import Standing
 from chervilwall.errors import RequestRefusedError
 from chervilwall.placement import Demand
 from chervilwall.route_memory import RouteMemory
@@ -16,7 +17,7 @@
     AttemptRunner,
 )
 from chervilwall_router.edge.caller_answer import CallerAnswer
-from chervilwall_router.edge.dispatcher import Wish
+from chervilwall_router.edge.dispatcher import REASON_CRASHES, Wish
 from chervilwall_router.edge.relay import PlainRelay, StreamRelay
 from chervilwall_router.edge.scheduling import Placed
 from chervilwall_router.edge.work import (
@@ -77,11 +78,18 @@
         relay = self._make_relay(answer)
         last: Attempt | None = None
         while True:
+            crashes = len(self._standing().crashes)
             try:
                 grant = await self._acquire()
             except RequestRefusedError as exc:
                 self._give_up(answer, last, exc)
                 return
+            standing = self._standing()
+            if standing.is_held and len(standing.crashes) > crashes:
+                # The scheduler did not know yet when it granted the target.
+                with grant:
+                    self._give_up(answer, last, self._crash_refusal())
+                return
             with grant:
                 self._grant = grant
                 try:
@@ -148,6 +156,7 @@
             first=not self._tried,
             route=route.name,
             size_class=self._memory.size_class(req, route),
+            fingerprint=self._admitted.fingerprint,
         )
         return await self._parts.scheduling.acquire(wish)
 
@@ -223,11 +232,16 @@
         self._log_end(attempt, ANSWERED, head.status)
         return True
 
+    def _standing(self) -> Standing:
+        return self._parts.crashes.standing(self._admitted.fingerprint)
+
+    def _crash_refusal(self) -> RequestRefusedError:
+        retry_s = self._standing().retry_after_s(self._parts.clock())
+        return RequestRefusedError(REASON_CRASHES, retry_s, step="send")
+
     def _may_retry(self) -> bool:
         route = self._admitted.route
-        if self._parts.quarantine.is_refused(
-            self._admitted.fingerprint, self._parts.clock()
-        ):
+        if self._standing().is_held:
             return False
         return route.repeatable and self._runs < route.max_attempts
 
--- a/packages/router/chervilwall_router/edge/scheduling.py
+++ b/packages/router/chervilwall_router/edge/scheduling.py
@@ -114,6 +114,8 @@
             number = next(self._numbers)
             scheduler = self._scheduler(wish.demand.service)
             wish = self._without_paused(wish)
+            if scheduler is None and self._avoided:
+                self._parts.dispatcher.refuse_trial(wish)
             try:
                 if scheduler is None:
                     return await self._place_here(number, wish)
@@ -302,6 +304,7 @@
             first=wish.first,
             route=wish.route,
             size_class=wish.size_class,
+            fingerprint=wish.fingerprint,
         )
 
     def _take(
--- a/packages/router/chervilwall_router/edge/state.py
+++ b/packages/router/chervilwall_router/edge/state.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable, Collection
+from typing import Protocol
 
 from chervilwall import events
 from chervilwall.edge_message import SnapshotPull, StoreSnapshot
@@ -78,6 +79,26 @@
         self._changed(table)
 
 
+class StartWatcher(Protocol):
+    """Takes in the starts of targets that begin and end."""
+
+    def target_added(self, target: RegisteredTarget) -> None:
+        """Takes in a registration, of a new start or a changed one."""
+        ...
+
+    def target_lost(
+        self, target: RegisteredTarget, reason: str, *, proven: bool
+    ) -> None:
+        """Takes in that a start of a target is over.
+
+        Args:
+            target (RegisteredTarget): The target as it was registered.
+            reason (str): Why.
+            proven (bool): Whether a later start shows that it has ended.
+        """
+        ...
+
+
 class RegistryState:
     """Keep the list of targets as the store shows it.
 
@@ -87,6 +108,8 @@
         ended (Callable): Called with the id of each target that ended.
         changed (Callable): Called after each change.
         clock (Callable): Returns the monotonic time.
+        watcher (StartWatcher | None): Told of starts that begin and end.
+            Defaults to None.
     """
 
     def __init__(
@@ -96,7 +119,9 @@
         ended: Callable[[str], None],
         changed: Callable[[], None],
         clock: Callable[[], float],
+        watcher: StartWatcher | None = None,
     ) -> None:
+        self._watcher = watcher
         self._decoder = decoder
         self._registry = registry
         self._ended = ended
@@ -145,8 +170,11 @@
 
     def expire(self) -> None:
         """Forgets targets whose registration lapsed and did not come back."""
-        for target_id in self._registry.expire(self._clock()):
-            self._forget(target_id, "lapsed")
+        lapsed = [self._registry.get(name) for name in self._registry.lapsed()]
+        gone = set(self._registry.expire(self._clock()))
+        for target in lapsed:
+            if target is not None and target.id in gone:
+                self._forget(target, "lapsed")
 
     def _replace(
         self,
@@ -193,8 +221,11 @@
         self._values[name] = value
         self._registry.put(target)
         self._log_put(old, self._registry.all()[name])
-        if old is not None and _is_new_start(old, target):
+        if old is not None and old.start != target.start:
             self._ended(name)
+            self._note_lost(old, "started anew", proven=True)
+        if self._watcher is not None:
+            self._watcher.target_added(target)
 
     def _log_put(
         self, old: RegisteredTarget | None, target: RegisteredTarget
@@ -217,19 +248,26 @@
         if known is not None and doubt_until and not known.draining:
             self._registry.lapse(name, doubt_until)
             return
-        if self._registry.remove(name):
-            self._forget(name, "removed")
+        if known is not None and self._registry.remove(name):
+            self._forget(known, "removed")
 
-    def _forget(self, name: str, reason: str) -> None:
-        self._values.pop(name, None)
+    def _forget(self, target: RegisteredTarget, reason: str) -> None:
+        self._values.pop(target.id, None)
         events.log_event(
             LOG,
             events.TARGET_REMOVED,
-            target=name,
+            target=target.id,
             reason=reason,
             revision=self.revision,
         )
-        self._ended(name)
+        self._ended(target.id)
+        self._note_lost(target, reason, proven=False)
+
+    def _note_lost(
+        self, target: RegisteredTarget, reason: str, *, proven: bool
+    ) -> None:
+        if self._watcher is not None:
+            self._watcher.target_lost(target, reason, proven=proven)
 
 
 def make_snapshot(
@@ -247,7 +285,3 @@
         registry.entries(),
         registry.lapsed(),
     )
-
-
-def _is_new_start(old: RegisteredTarget, new: RegisteredTarget) -> bool:
-    return old.born_ms != new.born_ms or old.address != new.address
--- a/packages/router/chervilwall_router/edge/target_connection.py
+++ b/packages/router/chervilwall_router/edge/target_connection.py
@@ -117,5 +117,10 @@
             _, conn = await loop.create_connection(TargetConnection, host, port)
     except (OSError, TimeoutError) as exc:
         reason = str(exc) or type(exc).__name__
-        raise DialError(reason, step="dial target", peer=address) from exc
+        raise DialError(
+            reason,
+            step="dial target",
+            peer=address,
+            refused=isinstance(exc, ConnectionRefusedError),
+        ) from exc
     return conn
--- a/packages/router/chervilwall_router/edge/work.py
+++ b/packages/router/chervilwall_router/edge/work.py
@@ -9,12 +9,12 @@
 from chervilwall.host_load import HostLoad
 from chervilwall.inbound import AnswerHead, InboundRequest
 from chervilwall.protocol import Metrics, WireFormat
-from chervilwall.quarantine import Quarantine
 from chervilwall.registry import RegisteredTarget
 from chervilwall.routing import Route, RoutingTable
 from chervilwall.service_totals import ServiceTotals
 
 from chervilwall_router.edge.connections import TargetConnections
+from chervilwall_router.edge.crash_watch import CrashWatch
 from chervilwall_router.edge.scheduling import Scheduling
 from chervilwall_router.edge.settings import RetrySettings
 
@@ -92,8 +92,7 @@
         totals (ServiceTotals): Service for the reports.
         clock (Callable): Returns the monotonic time.
         rng (random.Random): Source of chance.
-        quarantine (Quarantine): Requests that crash targets.
-        suspected (Callable): Called when a crash was recorded.
+        crashes (CrashWatch): Requests that crash targets.
         heard (Callable): Takes each head that a target sends.
         host_load (HostLoad): Whether this host falls behind.
     """
@@ -109,8 +108,7 @@
     totals: ServiceTotals
     clock: Callable[[], float]
     rng: random.Random
-    quarantine: Quarantine
-    suspected: Callable[[], None]
+    crashes: CrashWatch
     heard: Callable[[RegisteredTarget, AnswerHead], None]
     host_load: HostLoad
 
--- /dev/null
+++ b/packages/router/tests/test_edge_crash_watch.py
@@ -0,0 +1,185 @@
+"""Tests of what tells a crash of a target from a cut and a planned stop."""
+
+import unittest
+from unittest import mock
+
+from chervilwall.crash_ledger import CrashLedger
+from chervilwall.crash_news import CrashNews
+from chervilwall.errors import DialError
+from chervilwall.in_flight import UNANSWERED_KEPT_S
+from chervilwall.inbound import AnswerHead
+from chervilwall.registry import RegisteredTarget, TargetRegistry
+from chervilwall_router.edge import crash_watch as cw
+
+T1 = RegisteredTarget("t1", "svc", "10.0.0.1:1", "z", 8, born_ms=1)
+T2 = RegisteredTarget("t2", "svc", "10.0.0.2:1", "z", 8, born_ms=1)
+REQUEST = b"request"
+OTHER = b"other"
+
+
+class CrashWatchTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.now = 1000.0
+        self.registry = TargetRegistry()
+        self.probe = mock.AsyncMock()
+        self.tell_peers = mock.Mock()
+        self.ledger = CrashLedger()
+        self.watch = self.make(self.ledger)
+        for target in (T1, T2):
+            self.registry.put(target)
+            self.watch.target_added(target)
+
+    def make(self, ledger, name="r0"):
+        return cw.CrashWatch(
+            cw.CrashWatchParts(
+                name=name,
+                ledger=ledger,
+                registry=self.registry,
+                probe=self.probe,
+                tell_peers=self.tell_peers,
+                judged=lambda change: None,
+                metrics=mock.MagicMock(),
+                clock=lambda: self.now,
+            )
+        )
+
+    def refuse(self, *, refused=True):
+        self.probe.side_effect = DialError("no", refused=refused)
+
+    def end(self, request=REQUEST, target=T1, *, answered=False):
+        """Runs an attempt that ends a second later."""
+        with self.watch.attempt(target, request) as attempt:
+            self.now += 1.0
+            attempt.answered = answered
+        return attempt
+
+    def crashes(self, request=REQUEST):
+        return len(self.watch.standing(request).crashes)
+
+    async def test_a_target_that_refuses_connections_has_crashed(self):
+        self.refuse()
+        await self.watch.examine(T1, self.end())
+        self.assertEqual(self.crashes(), 1)
+        self.tell_peers.assert_called()
+
+    async def test_a_target_that_takes_connections_has_not(self):
+        verdict = await self.watch.examine(T1, self.end())
+        self.assertEqual(verdict, cw.TAKES_CONNECTIONS)
+        self.assertEqual(self.crashes(), 0)
+
+    async def test_a_target_that_cannot_be_reached_may_be_cut_off(self):
+        self.refuse(refused=False)
+        await self.watch.examine(T1, self.end())
+        self.assertEqual(self.crashes(), 0)
+
+    async def test_a_target_that_was_leaving_has_ended_as_planned(self):
+        self.refuse()
+        attempt = self.end()
+        self.registry.put(T1._replace(draining=True))
+        verdict = await self.watch.examine(T1, attempt)
+        self.assertEqual(verdict, cw.LEAVING)
+        self.registry.remove("t1")
+        await self.watch.examine(T1, attempt)
+        draining = T1._replace(draining=True)
+        self.watch.target_lost(draining, "removed", proven=False)
+        self.assertEqual(self.crashes(), 0)
+
+    async def test_all_that_was_in_flight_is_named_by_one_probe(self):
+        self.refuse()
+        with self.watch.attempt(T1, OTHER) as other:
+            await self.watch.examine(T1, self.end())
+        await self.watch.examine(T1, other)
+        self.assertEqual(self.crashes(OTHER), 1)
+        self.probe.assert_awaited_once()
+
+    async def test_what_was_answered_there_before_is_not_named(self):
+        self.refuse()
+        self.end(OTHER, answered=True)
+        await self.watch.examine(T1, self.end())
+        self.assertEqual(self.crashes(OTHER), 0)
+
+    async def test_a_target_that_answers_again_was_cut_off(self):
+        self.refuse()
+        await self.watch.examine(T1, self.end())
+        self.watch.hear(T1, AnswerHead(200), self.now + 0.1)
+        self.assertEqual(self.crashes(), 0)
+
+    def test_a_new_start_at_the_address_shows_a_crash(self):
+        self.end()
+        self.now += 3.0
+        self.watch.target_added(T2._replace(id="t3", address=T1.address))
+        self.assertEqual(self.crashes(), 1)
+        # The start before has ended for sure, so nothing withdraws it.
+        self.watch.hear(T1, AnswerHead(200), self.now + 1)
+        self.assertEqual(self.crashes(), 1)
+
+    def test_an_address_that_was_given_up_long_ago_shows_nothing(self):
+        self.registry.remove("t1")
+        self.watch.target_lost(T1, "removed", proven=False)
+        self.end()
+        self.now += UNANSWERED_KEPT_S + 1
+        self.watch.sweep()
+        self.watch.target_added(T2._replace(id="t3", address=T1.address))
+        self.assertEqual(self.crashes(), 0)
+
+    def test_a_start_with_the_same_id_shows_a_crash(self):
+        self.end()
+        self.watch.target_lost(T1, "started anew", proven=True)
+        self.assertEqual(self.crashes(), 1)
+
+    def test_a_registration_that_vanishes_names_what_fell_silent(self):
+        self.end()
+        with self.watch.attempt(T1, OTHER):
+            self.now += 3.0
+            self.watch.target_lost(T1, "removed", proven=False)
+            # The target may serve on, as some do that leave.
+            self.assertEqual(self.crashes(OTHER), 0)
+        self.assertEqual(self.crashes(), 1)
+
+    def test_another_target_at_the_address_shows_a_crash(self):
+        self.end()
+        with self.watch.attempt(T1, OTHER) as attempt:
+            self.watch.hear(T1, AnswerHead(421), attempt.begun_at)
+            attempt.answered = True
+        self.assertEqual(self.crashes(), 1)
+        self.assertEqual(self.crashes(OTHER), 0)
+
+    def test_a_target_that_answered_since_did_not_crash_under_it(self):
+        self.end()
+        self.watch.hear(T1, AnswerHead(200), self.now + 0.1)
+        self.now += 1.0
+        self.watch.target_lost(T1, "started anew", proven=True)
+        self.assertEqual(self.crashes(), 0)
+
+    def test_a_refusal_that_a_peer_met_names_what_was_silent_here(self):
+        peer_ledger = CrashLedger()
+        peer = self.make(peer_ledger, "r1")
+        self.end()
+        self.now += 0.3
+        peer.note_refused(T1)
+        news = peer_ledger.news(self.now, held_only=True)
+        self.watch.take_news("r1", news)
+        self.assertEqual(self.crashes(), 1)
+
+    def test_a_request_that_is_answered_is_let_go(self):
+        for target in (T1, T2):
+            self.end(target=target)
+            self.watch.target_lost(target, "started anew", proven=True)
+        self.assertTrue(self.watch.standing(REQUEST).is_held)
+        self.watch.note_success(REQUEST)
+        self.assertEqual(self.crashes(), 0)
+
+    def test_what_another_attempt_answered_is_not_named_later(self):
+        self.end()
+        self.end(target=T2, answered=True)
+        self.watch.note_success(REQUEST)
+        self.watch.target_lost(T1, "started anew", proven=True)
+        self.assertEqual(self.crashes(), 0)
+
+    def test_no_news_is_no_trouble(self):
+        self.watch.take_news("r1", CrashNews())
+        self.assertEqual(self.crashes(), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/router/tests/test_edge_dispatcher.py
+++ b/packages/router/tests/test_edge_dispatcher.py
@@ -1,14 +1,21 @@
 """Tests of how the router that schedules shares out targets."""
 
+import asyncio
 import unittest
 
+from chervilwall import message
+from chervilwall.crash_ledger import TRIAL_PAUSES_S, Crash, CrashLedger
 from chervilwall.errors import RequestRefusedError
 from chervilwall.fair_share import FairShare
 from chervilwall.load_view import LoadView
 from chervilwall.placement import Demand, Placement, PlacementSettings
 from chervilwall.prefill import PrefillModel
 from chervilwall.prefix import PrefixMap, PromptPart
-from chervilwall.registry import RegisteredTarget, TargetRegistry
+from chervilwall.registry import (
+    RegisteredTarget,
+    TargetRegistry,
+    TargetStart,
+)
 from chervilwall.wait_queue import WaitSettings
 from chervilwall_router.edge.dispatcher import Dispatcher, DispatcherParts, Wish
 
@@ -37,8 +44,9 @@
 
 def make_dispatcher(clock, *, capacity, targets=1):
     registry = TargetRegistry()
-    target = RegisteredTarget("i-1", "svc", "127.0.0.1:1", "zone", 8)
-    if targets:
+    for number in range(1, targets + 1):
+        address = f"127.0.0.1:{number}"
+        target = RegisteredTarget(f"i-{number}", "svc", address, "zone", 8)
         registry.put(target)
     load, prefixes, model = LoadView(), PrefixMap(1_000_000), PrefillModel()
     placement = _NotingPlacement(
@@ -53,6 +61,7 @@
         prefixes=prefixes,
         model=model,
         shares=shares,
+        crashes=CrashLedger(),
         capacity=lambda: capacity,
         routers=lambda: 1,
         granted=lambda target_id, parts: None,
@@ -61,7 +70,7 @@
     return Dispatcher(parts), parts
 
 
-def make_wish(clock, team, number, tokens=1000):
+def make_wish(clock, team, number, tokens=1000, fingerprint=b""):
     parts = (PromptPart("top", 100), PromptPart(f"own{number}", tokens - 100))
     return Wish(
         demand=Demand("svc", tokens, 10, parts, "top"),
@@ -70,9 +79,16 @@
         due_at=clock.now + OBJECTIVE_S,
         deadline_at=clock.now + 15.0,
         arrived_at=clock.now,
+        fingerprint=fingerprint,
     )
 
 
+def note_crash(parts, target_id, fingerprint, at):
+    start = TargetStart(target_id, 1, "127.0.0.1:9")
+    crash = Crash(start, at, True, "r0")
+    parts.crashes.note_crash(crash, (fingerprint,), at)
+
+
 class DispatcherTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.clock = _Clock()
@@ -97,3 +113,63 @@
                 await dispatcher.acquire(make_wish(self.clock, "team", number))
         slacks = [round(slack, 3) for slack in parts.placement.slacks]
         self.assertEqual(slacks, [OBJECTIVE_S, OBJECTIVE_S - 2.0, OBJECTIVE_S])
+
+    async def test_suspects_go_to_different_targets(self):
+        dispatcher, parts = make_dispatcher(self.clock, capacity=1e6, targets=3)
+        found = []
+        for number, fingerprint in enumerate((b"a", b"b", b"c")):
+            note_crash(parts, "i-0", fingerprint, self.clock.now)
+            wish = make_wish(
+                self.clock, "team", 1, tokens=101 + number,
+                fingerprint=fingerprint,
+            )  # fmt: skip
+            found.append(await dispatcher.acquire(wish))
+        self.assertEqual(len({g.choice.target.id for g in found}), 3)
+
+    async def test_a_suspect_runs_beside_another_rather_than_wait(self):
+        dispatcher, parts = make_dispatcher(self.clock, capacity=1e6)
+        for number, fingerprint in enumerate((b"a", b"b")):
+            note_crash(parts, "i-0", fingerprint, self.clock.now)
+            wish = make_wish(
+                self.clock, "team", number, tokens=101, fingerprint=fingerprint
+            )
+            await dispatcher.acquire(wish)
+
+    async def test_what_waits_is_refused_when_its_crashes_become_known(self):
+        dispatcher, parts = make_dispatcher(self.clock, capacity=1e6)
+        for number in range(6):
+            await dispatcher.acquire(
+                make_wish(self.clock, "team", number, tokens=101)
+            )
+        wish = make_wish(self.clock, "team", 9, tokens=101, fingerprint=b"a")
+        waits = asyncio.create_task(dispatcher.acquire(wish))
+        await asyncio.sleep(0)
+        self.assertEqual(dispatcher.waiting(), 1)
+        for target_id in ("i-7", "i-8"):
+            note_crash(parts, target_id, b"a", self.clock.now)
+        dispatcher.refuse_crashing()
+        with self.assertRaises(RequestRefusedError):
+            await waits
+        self.assertEqual(dispatcher.waiting(), 0)
+
+    async def test_a_refused_request_gets_one_trial_apart_from_suspects(self):
+        dispatcher, parts = make_dispatcher(self.clock, capacity=1e6, targets=3)
+        for target_id in ("i-1", "i-9"):
+            note_crash(parts, target_id, b"a", self.clock.now)
+        wish = make_wish(self.clock, "team", 1, fingerprint=b"a")
+        with self.assertRaises(RequestRefusedError) as caught:
+            await dispatcher.acquire(wish)
+        self.assertEqual(caught.exception.retry_after_s, TRIAL_PAUSES_S[0])
+        note_crash(parts, "i-0", b"b", self.clock.now)
+        other = make_wish(self.clock, "team", 2, fingerprint=b"b")
+        suspect = await dispatcher.acquire(other)
+        self.clock.now += TRIAL_PAUSES_S[0]
+        trial = await dispatcher.acquire(wish)
+        taken = {"i-1", suspect.choice.target.id}
+        self.assertNotIn(trial.choice.target.id, taken)
+        with self.assertRaises(RequestRefusedError):
+            await dispatcher.acquire(wish)
+        # A trial that no target ran is made again.
+        with trial:
+            dispatcher.note_outcome(trial, message.OUTCOME_NOT_SENT)
+        await dispatcher.acquire(wish)
--- a/packages/router/tests/test_edge_flow.py
+++ b/packages/router/tests/test_edge_flow.py
@@ -6,11 +6,11 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from chervilwall.crash_ledger import CrashLedger
 from chervilwall.errors import RequestRefusedError
 from chervilwall.host_load import HostLoad
 from chervilwall.inbound import InboundRequest
 from chervilwall.prefix import PromptPart
-from chervilwall.quarantine import Quarantine
 from chervilwall.routing import Route, RouteKind, RoutingTable, WeightedService
 from chervilwall_router.edge.flow import RequestFlow
 from chervilwall_router.edge.settings import RetrySettings
@@ -44,7 +44,7 @@
             metrics=mock.MagicMock(),
             clock=time.monotonic,
             rng=random.Random(1),
-            quarantine=Quarantine(),
+            crashes=CrashLedger(),
             waiting=lambda: 0,
             host_load=HostLoad(0.2),
             routers=lambda: 1,
--- a/packages/router/tests/test_edge_scheduling.py
+++ b/packages/router/tests/test_edge_scheduling.py
@@ -22,6 +22,12 @@
 class _PlacesHere:
     """Stands in for the dispatcher of this router."""
 
+    def refuse_trial(self, wish):
+        pass
+
+    def note_outcome(self, grant, outcome):
+        pass
+
     async def acquire(self, wish):
         raise RequestRefusedError("placed here", 1.0)
 
--- a/packages/standins/chervilwall_standins/lab/fleet.py
+++ b/packages/standins/chervilwall_standins/lab/fleet.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from typing import NamedTuple
 
+from chervilwall.crash_ledger import CrashLedger
 from chervilwall.errors import RequestRefusedError
 from chervilwall.fair_share import WINDOW_S, FairShare, max_min_level
 from chervilwall.load_view import LoadView
@@ -89,6 +90,7 @@
                 load=load,
                 prefixes=prefixes,
                 model=model,
+                crashes=CrashLedger(),
                 shares=FairShare(),
                 capacity=lambda: lab.cfg.capacity,
                 routers=lambda: 1,
