Keep in the store what refused requests are refused for

Cause: what was known of crashes lived in routers and reports alone. Its class: what must outlast the processes kept in processes.

Change: a request that is refused has a record (kind crash-records) with its crashes, written by who saw one, removed when it is let go; routers read all at their start and hubs watch them, so a router that hears no peer knows too. A write that fails is repeated; records are joined, so an older one undoes nothing.

--- a/packages/router/chervilwall_router/edge/edge.py
+++ b/packages/router/chervilwall_router/edge/edge.py
@@ -4,6 +4,7 @@
 import logging
 import random
 import secrets
+import time
 
 import msgspec
 from chervilwall import events
@@ -49,6 +50,11 @@
 from chervilwall_router.edge.state import ConfigState, RegistryState
 from chervilwall_router.edge.store_member import StoreMember
 from chervilwall_router.edge.store_watch import KindReader, StoreWatch
+from chervilwall_router.edge.stored_crashes import (
+    CRASH_KIND,
+    StoredCrashes,
+    StoredCrashParts,
+)
 from chervilwall_router.edge.target_notices import NoticeParts, TargetNotices
 from chervilwall_router.edge.work import FlowParts
 from chervilwall_router.metrics import RouterMetrics, render_text
@@ -122,6 +128,16 @@
                 clock=self._clock,
             )
         )
+        self.stored_crashes = StoredCrashes(
+            StoredCrashParts(
+                store=self._store,
+                name=self._cfg.name,
+                take_news=self.crashes.take_news,
+                wall=time.time,
+                clock=self._clock,
+                rng=self._rng,
+            )
+        )
         self.config = ConfigState(decoder, self._config_changed)
         self.targets = RegistryState(
             decoder,
@@ -147,6 +163,7 @@
             self._watch(decoder.config_kind, self.config),
             self._watch(decoder.target_kind, self.targets),
         ]
+        self._record_watch = self._watch(CRASH_KIND, self.stored_crashes)
 
     def _watch(self, kind: str, reader: KindReader) -> StoreWatch:
         return StoreWatch(
@@ -317,6 +334,8 @@
         loop = asyncio.get_running_loop()
         for watch in self._watches:
             self._tasks.append(loop.create_task(watch.run()))
+        self._tasks.append(loop.create_task(self._record_watch.run()))
+        self._tasks.append(loop.create_task(self.stored_crashes.keep()))
         self._tasks.append(loop.create_task(self._join()))
         self._tasks.append(loop.create_task(self._member.keep_totals()))
         self._tasks.append(loop.create_task(self._housekeeping.run()))
@@ -388,8 +407,8 @@
         self.dispatcher.pump()
 
     def _judged(self, change: Change) -> None:
-        del change
         self.dispatcher.refuse_crashing()
+        self.stored_crashes.note_change(change)
 
     def _target_ended(self, target_id: str) -> None:
         self._memory.prefixes.forget(target_id)
--- /dev/null
+++ b/packages/router/tests/test_edge_stored_crashes.py
@@ -0,0 +1,171 @@
+"""Tests of the records of refused requests in the platform's store."""
+
+import asyncio
+import random
+import unittest
+
+from chervilwall.crash_ledger import Crash, CrashLedger
+from chervilwall.errors import PlatformUnavailableError, VersionConflictError
+from chervilwall.protocol import ObjectList, StoredObject
+from chervilwall.registry import TargetStart
+from chervilwall_router.edge import stored_crashes as sc
+
+REQUEST = b"request"
+NAME = REQUEST.hex()
+WALL = 1_800_000_000.0
+
+
+class _Store:
+    """Keep objects, and fail as told."""
+
+    def __init__(self):
+        self.objects = {}
+        self.calls = []
+        self.fails = 0
+
+    async def create(self, kind, name, value):
+        self._call("create")
+        if name in self.objects:
+            raise VersionConflictError("exists")
+        self.objects[name] = value
+
+    async def replace(self, kind, name, value, *, revision):
+        self._call("replace")
+        self.objects[name] = value
+
+    async def remove(self, kind, name):
+        self._call("remove")
+        self.objects.pop(name, None)
+
+    def listing(self):
+        items = [StoredObject(n, 5, v) for n, v in self.objects.items()]
+        return ObjectList(5, tuple(items))
+
+    def _call(self, name):
+        self.calls.append(name)
+        if self.fails:
+            self.fails -= 1
+            raise PlatformUnavailableError("away", step=name)
+
+
+class StoredCrashesTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.now = 1000.0
+        self.store = _Store()
+        self.ledgers = {}
+        self.first = self.make("r0")
+        self.other = self.make("r1")
+
+    def make(self, name):
+        ledger = self.ledgers[name] = CrashLedger()
+        return sc.StoredCrashes(
+            sc.StoredCrashParts(
+                store=self.store,
+                name=name,
+                take_news=lambda _, news: ledger.merge(news, self.now),
+                wall=lambda: WALL + self.now,
+                clock=lambda: self.now,
+                rng=random.Random(1),
+            )
+        )
+
+    async def asyncSetUp(self):
+        for stored in (self.first, self.other):
+            task = asyncio.create_task(stored.keep())
+            self.addCleanup(task.cancel)
+
+    def crash(self, name, *numbers):
+        """Makes a router know crashes that it saw itself."""
+        for number in numbers:
+            start = TargetStart(f"t{number}", 1, f"10.0.0.{number}:1")
+            crash = Crash(start, self.now, True, name)
+            self.ledgers[name].note_crash(crash, (REQUEST,), self.now)
+        self.tell(name)
+
+    def tell(self, name):
+        stored = self.first if name == "r0" else self.other
+        for change in self.ledgers[name].take_changes():
+            stored.note_change(change)
+
+    async def settle(self, passed_s=0.0):
+        self.now += passed_s
+        # Longer than a look at what is due.
+        await asyncio.sleep(0.4)
+
+    async def test_a_refused_request_is_known_to_routers_that_start_later(self):
+        self.crash("r0", 1, 2)
+        await self.settle()
+        self.now += 100.0
+        self.other.read_list(self.store.listing(), doubt_until=0.0)
+        before = self.ledgers["r0"].standing(REQUEST)
+        after = self.ledgers["r1"].standing(REQUEST)
+        self.assertEqual(
+            [c.start for c in after.crashes], [c.start for c in before.crashes]
+        )
+        self.assertAlmostEqual(after.trial_at, before.trial_at, 2)
+
+    async def test_a_suspect_is_not_written(self):
+        self.crash("r0", 1)
+        await self.settle()
+        self.assertEqual(self.store.calls, [])
+
+    async def test_who_saw_no_crash_writes_nothing(self):
+        self.crash("r0", 1, 2)
+        news = self.ledgers["r0"].news(self.now, held_only=False)
+        self.ledgers["r1"].merge(news, self.now)
+        self.tell("r1")
+        await self.settle()
+        self.assertEqual(self.store.calls, ["create"])
+
+    async def test_a_write_that_failed_is_made_again(self):
+        self.store.fails = 2
+        self.crash("r0", 1, 2)
+        for _ in range(3):
+            await self.settle(sc.RETRY_S)
+        self.assertEqual(list(self.store.objects), [NAME])
+
+    async def test_another_crash_is_written_too(self):
+        self.crash("r0", 1, 2)
+        await self.settle()
+        self.crash("r0", 3)
+        await self.settle()
+        self.other.read_list(self.store.listing(), doubt_until=0.0)
+        crashes = self.ledgers["r1"].standing(REQUEST).crashes
+        self.assertEqual(len(crashes), 3)
+
+    async def test_a_request_that_was_let_go_is_removed_by_its_writer(self):
+        self.crash("r0", 1, 2)
+        await self.settle()
+        self.other.read_list(self.store.listing(), doubt_until=0.0)
+        self.ledgers["r1"].take_changes()
+        for name in ("r0", "r1"):
+            self.ledgers[name].note_answered(REQUEST, self.now, self.now)
+            self.tell(name)
+        await self.settle()
+        self.assertEqual(self.store.objects, {})
+        deleted = StoredObject(NAME, 6, b"", deleted=True)
+        self.other.read_changes(ObjectList(6, (deleted,)), doubt_until=0.0)
+        await self.settle(2 * sc.OTHERS_AFTER_S)
+        self.assertEqual(self.store.calls, ["create", "remove"])
+
+    async def test_another_removes_it_where_the_writer_is_gone(self):
+        self.crash("r0", 1, 2)
+        await self.settle()
+        self.other.read_list(self.store.listing(), doubt_until=0.0)
+        self.ledgers["r1"].take_changes()
+        self.ledgers["r1"].note_answered(REQUEST, self.now, self.now)
+        self.tell("r1")
+        await self.settle()
+        self.assertEqual(list(self.store.objects), [NAME])
+        await self.settle(2 * sc.OTHERS_AFTER_S)
+        self.assertEqual(self.store.objects, {})
+
+    def test_a_record_that_does_not_decode_changes_nothing(self):
+        for name, value in ((NAME, b"{"), ("xyz", b'{"crashes": []}')):
+            listing = ObjectList(5, (StoredObject(name, 5, value),))
+            self.first.read_list(listing, doubt_until=0.0)
+        self.assertFalse(self.ledgers["r0"].standing(REQUEST).is_suspect)
+
+
+if __name__ == "__main__":
+    unittest.main()
