Refuse after two crashes only what alone was there at both

Cause: on sites where targets go down and up by turns, many streams are in flight at two losses. Each was refused until a trial, though at most one can have done it.

Change: after two crashes a request is refused where no other one in flight at the second had been at a crash before; otherwise it stays a suspect, kept apart from others, until the third. A trial that ends without an answer is not repeated before a crash in silence would show. Sightings and their sums moved to crash_records; the sum of a crash is kept until something changes, as a loss names hundreds at once.

--- a/packages/core/chervilwall/crash_ledger.py
+++ b/packages/core/chervilwall/crash_ledger.py
@@ -9,10 +9,8 @@
 refused gets a trial of its own after a pause.
 """
 
-import math
 import secrets
-from collections import OrderedDict
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Sequence
 from typing import NamedTuple
 
 from chervilwall._latest import LatestTimes, Occurrence
@@ -23,21 +21,24 @@
     CrashNote,
     LostNote,
 )
+from chervilwall.crash_records import (
+    REPEATED_CRASHES,
+    Crash,
+    CrashRecords,
+    Sighting,
+    SightingKey,
+)
 from chervilwall.registry import TargetStart
 
-# A request under which so many targets ended is refused until its trial.
-HELD_CRASHES = 2
-# A request under which so many ended explains their crashes.
-NAMED_CRASHES = 3
 # Pauses in seconds before a trial, from the second crash on.
 TRIAL_PAUSES_S = (2.0, 30.0, 300.0, 3600.0, 86_400.0)
 # Bounds in seconds of what callers of a refused request are told.
 LEAST_RETRY_S = 0.5
 MOST_RETRY_S = 30.0
-# Crashes beyond these are forgotten, the oldest first.
-MAX_CRASHES = 1000
-# Requests that one crash may name.
-MAX_NAMED = 1024
+# A target that ends in silence under a trial shows it within this time.
+SILENT_CRASH_S = 5.0
+# What routers saw beyond these is forgotten, the oldest first.
+MAX_SIGHTINGS = 1000
 ENTRY_TTL_S = 2 * 86_400.0
 # News is repeated for this long, as datagrams may be lost.
 NEWS_S = 2.0
@@ -58,32 +59,18 @@
 REASON_OLD = "forgotten"
 
 
-class Crash(NamedTuple):
-    """The end of one start of a target.
-
-    Args:
-        start (TargetStart): The start.
-        at (float): Monotonic time at which it ended.
-        proven (bool): Whether a later start of it was seen.
-        seen_by (str): Router that saw it first.
-    """
-
-    start: TargetStart
-    at: float
-    proven: bool
-    seen_by: str
-
-
 class Standing(NamedTuple):
     """What is held against a request.
 
     Args:
         crashes (tuple): Crashes that may be laid to it, the oldest first.
+        is_held (bool): Whether it runs as a trial only.
         trial_at (float): Monotonic time from which a trial may run; it is
             refused before if it is held.
     """
 
     crashes: tuple[Crash, ...] = ()
+    is_held: bool = False
     trial_at: float = 0.0
 
     @property
@@ -91,11 +78,6 @@
         """Whether any crash may be laid to it."""
         return bool(self.crashes)
 
-    @property
-    def is_held(self) -> bool:
-        """Whether it runs as a trial only."""
-        return len(self.crashes) >= HELD_CRASHES
-
     def is_refused(self, now: float) -> bool:
         """Tells whether it may not run now."""
         return self.is_held and now < self.trial_at
@@ -119,30 +101,9 @@
     reason: str
 
 
-class _Key(NamedTuple):
-    start: TargetStart
-    seen_by: str
-
-
 CLEAR = Standing()
 
 
-class _Entry:
-    """What one router saw of a crash."""
-
-    def __init__(self, crash: Crash) -> None:
-        self.crash = crash
-        self.named: set[bytes] = set()
-        self.changed_at = -math.inf
-
-    def __repr__(self) -> str:
-        return f"_Entry(target={self.crash.start.target_id!r})"
-
-    @property
-    def key(self) -> _Key:
-        return _Key(self.crash.start, self.crash.seen_by)
-
-
 class CrashLedger:
     """Hold the crashes that any router saw, and judge requests by them.
 
@@ -151,9 +112,7 @@
     """
 
     def __init__(self) -> None:
-        self._entries: OrderedDict[_Key, _Entry] = OrderedDict()
-        self._by_start: dict[TargetStart, dict[_Key, _Entry]] = {}
-        self._by_request: dict[bytes, dict[_Key, _Entry]] = {}
+        self._records = CrashRecords()
         self._alive = LatestTimes[TargetStart](
             kept_s=ANSWER_KEPT_S, most=MAX_ANSWERS
         )
@@ -170,22 +129,22 @@
         self._turn = 0
 
     def __repr__(self) -> str:
-        return f"CrashLedger(crashes={len(self._by_start)})"
+        return f"CrashLedger(records={self._records!r})"
 
     def standing(self, fingerprint: bytes) -> Standing:
         """Returns what is held against a request."""
-        if fingerprint not in self._by_request:
+        if fingerprint not in self._records:
             return CLEAR
         crashes = self._laid_to(fingerprint)
-        if not crashes:
-            return CLEAR
-        trial_at = 0.0
-        if len(crashes) >= HELD_CRASHES:
-            at = len(crashes) - HELD_CRASHES
-            pause_s = TRIAL_PAUSES_S[min(at, len(TRIAL_PAUSES_S) - 1)]
-            began_at = self._trials.get(fingerprint, -math.inf)
-            trial_at = max(crashes[-1].at, began_at) + pause_s
-        return Standing(crashes, trial_at)
+        if not self._is_held(crashes):
+            return Standing(crashes)
+        at = len(crashes) - REPEATED_CRASHES
+        pause_s = TRIAL_PAUSES_S[min(at, len(TRIAL_PAUSES_S) - 1)]
+        trial_at = crashes[-1].at + pause_s
+        began_at = self._trials.get(fingerprint)
+        if began_at is not None:
+            trial_at = max(trial_at, began_at + max(pause_s, SILENT_CRASH_S))
+        return Standing(crashes, True, trial_at)
 
     def note_trial(self, fingerprint: bytes, now: float) -> None:
         """Notes that a refused request runs once more."""
@@ -212,8 +171,10 @@
 
     def knows_crash(self, start: TargetStart, since: float) -> bool:
         """Tells whether a start of a target ended after a time."""
-        entries = self._by_start.get(start, {}).values()
-        return any(entry.crash.at >= since for entry in entries)
+        return any(
+            sighting.crash.at >= since
+            for sighting in self._records.of_start(start)
+        )
 
     def note_crash(
         self, crash: Crash, fingerprints: Collection[bytes], now: float
@@ -225,25 +186,25 @@
             fingerprints (Collection): Requests that were in flight.
             now (float): Monotonic time.
         """
-        entry = self._entries.get(_Key(crash.start, crash.seen_by))
-        if entry is None:
-            entry = _Entry(crash)
-        is_proven = entry.crash.proven or crash.proven
-        at = entry.crash.at
-        is_over = not is_proven and self._alive.at(crash.start) >= at
-        if is_over or now - at > ENTRY_TTL_S:
+        key = SightingKey(crash.start, crash.seen_by)
+        sighting = self._records.get(key) or Sighting(crash, now)
+        known = sighting.crash
+        is_proven = known.proven or crash.proven
+        is_over = not is_proven and self._alive.at(crash.start) >= known.at
+        if is_over or now - known.at > ENTRY_TTL_S:
             return False
         fresh = [
             f
             for f in fingerprints
-            if f not in entry.named and self._answered.at(f) < at
+            if f not in sighting.named and self._answered.at(f) < known.at
         ]
-        if not fresh and (is_proven == entry.crash.proven or not entry.named):
+        is_told = is_proven == known.proven or not sighting.named
+        if not fresh and is_told:
             return False
-        entry.crash = entry.crash._replace(proven=is_proven)
-        entry.changed_at = now
-        self._name(entry, fresh)
-        self._review(self._beside(entry.named), REASON_CRASH)
+        sighting.crash = known._replace(proven=is_proven)
+        sighting.changed_at = now
+        self._records.name(sighting, fresh)
+        self._review(self._records.beside(sighting.named), REASON_CRASH)
         self._trim(now)
         return True
 
@@ -269,7 +230,7 @@
             at (float): Monotonic time of the answer.
             now (float): Monotonic time.
         """
-        if fingerprint not in self._by_request:
+        if fingerprint not in self._records:
             return False
         self._answered.put(Occurrence(fingerprint, at, _stamp()), now)
         self._let_go(fingerprint, at)
@@ -341,99 +302,86 @@
             tuple(crashes), lost, tuple(alive_now), tuple(answered_now)
         )
 
-    def _doubtful(self, start: TargetStart, at: float) -> list[_Entry]:
+    def _doubtful(self, start: TargetStart, at: float) -> list[Sighting]:
         """Returns what an answer of a target after a time withdraws."""
         return [
-            entry
-            for entry in self._by_start.get(start, {}).values()
-            if entry.crash.at <= at and not entry.crash.proven
+            sighting
+            for sighting in self._records.of_start(start)
+            if sighting.crash.at <= at and not sighting.crash.proven
         ]
 
     def _withdraw(self, start: TargetStart, at: float) -> None:
-        for entry in self._doubtful(start, at):
-            self._drop(entry, REASON_ALIVE)
+        for sighting in self._doubtful(start, at):
+            self._drop(sighting, REASON_ALIVE)
 
     def _let_go(self, fingerprint: bytes, at: float) -> None:
         """Takes a request out of the crashes up to a time."""
-        beside = self._beside((fingerprint,))
-        for entry in list(self._by_request.get(fingerprint, {}).values()):
-            if entry.crash.at <= at:
-                self._unname(entry, fingerprint)
+        beside = self._records.beside((fingerprint,))
+        for sighting in list(self._records.of_request(fingerprint)):
+            if sighting.crash.at <= at:
+                self._records.unname(sighting, fingerprint)
         self._review(beside, REASON_ANSWERED)
 
     def _laid_to(self, fingerprint: bytes) -> tuple[Crash, ...]:
         """Returns the crashes that no other request explains."""
         found: dict[TargetStart, Crash] = {}
-        for entry in self._by_request.get(fingerprint, {}).values():
-            start = entry.crash.start
-            known = found.get(start)
-            if known is None or entry.crash.at < known.at:
-                found[start] = entry.crash
+        for sighting in self._records.of_request(fingerprint):
+            crash = sighting.crash
+            known = found.get(crash.start)
+            if known is None or crash.at < known.at:
+                found[crash.start] = crash
         crashes = [
             crash
             for start, crash in found.items()
-            if self._cause(start) in (None, fingerprint)
+            if self._records.summary(start).cause in (None, fingerprint)
         ]
         return tuple(sorted(crashes, key=lambda crash: crash.at))
 
-    def _cause(self, start: TargetStart) -> bytes | None:
-        """Returns the request that explains a crash, or None."""
-        best, most = None, NAMED_CRASHES - 1
-        for fingerprint in self._named_at(start):
-            count = self._count(fingerprint)
-            if count > most:
-                best, most = fingerprint, count
-            elif count == most:
-                best = None
-        return best
-
-    def _named_at(self, start: TargetStart) -> set[bytes]:
-        found: set[bytes] = set()
-        for entry in self._by_start.get(start, {}).values():
-            found |= entry.named
-        return found
-
-    def _count(self, fingerprint: bytes) -> int:
-        """Returns at how many crashes a request was there."""
-        return len({key.start for key in self._by_request.get(fingerprint, ())})
-
-    def _beside(self, fingerprints: Collection[bytes]) -> set[bytes]:
-        """Returns some requests and those in flight at the same crashes."""
-        found = set(fingerprints)
-        for fingerprint in fingerprints:
-            # Fewer explain no crash, so nobody else is judged by them.
-            if self._count(fingerprint) >= NAMED_CRASHES:
-                for key in self._by_request[fingerprint]:
-                    found |= self._named_at(key.start)
-        return found
+    def _is_held(self, crashes: Sequence[Crash]) -> bool:
+        """Tells whether so many crashes are enough to refuse a request.
+
+        Two are where no other request could have caused the second as well.
+        """
+        if len(crashes) != REPEATED_CRASHES:
+            return len(crashes) > REPEATED_CRASHES
+        return self._records.summary(crashes[-1].start).repeated == 1
 
     def _review(self, fingerprints: Collection[bytes], reason: str) -> None:
         """Notes which of some requests are refused now, or let go."""
         for fingerprint in fingerprints:
+            was_held = fingerprint in self._held
+            if not was_held and fingerprint not in self._records:
+                continue
             standing = self.standing(fingerprint)
             count = len(standing.crashes)
             if standing.is_held and count != self._held.get(fingerprint):
                 self._held[fingerprint] = count
                 self._changes.append(Change(fingerprint, standing, reason))
-            elif not standing.is_held and fingerprint in self._held:
-                del self._held[fingerprint]
-                if reason == REASON_CRASH:
-                    reason = REASON_EXPLAINED
-                self._changes.append(Change(fingerprint, standing, reason))
+            elif was_held and not standing.is_held:
+                self._release(fingerprint, standing, reason)
+
+    def _release(
+        self, fingerprint: bytes, standing: Standing, reason: str
+    ) -> None:
+        del self._held[fingerprint]
+        self._trials.pop(fingerprint, None)
+        if reason == REASON_CRASH:
+            reason = REASON_EXPLAINED
+        self._changes.append(Change(fingerprint, standing, reason))
 
     def _recent(self, now: float, held_only: bool) -> Iterator[CrashNote]:
         left = MAX_TOLD
-        for entry in reversed(self._entries.values()):
-            if left <= 0 or now - entry.changed_at > NEWS_S:
+        for sighting in self._records.newest():
+            if left <= 0 or now - sighting.changed_at > NEWS_S:
                 return
             named = sorted(
-                f for f in entry.named if not held_only or f in self._held
+                f for f in sighting.named if not held_only or f in self._held
             )
             if named:
                 # One that names many is told in parts.
                 at = self._turn * left % len(named)
                 told = (named[at:] + named[:at])[:left]
-                yield _note(entry.crash, told, now)
+                yield _note(sighting.crash, told, now)
                 left -= len(told)
 
     def _held_in_turn(self, now: float) -> Iterator[CrashNote]:
@@ -445,46 +393,18 @@
             for crash in self._laid_to(fingerprint):
                 yield _note(crash, [fingerprint], now)
 
-    def _name(self, entry: _Entry, fingerprints: Collection[bytes]) -> None:
-        key = entry.key
-        self._entries[key] = entry
-        self._entries.move_to_end(key)
-        self._by_start.setdefault(key.start, {})[key] = entry
-        for fingerprint in fingerprints:
-            if len(entry.named) >= MAX_NAMED:
-                return
-            entry.named.add(fingerprint)
-            self._by_request.setdefault(fingerprint, {})[key] = entry
-
-    def _unname(self, entry: _Entry, fingerprint: bytes) -> None:
-        """Takes a request out of a crash, and forgets one without any."""
-        key = entry.key
-        entry.named.discard(fingerprint)
-        known = self._by_request.get(fingerprint, {})
-        known.pop(key, None)
-        if not known:
-            self._by_request.pop(fingerprint, None)
-            self._trials.pop(fingerprint, None)
-        if entry.named:
-            return
-        self._entries.pop(key, None)
-        at_start = self._by_start.get(key.start, {})
-        at_start.pop(key, None)
-        if not at_start:
-            self._by_start.pop(key.start, None)
-
-    def _drop(self, entry: _Entry, reason: str) -> None:
-        """Forgets a crash."""
-        beside = self._beside(entry.named)
-        for fingerprint in list(entry.named):
-            self._unname(entry, fingerprint)
+    def _drop(self, sighting: Sighting, reason: str) -> None:
+        """Forgets what a router saw of a crash."""
+        beside = self._records.beside(sighting.named)
+        for fingerprint in list(sighting.named):
+            self._records.unname(sighting, fingerprint)
         self._review(beside, reason)
 
     def _trim(self, now: float) -> None:
-        while self._entries:
-            oldest = next(iter(self._entries.values()))
+        while len(self._records):
+            oldest = self._records.oldest()
             is_fresh = now - oldest.crash.at <= ENTRY_TTL_S
-            if is_fresh and len(self._entries) <= MAX_CRASHES:
+            if is_fresh and len(self._records) <= MAX_SIGHTINGS:
                 return
             self._drop(oldest, REASON_OLD)
 
--- a/packages/router/chervilwall_router/edge/crash_watch.py
+++ b/packages/router/chervilwall_router/edge/crash_watch.py
@@ -9,11 +9,11 @@
 from chervilwall import events
 from chervilwall.crash_ledger import (
     Change,
-    Crash,
     CrashLedger,
     Standing,
 )
 from chervilwall.crash_news import CrashNews
+from chervilwall.crash_records import Crash
 from chervilwall.errors import DialError
 from chervilwall.in_flight import UNANSWERED_KEPT_S, Flight, InFlight
 from chervilwall.inbound import AnswerHead
--- a/packages/router/tests/test_edge_dispatcher.py
+++ b/packages/router/tests/test_edge_dispatcher.py
@@ -4,7 +4,8 @@
 import unittest
 
 from chervilwall import message
-from chervilwall.crash_ledger import TRIAL_PAUSES_S, Crash, CrashLedger
+from chervilwall.crash_ledger import TRIAL_PAUSES_S, CrashLedger
+from chervilwall.crash_records import Crash
 from chervilwall.errors import RequestRefusedError
 from chervilwall.fair_share import FairShare
 from chervilwall.load_view import LoadView
--- a/packages/router/tests/test_edge_stored_crashes.py
+++ b/packages/router/tests/test_edge_stored_crashes.py
@@ -4,7 +4,8 @@
 import random
 import unittest
 
-from chervilwall.crash_ledger import Crash, CrashLedger
+from chervilwall.crash_ledger import CrashLedger
+from chervilwall.crash_records import Crash
 from chervilwall.errors import PlatformUnavailableError, VersionConflictError
 from chervilwall.protocol import ObjectList, StoredObject
 from chervilwall.registry import TargetStart
