Begin the stop of a test when there is load, not after 0.2 s

Cause: 24 callers had 0.2 s before the stop and 0.5 s while the router still took connections. Where an answer takes 0.2 s, each gets two in that time.

Change: the stop begins once more than two answers a caller have come, and at least one more a caller must come after it began, so it is under load on any host. The two assertions stay as they were.

--- a/packages/standins/tests/test_edge_reported.py
+++ b/packages/standins/tests/test_edge_reported.py
@@ -40,7 +40,9 @@
             asyncio.create_task(self.send_on(address, number, answers))
             for number in range(CALLERS)
         ]
-        await asyncio.sleep(0.2)
+        # However slow the host is, the stop comes under load.
+        await fleet.until(lambda: answers.count(200) > 2 * CALLERS, 20.0)
+        before_stop = len(answers)
         leaving.begin_stop()
         await leaving.run()
         leaving.ingress.stop()
@@ -48,6 +50,7 @@
         # A router that leaves may refuse, as not run, but cuts nothing.
         self.assertLessEqual(set(answers), {200, 503})
         self.assertGreater(answers.count(200), 2 * CALLERS)
+        self.assertGreaterEqual(len(answers), before_stop + CALLERS)
 
     async def send_on(self, address, caller, answers):
         """Sends until the router closes, on kept and on new connections."""
