Let go of a quarantined request on the product's own interface too

What a peer still tells does not bring back what was cleared. Retry-After says the pause that is left, not an hour.

Evidence: three new tests of the scheduler fail on the code before (two refused for good, one for the signature) and pass; test_answers, where a request ends two targets and is refused at each router, passes unchanged.

--- a/packages/core/chervilwall/crash_ledger.py
+++ b/packages/core/chervilwall/crash_ledger.py
@@ -22,16 +22,14 @@
     LostNote,
 )
 from chervilwall.crash_records import (
-    REPEATED_CRASHES,
     Crash,
     CrashRecords,
     Sighting,
     SightingKey,
 )
 from chervilwall.registry import TargetStart
+from chervilwall.trials import REFUSED_CRASHES, trial_pause_s
 
-# Pauses in seconds before a trial, from the second crash on.
-TRIAL_PAUSES_S = (2.0, 30.0, 300.0, 3600.0, 86_400.0)
 # Bounds in seconds of what callers of a refused request are told.
 LEAST_RETRY_S = 0.5
 MOST_RETRY_S = 30.0
@@ -138,8 +136,7 @@
         crashes = self._laid_to(fingerprint)
         if not self._is_held(crashes):
             return Standing(crashes)
-        at = len(crashes) - REPEATED_CRASHES
-        pause_s = TRIAL_PAUSES_S[min(at, len(TRIAL_PAUSES_S) - 1)]
+        pause_s = trial_pause_s(len(crashes))
         trial_at = crashes[-1].at + pause_s
         began_at = self._trials.get(fingerprint)
         if began_at is not None:
@@ -342,8 +339,8 @@
 
         Two are where no other request could have caused the second as well.
         """
-        if len(crashes) != REPEATED_CRASHES:
-            return len(crashes) > REPEATED_CRASHES
+        if len(crashes) != REFUSED_CRASHES:
+            return len(crashes) > REFUSED_CRASHES
         return self._records.summary(crashes[-1].start).repeated == 1
 
     def _review(self, fingerprints: Collection[bytes], reason: str) -> None:
--- a/packages/core/chervilwall/message.py
+++ b/packages/core/chervilwall/message.py
@@ -182,7 +182,7 @@
 
     Args:
         fingerprint (bytes): Digest of the request.
-        crashes (int): 1 for a suspect, 2 for a refused request.
+        crashes (int): 1 for a suspect, more for a refused request.
         age_s (float): Seconds since the last crash.
     """
 
--- a/packages/core/chervilwall/quarantine.py
+++ b/packages/core/chervilwall/quarantine.py
@@ -1,13 +1,14 @@
 """Requests that were in flight when targets crashed."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from chervilwall.message import Suspicion
+from chervilwall.trials import REFUSED_CRASHES, trial_pause_s
 
 SUSPECT_CRASHES = 1
-REFUSED_CRASHES = 2
 MAX_ENTRIES = 1000
 ENTRY_TTL_S = 3600.0
 MAX_RECENT = 8
@@ -25,7 +26,8 @@
 
     All requests in flight at a crash are suspects. A suspect is the only one
     on its next target, which has answered since its own last failure, so a
-    second crash names the request; its success clears it.
+    second crash names the request. After a pause it runs once more, apart from
+    others, as it may have been there by chance; a success clears it.
 
     Args:
         ttl_s (float): Seconds after which an entry is forgotten.
@@ -35,6 +37,8 @@
     def __init__(self, *, ttl_s: float = ENTRY_TTL_S) -> None:
         self._ttl_s = ttl_s
         self._entries: OrderedDict[bytes, _Entry] = OrderedDict()
+        # When requests were cleared, as peers may tell of them still.
+        self._cleared: OrderedDict[bytes, float] = OrderedDict()
 
     def __repr__(self) -> str:
         return f"Quarantine(entries={len(self._entries)})"
@@ -53,11 +57,27 @@
 
     def is_suspect(self, fingerprint: bytes, now: float) -> bool:
         """Tells whether a request must run apart from other suspects."""
-        return self.crashes(fingerprint, now) == SUSPECT_CRASHES
+        crashes = self.crashes(fingerprint, now)
+        is_refused = self.is_refused(fingerprint, now)
+        return crashes >= SUSPECT_CRASHES and not is_refused
 
     def is_refused(self, fingerprint: bytes, now: float) -> bool:
         """Tells whether a request is refused for its crashes."""
-        return self.crashes(fingerprint, now) >= REFUSED_CRASHES
+        return self.retry_after_s(fingerprint, now) > 0
+
+    def retry_after_s(self, fingerprint: bytes, now: float) -> float:
+        """Returns the seconds for which a request is refused, 0 for not."""
+        crashes = self.crashes(fingerprint, now)
+        if crashes < REFUSED_CRASHES:
+            return 0.0
+        until = self._entries[fingerprint].at + trial_pause_s(crashes)
+        return max(0.0, until - now)
+
+    def note_trial(self, fingerprint: bytes, now: float) -> None:
+        """Notes that a request runs, so that one refused before waits again."""
+        entry = self._entries.get(fingerprint)
+        if entry is not None and entry.crashes >= REFUSED_CRASHES:
+            self._entries[fingerprint] = entry._replace(at=now)
 
     def record_crash(
         self, fingerprint: bytes, *, zone: str, suspect: bool, now: float
@@ -75,23 +95,25 @@
             How many crashes are laid to it now.
         """
         known = self.crashes(fingerprint, now)
-        count = REFUSED_CRASHES if suspect and known else SUSPECT_CRASHES
-        count = max(count, known)
+        count = max(SUSPECT_CRASHES, known + 1 if suspect else known)
         self._put(fingerprint, _Entry(count, now, zone))
         return count
 
-    def clear(self, fingerprint: bytes) -> None:
+    def clear(self, fingerprint: bytes, now: float) -> None:
         """Clears a suspect that ran to its end."""
-        entry = self._entries.get(fingerprint)
-        if entry is not None and entry.crashes < REFUSED_CRASHES:
-            del self._entries[fingerprint]
+        if self._entries.pop(fingerprint, None) is not None:
+            self._cleared[fingerprint] = now
+            while len(self._cleared) > MAX_ENTRIES:
+                self._cleared.popitem(last=False)
 
     def merge(self, suspicions: Iterable[Suspicion], now: float) -> bool:
         """Takes in what a peer knows; returns whether anything was new."""
         changed = False
         for entry in suspicions:
             known = entry.crashes <= self.crashes(entry.fingerprint, now)
-            if known or entry.age_s > self._ttl_s:
+            cleared_at = self._cleared.get(entry.fingerprint, -math.inf)
+            is_over = now - entry.age_s <= cleared_at
+            if known or is_over or entry.age_s > self._ttl_s:
                 continue
             kept = _Entry(entry.crashes, now - entry.age_s, "")
             self._put(entry.fingerprint, kept)
--- a/packages/core/chervilwall/scheduler.py
+++ b/packages/core/chervilwall/scheduler.py
@@ -26,7 +26,6 @@
 REASON_NO_TARGET = "no_target"
 SYNC_GRACE_S = 2.0
 PROGRESS_INTERVAL_S = 0.25
-QUARANTINE_RETRY_AFTER_S = 3600.0
 # Failures of targets, for which a team does not pay in completed requests.
 _REFUNDED = (
     message.OUTCOME_BROKEN,
@@ -307,7 +306,8 @@
         reason, after_s = "", 0.0
         deadline = now + msg.deadline_left_s
         if self._quarantine.is_refused(msg.fingerprint, now):
-            reason, after_s = REASON_CRASHED_TARGETS, QUARANTINE_RETRY_AFTER_S
+            reason = REASON_CRASHED_TARGETS
+            after_s = self._quarantine.retry_after_s(msg.fingerprint, now)
         elif not self.slots.is_served():
             reason = REASON_NO_TARGET
         elif self.queue.depth(msg.team) >= self._cfg.max_depth:
@@ -359,6 +359,7 @@
             proven=self.slots.health.of(target).is_proven(),
         )
         self.slots.add(run)
+        self._quarantine.note_trial(item.fingerprint, now)
         grant = message.Grant(item.req_id, self.cell, target)
         return Envelope(item.router, grant)
 
@@ -383,7 +384,7 @@
         self, run: Running, msg: message.Done, now: float
     ) -> None:
         if msg.outcome == message.OUTCOME_COMPLETED:
-            self._quarantine.clear(run.fingerprint)
+            self._quarantine.clear(run.fingerprint, now)
         elif msg.outcome == message.OUTCOME_BROKEN:
             self._quarantine.record_crash(
                 run.fingerprint,
--- a/packages/core/tests/test_crash_ledger.py
+++ b/packages/core/tests/test_crash_ledger.py
@@ -7,12 +7,12 @@
 from chervilwall.crash_ledger import (
     NEWS_S,
     SILENT_CRASH_S,
-    TRIAL_PAUSES_S,
     CrashLedger,
 )
-from chervilwall.crash_records import REPEATED_CRASHES, Crash
+from chervilwall.crash_records import Crash
 from chervilwall.in_flight import UNANSWERED_KEPT_S, InFlight
 from chervilwall.registry import TargetStart
+from chervilwall.trials import REFUSED_CRASHES, TRIAL_PAUSES_S
 
 NOW = 1000.0
 POISON = b"poison"
@@ -122,10 +122,10 @@
 
     def test_a_refused_request_gets_a_trial_after_growing_pauses(self):
         at = NOW
-        for number in range(1, REPEATED_CRASHES):
+        for number in range(1, REFUSED_CRASHES):
             self.ledger.note_crash(crash(number, at), (POISON,), at)
         self.assertFalse(self.ledger.standing(POISON).is_held)
-        for number, pause_s in enumerate(TRIAL_PAUSES_S, REPEATED_CRASHES):
+        for number, pause_s in enumerate(TRIAL_PAUSES_S, REFUSED_CRASHES):
             self.ledger.note_crash(crash(number, at), (POISON,), at)
             standing = self.ledger.standing(POISON)
             self.assertTrue(standing.is_refused(at + pause_s - 0.1))
--- a/packages/core/tests/test_scheduler.py
+++ b/packages/core/tests/test_scheduler.py
@@ -14,6 +14,7 @@
 from chervilwall.message import Done, Enqueue, Grant, Refuse, RunningItem, Sync
 from chervilwall.quarantine import Quarantine
 from chervilwall.scheduler import CellScheduler, SchedulerSettings
+from chervilwall.trials import TRIAL_PAUSES_S
 
 CELL = "svc#0"
 
@@ -240,6 +241,39 @@
         self.crash(made, 1, "t0", 1.1)
         self.assertFalse(refusals(made.enqueue("r1", enqueue(1), 1.2)))
 
+    def test_a_refused_request_is_let_go_by_a_trial_that_is_answered(self):
+        made = make_scheduler(make_config(4, 2))
+        for now in (0.0, 1.0):
+            (target,) = grants(made.enqueue("r1", enqueue(1), now)).values()
+            self.crash(made, 1, target, now)
+        self.assertTrue(refusals(made.enqueue("r1", enqueue(1), 1.5)))
+        later = 1.0 + TRIAL_PAUSES_S[0]
+        out = made.enqueue("r1", enqueue(1), later)
+        (target,) = grants(out).values()
+        again = enqueue(2)._replace(fingerprint=enqueue(1).fingerprint)
+        self.assertTrue(refusals(made.enqueue("r1", again, later)))
+        made.done("r1", done(1, target), later + 0.1)
+        self.assertFalse(refusals(made.enqueue("r1", again, later + 0.2)))
+
+    def test_a_trial_that_crashes_is_followed_by_a_longer_pause(self):
+        made = make_scheduler(make_config(6, 2))
+        now = 0.0
+        for pause_s in (0.0, 0.0, *TRIAL_PAUSES_S[:2]):
+            now += pause_s
+            if pause_s:
+                early = made.enqueue("r1", enqueue(1), now - 0.1)
+                self.assertTrue(refusals(early))
+            (target,) = grants(made.enqueue("r1", enqueue(1), now)).values()
+            self.crash(made, 1, target, now)
+
+    def test_peers_that_did_not_hear_do_not_bring_a_suspicion_back(self):
+        made, other = Quarantine(), Quarantine()
+        made.record_crash(b"k", zone="az1", suspect=False, now=0.0)
+        other.merge(made.recent(1.0), 1.0)
+        made.clear(b"k", 2.0)
+        self.assertFalse(made.merge(other.recent(3.0), 3.0))
+        self.assertFalse(made.is_suspect(b"k", 3.0))
+
     def test_suspects_are_told_to_other_schedulers_while_new(self):
         made, other = Quarantine(), Quarantine()
         made.record_crash(b"k", zone="az1", suspect=False, now=0.0)
--- a/packages/router/chervilwall_router/pipeline.py
+++ b/packages/router/chervilwall_router/pipeline.py
@@ -176,8 +176,13 @@
         return found
 
     def _admit(self, found: Classified) -> Problem | None:
-        if self._quarantine.is_refused(found.fingerprint, time.monotonic()):
-            return refused_problem(scheduler.REASON_CRASHED_TARGETS, 0.0, False)
+        now = time.monotonic()
+        if self._quarantine.is_refused(found.fingerprint, now):
+            return refused_problem(
+                scheduler.REASON_CRASHED_TARGETS,
+                self._quarantine.retry_after_s(found.fingerprint, now),
+                False,
+            )
         held = self._holder.held_by(found.team.name)
         if held >= self._limits.max_held_per_team:
             return refused_problem(scheduler.REASON_QUEUE_FULL, 1.0, False)
--- a/packages/router/tests/test_edge_dispatcher.py
+++ b/packages/router/tests/test_edge_dispatcher.py
@@ -4,7 +4,7 @@
 import unittest
 
 from chervilwall import message
-from chervilwall.crash_ledger import TRIAL_PAUSES_S, CrashLedger
+from chervilwall.crash_ledger import CrashLedger
 from chervilwall.crash_records import Crash
 from chervilwall.errors import RequestRefusedError
 from chervilwall.fair_share import FairShare
@@ -17,6 +17,7 @@
     TargetRegistry,
     TargetStart,
 )
+from chervilwall.trials import TRIAL_PAUSES_S
 from chervilwall.wait_queue import WaitSettings
 from chervilwall_router.edge.dispatcher import Dispatcher, DispatcherParts, Wish
 
--- a/packages/standins/chervilwall_standins/users/target.py
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -88,6 +88,8 @@
         self.crashing_body = b""
         # Events of a stream that such a request still gets.
         self.crash_after = 0
+        # Loop times at which such a request began, and its id.
+        self.crashes: list[tuple[float, str]] = []
         # Time for which such a request runs before.
         self.crash_delay_s = 0.0
         # Whether it then falls silent and closes nothing until it is back.
@@ -141,6 +143,12 @@
                 return
         self._close()
 
+    @property
+    def is_up(self) -> bool:
+        """Whether it takes connections and answers."""
+        listening = self._server is not None and self._server.is_serving()
+        return listening and not self._is_dark
+
     def _close(self) -> None:
         assert self._server is not None
         self._server.close()
@@ -218,6 +226,8 @@
     async def _run_and_crash(
         self, request: SeenRequest, writer: asyncio.StreamWriter
     ) -> None:
+        now = asyncio.get_running_loop().time()
+        self.crashes.append((now, request.id))
         if self.crash_after:
             writer.write(_head(200, self._signed(request) | EVENT_STREAM, -1))
         for number in range(1, self.crash_after + 1):
--- a/packages/standins/tests/test_edge_crashing_request.py
+++ b/packages/standins/tests/test_edge_crashing_request.py
@@ -17,8 +17,10 @@
 
 
 class CrashingRequestTest(unittest.IsolatedAsyncioTestCase):
-    async def start(self, service, count=6, *, events=0, **changes):
-        """Starts three routers before targets that the request ends."""
+    async def start(
+        self, service, count=6, *, events=0, routers=3, mesh_most=16, **changes
+    ):
+        """Starts routers before targets that the request ends."""
         self.targets = [
             UsersTarget(f"s{i}", service, events=events) for i in range(count)
         ]
@@ -26,7 +28,9 @@
             target.crashing_body = POISON
             for name, value in changes.items():
                 setattr(target, name, value)
-        self.fleet = UsersFleet(*self.targets, routers=3)
+        self.fleet = UsersFleet(
+            *self.targets, routers=routers, mesh_most=mesh_most
+        )
         await self.fleet.__aenter__()
         self.addAsyncCleanup(self.fleet.__aexit__)
         return self.fleet
@@ -39,7 +43,7 @@
         for number in range(count):
             await self.fleet.call(
                 path,
-                router=number % 3,
+                router=number % len(self.fleet.routers),
                 body=POISON,
                 request_id=f"r{number}",
                 **options,
@@ -92,6 +96,48 @@
             await self.fleet.until(self.knows_targets, START_LIMIT_S)
         self.assertLessEqual(self.runs(), MOST_RUNS)
 
+    async def test_a_request_is_refused_where_all_hubs_are_lost(self):
+        await self.start("plain", 13, routers=9, mesh_most=3)
+        await self.send_all("/read/x", 3)
+        hubs = self.fleet.routers[0].fleet.hubs()
+        self.assertTrue(hubs)
+        for router in list(self.fleet.routers):
+            if router.settings.name in hubs:
+                await self.fleet.stop_router(router)
+        await self.send_all("/read/x", 6)
+        await self.fleet.add_router("late")
+        await self.fleet.until(self.knows_targets, START_LIMIT_S)
+        await asyncio.sleep(STABILITY_S)
+        before = self.runs()
+        late = len(self.fleet.routers) - 1
+        for number in range(3):
+            await self.fleet.call(
+                "/read/x", router=late, body=POISON, request_id=f"l{number}"
+            )
+        # At most the trial that is due runs.
+        self.assertLessEqual(self.runs() - before, 1)
+        self.assertLessEqual(self.runs(), MOST_RUNS)
+
+    async def test_a_router_that_hears_no_peer_is_told_by_the_store(self):
+        await self.start("plain", 13)
+        cut_off = self.fleet.routers[2]
+        cut_off.link.datagram_received = lambda data, addr: None
+        for number in range(6):
+            await self.fleet.call(
+                "/read/x",
+                router=number % 2,
+                body=POISON,
+                request_id=f"r{number}",
+            )
+            await asyncio.sleep(PAUSE_S)
+        before = self.runs()
+        for number in range(6):
+            await self.fleet.call(
+                "/read/x", router=2, body=POISON, request_id=f"c{number}"
+            )
+        self.assertLessEqual(self.runs() - before, 1)
+        self.assertLessEqual(self.runs(), MOST_RUNS)
+
     def knows_targets(self):
         return all(
             router.config.table is not None and router.targets.revision
