Take only a later start at an address for the end of the one before

Cause: while the registration of a crashed target lapses, a list of targets names both it and the one that has taken its address. A target that had said that it leaves, but not to the store, was taken for crashed too. Found by reading my own change.

Change: who was born earlier replaces nobody, and what the registry knows of the target before, a mark included, decides whether it was leaving. The log names a request by its fingerprint in each line, as digest means something else here.

Evidence: both new tests fail on the code before and pass.

--- a/packages/router/chervilwall_router/edge/crash_watch.py
+++ b/packages/router/chervilwall_router/edge/crash_watch.py
@@ -25,7 +25,7 @@
 )
 
 LOG = logging.getLogger(__name__)
-# Digests named in one log line.
+# Fingerprints named in one log line.
 MAX_LOGGED = 8
 # Verdicts on a broken attempt, and evidence of a crash.
 LEAVING = "the target was leaving"
@@ -196,12 +196,17 @@
     def target_added(self, target: RegisteredTarget) -> None:
         """Takes in a registration, of a new start or a changed one."""
         seen = self._at_address.get(target.address)
+        if seen is not None and seen.target.id != target.id:
+            # For a while a list may name both that were there.
+            if seen.target.born_ms >= target.born_ms:
+                return
+            now = self._parts.clock()
+            if seen.gone_at is None or now - seen.gone_at <= UNANSWERED_KEPT_S:
+                known = self._parts.registry.get(seen.target.id)
+                self.target_lost(
+                    known or seen.target, ADDRESS_TAKEN, proven=True
+                )
         self._at_address[target.address] = _Seen(target)
-        if seen is None or seen.target.id == target.id:
-            return
-        now = self._parts.clock()
-        if seen.gone_at is None or now - seen.gone_at <= UNANSWERED_KEPT_S:
-            self.target_lost(seen.target, ADDRESS_TAKEN, proven=True)
 
     def target_lost(
         self, target: RegisteredTarget, reason: str, *, proven: bool
@@ -238,7 +243,7 @@
                 proven=note.proven,
                 age_s=round(note.age_s, 2),
                 requests=len(note.fingerprints),
-                digests=_digests(note.fingerprints),
+                fingerprints=_hexes(note.fingerprints),
             )
         self._log_changes()
         for lost in found.lost:
@@ -288,7 +293,7 @@
             proven=proven,
             age_s=round(now - at, 2),
             requests=len(named),
-            digests=_digests(named),
+            fingerprints=_hexes(named),
         )
         self._publish()
 
@@ -311,7 +316,7 @@
             events.log_event(
                 LOG,
                 event,
-                digest=change.fingerprint.hex(),
+                fingerprint=change.fingerprint.hex(),
                 reason=change.reason,
                 crashes=len(crashes),
                 targets=",".join(c.start.target_id for c in crashes),
@@ -320,6 +325,6 @@
             self._parts.judged(change)
 
 
-def _digests(fingerprints: "Sequence[bytes] | set[bytes]") -> str:
-    """Returns some digests, for the log."""
+def _hexes(fingerprints: "Sequence[bytes] | set[bytes]") -> str:
+    """Returns some fingerprints, for the log."""
     return ",".join(f.hex() for f in sorted(fingerprints)[:MAX_LOGGED])
--- a/packages/router/tests/test_edge_crash_watch.py
+++ b/packages/router/tests/test_edge_crash_watch.py
@@ -107,19 +107,37 @@
     def test_a_new_start_at_the_address_shows_a_crash(self):
         self.end()
         self.now += 3.0
-        self.watch.target_added(T2._replace(id="t3", address=T1.address))
+        new = T2._replace(id="t3", address=T1.address, born_ms=5)
+        self.watch.target_added(new)
         self.assertEqual(self.crashes(), 1)
         # The start before has ended for sure, so nothing withdraws it.
         self.watch.hear(T1, AnswerHead(200), self.now + 1)
         self.assertEqual(self.crashes(), 1)
 
+    def test_a_list_that_names_old_and_new_starts_shows_no_other_crash(self):
+        new = T2._replace(id="t3", address=T1.address, born_ms=5)
+        self.watch.target_added(new)
+        self.end(target=new)
+        for _ in range(2):
+            for target in (new, T1):
+                self.watch.target_added(target)
+        self.assertEqual(self.crashes(), 0)
+
+    def test_an_address_of_a_target_that_said_it_leaves_shows_nothing(self):
+        self.registry.mark_leaving(T1.start, self.now)
+        self.end()
+        new = T2._replace(id="t3", address=T1.address, born_ms=5)
+        self.watch.target_added(new)
+        self.assertEqual(self.crashes(), 0)
+
     def test_an_address_that_was_given_up_long_ago_shows_nothing(self):
         self.registry.remove("t1")
         self.watch.target_lost(T1, "removed", proven=False)
         self.end()
         self.now += UNANSWERED_KEPT_S + 1
         self.watch.sweep()
-        self.watch.target_added(T2._replace(id="t3", address=T1.address))
+        new = T2._replace(id="t3", address=T1.address, born_ms=5)
+        self.watch.target_added(new)
         self.assertEqual(self.crashes(), 0)
 
     def test_a_start_with_the_same_id_shows_a_crash(self):
