--- a/packages/core/chervilwall/crash_ledger.py
+++ b/packages/core/chervilwall/crash_ledger.py
@@ -51,7 +51,7 @@
 # A target that still refuses connections is told of again after this time.
 LOST_AGAIN_S = 5.0
 REASON_CRASH = "another crash"
-REASON_EXPLAINED = "its crashes are laid to another request"
+REASON_EXPLAINED = "another request may explain its crashes"
 REASON_ANSWERED = "answered"
 REASON_ALIVE = "the target did not crash"
 REASON_OLD = "forgotten"
--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -109,7 +109,7 @@
             LOG,
             events.ATTEMPT_EXAMINED,
             request=self._admitted.req.id,
-            digest=self._admitted.fingerprint.hex(),
+            fingerprint=self._admitted.fingerprint.hex(),
             target=target.id,
             begun=exchange.head is not None,
             verdict=verdict,
--- a/packages/router/chervilwall_router/edge/flow.py
+++ b/packages/router/chervilwall_router/edge/flow.py
@@ -91,8 +91,10 @@
                 "Targets ended under this request.",
                 retry_after_s=standing.retry_after_s(now),
             )
-            digest = admitted.fingerprint.hex()
-            self._refuse(req, answer, problem, "quarantine", digest=digest)
+            fingerprint = admitted.fingerprint.hex()
+            self._refuse(
+                req, answer, problem, "quarantine", fingerprint=fingerprint
+            )
             return
         self.memory.note_arrival(admitted.req, admitted.route, admitted.team)
         budget = self.budget(admitted.service)
@@ -163,7 +165,7 @@
         problem: Problem,
         step: str,
         *,
-        digest: str = "",
+        fingerprint: str = "",
     ) -> None:
         self._parts.metrics.count(f"refused_{problem.reason}")
         table, now = self._parts.table(), self._parts.clock()
@@ -172,7 +174,7 @@
             events.REQUEST_REFUSED,
             request=req.id,
             step=step,
-            digest=digest,
+            fingerprint=fingerprint,
             status=problem.status,
             reason=problem.reason,
             config=table.version if table else 0,
--- a/packages/router/chervilwall_router/edge/stored_crashes.py
+++ b/packages/router/chervilwall_router/edge/stored_crashes.py
@@ -127,7 +127,7 @@
             events.log_event(
                 LOG,
                 events.CRASHES_WRITE_FAILED,
-                digest=name,
+                fingerprint=name,
                 step=exc.step,
                 reason=exc.reason,
             )
