Tell all that was in flight at several crashes, and no more than is of use

Cause: of what is news each report took the newest sighting first, up to 64 requests, so of two targets lost at once the second was never told where the first had as many in flight; and the counter that turns through the parts was shared with that of refused requests, so parts were skipped. Answers of mere suspects were told to routers that do not schedule, up to 64 in each report of each hub.

Change: all pairs of crash and request that are news are told in turn; refused ones have a counter of their own; routers that do not schedule hear only of what was refused.

Evidence: both new tests fail on the code before and pass.

--- a/packages/core/chervilwall/crash_ledger.py
+++ b/packages/core/chervilwall/crash_ledger.py
@@ -120,11 +120,14 @@
         self._answered = LatestTimes[bytes](
             kept_s=ANSWER_KEPT_S, most=MAX_ANSWERS
         )
+        # The latest answers of requests that were refused until then.
+        self._freed = LatestTimes[bytes](kept_s=ANSWER_KEPT_S, most=MAX_ANSWERS)
         self._trials: dict[bytes, float] = {}
         # Refused requests, with the number of crashes last made known.
         self._held: dict[bytes, int] = {}
         self._changes: list[Change] = []
-        self._turn = 0
+        self._told = 0
+        self._held_told = 0
 
     def __repr__(self) -> str:
         return f"CrashLedger(records={self._records!r})"
@@ -195,8 +198,8 @@
             for f in fingerprints
             if f not in sighting.named and self._answered.at(f) < known.at
         ]
-        is_told = is_proven == known.proven or not sighting.named
-        if not fresh and is_told:
+        is_new_proof = is_proven != known.proven and sighting.named
+        if not fresh and not is_new_proof:
             return False
         sighting.crash = known._replace(proven=is_proven)
         sighting.changed_at = now
@@ -229,8 +232,7 @@
         """
         if fingerprint not in self._records:
             return False
-        self._answered.put(Occurrence(fingerprint, at, _stamp()), now)
-        self._let_go(fingerprint, at)
+        self._take_answer(Occurrence(fingerprint, at, _stamp()), now)
         return True
 
     def held(self) -> Collection[bytes]:
@@ -250,8 +252,8 @@
             held_only (bool): Whether to leave out requests that are only
                 suspected, of which schedulers alone make use.
         """
-        self._turn += 1
         crashes = [*self._recent(now, held_only), *self._held_in_turn(now)]
+        answers = self._freed if held_only else self._answered
         lost = [
             LostNote(found.key, now - found.at, found.stamp)
             for found in self._lost.newest(now - NEWS_S, MAX_TOLD)
@@ -262,26 +264,25 @@
         ]
         answered = [
             AnsweredNote(found.key, now - found.at, found.stamp)
-            for found in self._answered.newest(now - NEWS_S, MAX_TOLD)
+            for found in answers.newest(now - NEWS_S, MAX_TOLD)
         ]
         return CrashNews(
             tuple(crashes), tuple(lost), tuple(alive), tuple(answered)
         )
 
     def merge(self, news: CrashNews, now: float) -> CrashNews:
-        """Takes in what a peer told; returns what of it was new."""
-        alive_now, answered_now = [], []
+        """Takes in what a peer told.
+
+        Returns:
+            The crashes and the lost targets that were news.
+        """
         for alive in news.alive:
             at = now - alive.age_s
             if self._alive.put(Occurrence(alive.start, at, alive.stamp), now):
                 self._withdraw(alive.start, at)
-                alive_now.append(alive)
         for done in news.answered:
             at = now - done.age_s
-            latest = Occurrence(done.fingerprint, at, done.stamp)
-            if self._answered.put(latest, now):
-                self._let_go(done.fingerprint, at)
-                answered_now.append(done)
+            self._take_answer(Occurrence(done.fingerprint, at, done.stamp), now)
         lost = tuple(
             note
             for note in news.lost
@@ -295,9 +296,7 @@
             crash = Crash(note.start, at, note.proven, note.seen_by)
             if self.note_crash(crash, note.fingerprints, now):
                 crashes.append(note)
-        return CrashNews(
-            tuple(crashes), lost, tuple(alive_now), tuple(answered_now)
-        )
+        return CrashNews(tuple(crashes), lost)
 
     def _doubtful(self, start: TargetStart, at: float) -> list[Sighting]:
         """Returns what an answer of a target after a time withdraws."""
@@ -311,8 +310,13 @@
         for sighting in self._doubtful(start, at):
             self._drop(sighting, REASON_ALIVE)
 
-    def _let_go(self, fingerprint: bytes, at: float) -> None:
-        """Takes a request out of the crashes up to a time."""
+    def _take_answer(self, answer: Occurrence[bytes], now: float) -> None:
+        """Takes a request out of the crashes before its answer."""
+        if not self._answered.put(answer, now):
+            return
+        fingerprint, at = answer.key, answer.at
+        if fingerprint in self._held:
+            self._freed.put(answer, now)
         beside = self._records.beside((fingerprint,))
         for sighting in list(self._records.of_request(fingerprint)):
             if sighting.crash.at <= at:
@@ -366,27 +370,32 @@
             reason = REASON_EXPLAINED
         self._changes.append(Change(fingerprint, standing, reason))
 
-    def _recent(self, now: float, held_only: bool) -> Iterator[CrashNote]:
-        left = MAX_TOLD
+    def _recent(self, now: float, held_only: bool) -> list[CrashNote]:
+        """Returns a part of what is news, the next one at each call."""
+        found: list[tuple[Sighting, bytes]] = []
         for sighting in self._records.newest():
-            if left <= 0 or now - sighting.changed_at > NEWS_S:
-                return
-            named = sorted(
-                f for f in sighting.named if not held_only or f in self._held
-            )
-            if named:
-                # One that names many is told in parts.
-                at = self._turn * left % len(named)
-                told = (named[at:] + named[:at])[:left]
-                yield _note(sighting.crash, told, now)
-                left -= len(told)
+            if now - sighting.changed_at > NEWS_S:
+                break
+            for fingerprint in sighting.named:
+                if not held_only or fingerprint in self._held:
+                    found.append((sighting, fingerprint))
+        if not found:
+            return []
+        at = self._told % len(found)
+        self._told += MAX_TOLD
+        named: dict[SightingKey, list[bytes]] = {}
+        crashes: dict[SightingKey, Crash] = {}
+        for sighting, fingerprint in (found[at:] + found[:at])[:MAX_TOLD]:
+            crashes[sighting.key] = sighting.crash
+            named.setdefault(sighting.key, []).append(fingerprint)
+        return [_note(crashes[key], named[key], now) for key in named]
 
     def _held_in_turn(self, now: float) -> Iterator[CrashNote]:
         """Generates what routers must know that were not there before."""
         held = list(self._held)
         for _ in range(min(HELD_TOLD, len(held))):
-            self._turn += 1
-            fingerprint = held[self._turn % len(held)]
+            self._held_told += 1
+            fingerprint = held[self._held_told % len(held)]
             for crash in self._laid_to(fingerprint):
                 yield _note(crash, [fingerprint], now)
 
--- a/packages/core/tests/test_crash_ledger.py
+++ b/packages/core/tests/test_crash_ledger.py
@@ -183,6 +183,30 @@
             self.tell(self.ledger, self.peer, NOW + turn * 0.25)
         self.assertTrue(all(self.count(self.peer, f) for f in named))
 
+    def test_crashes_of_several_targets_at_once_are_told_whole(self):
+        for number in (10, 11):
+            self.ledger.note_crash(crash(number), (POISON,), NOW)
+        named = [b"%d" % number for number in range(300)]
+        for number in range(3):
+            own = named[number::3]
+            self.ledger.note_crash(crash(number), own, NOW)
+        for turn in range(8):
+            self.tell(self.ledger, self.peer, NOW + turn * 0.25)
+        missing = [f for f in named if not self.count(self.peer, f)]
+        self.assertEqual(missing, [])
+
+    def test_only_what_was_refused_is_let_go_where_nothing_is_scheduled(self):
+        for number in (1, 2):
+            self.ledger.note_crash(crash(number), (POISON,), NOW)
+        self.ledger.note_crash(crash(3), (LOOKUP,), NOW)
+        self.tell(self.ledger, self.peer, NOW, held_only=True)
+        for fingerprint in (POISON, LOOKUP):
+            self.ledger.note_answered(fingerprint, NOW + 1, NOW + 1)
+        news = self.ledger.news(NOW + 1, held_only=True)
+        self.assertEqual([x.fingerprint for x in news.answered], [POISON])
+        self.peer.merge(news, NOW + 1)
+        self.assertFalse(self.peer.held())
+
     def test_a_router_that_starts_later_is_told_what_is_refused(self):
         for number in (1, 2):
             self.ledger.note_crash(crash(number), (POISON, LOOKUP), NOW)
