End a broken answer before its target is probed

What callers would see: a stream that broke off ended up to half a second later, for as long as the probe of its target took, since attempts with a head are examined too.

Change: the probe runs beside it; only an attempt that may be sent again waits, as the verdict decides on that. An answer that lets go a mere suspect waits for the next report in place of sending one at once.

--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -1,16 +1,14 @@
 """One attempt of a request on one target."""
 
 import asyncio
-import logging
 from collections.abc import Callable
 
-from chervilwall import events, message
+from chervilwall import message
 from chervilwall.errors import DialError
 from chervilwall.inbound import AnswerHead
 from chervilwall.registry import RegisteredTarget
 
 from chervilwall_router.edge.connections import most_kept
-from chervilwall_router.edge.crash_watch import WatchedAttempt
 from chervilwall_router.edge.exchange import Exchange
 from chervilwall_router.edge.relay import PlainRelay, StreamRelay, may_pass
 from chervilwall_router.edge.scheduling import Placed
@@ -23,7 +21,6 @@
     outcome_of,
 )
 
-LOG = logging.getLogger(__name__)
 # Time taken off what a target is told, for the way back.
 RETURN_MARGIN_S = 0.01
 # Silence after which a repeatable request is tried elsewhere.
@@ -77,7 +74,8 @@
                 self._parts.crashes.note_refused(target)
             return Attempt(Fate.NOT_SENT, target, reason=exc.reason)
         crashes, fingerprint = self._parts.crashes, self._admitted.fingerprint
-        with crashes.attempt(target, fingerprint) as watched:
+        request_id = self._admitted.req.id
+        with crashes.attempt(target, request_id, fingerprint) as watched:
 
             def hear(head: AnswerHead) -> None:
                 self._parts.heard(target, head)
@@ -91,30 +89,16 @@
                 self._put_back(exchange, target, conn)
             watched.answered = fate in _NOT_ENDED_BY
         if fate is Fate.BROKEN:
-            await self._examine(target, watched, exchange)
+            examined = crashes.examine(target, watched)
+            # Whether it may be sent again depends on it; the caller of one
+            # that ends here is not kept waiting.
+            if self._may_retry():
+                await examined
         attempt = Attempt(fate, target, exchange.head, exchange.reason)
         if outcome_of(attempt) == message.OUTCOME_COMPLETED:
             crashes.note_success(fingerprint)
         return attempt
 
-    async def _examine(
-        self,
-        target: RegisteredTarget,
-        watched: WatchedAttempt,
-        exchange: Exchange,
-    ) -> None:
-        """Finds out whether the target ended under this attempt."""
-        verdict = await self._parts.crashes.examine(target, watched)
-        events.log_event(
-            LOG,
-            events.ATTEMPT_EXAMINED,
-            request=self._admitted.req.id,
-            fingerprint=self._admitted.fingerprint.hex(),
-            target=target.id,
-            begun=exchange.head is not None,
-            verdict=verdict,
-        )
-
     async def _exchange(
         self,
         exchange: Exchange,
--- a/packages/router/chervilwall_router/edge/crash_watch.py
+++ b/packages/router/chervilwall_router/edge/crash_watch.py
@@ -1,5 +1,6 @@
 """Evidence that a target has crashed, and what was in flight on it."""
 
+import asyncio
 import contextlib
 import http
 import logging
@@ -73,10 +74,16 @@
     """An attempt that is under way.
 
     Args:
+        request_id (str): The caller's attempt.
+        fingerprint (bytes): Digest of the request.
         begun_at (float): Monotonic time at which it was sent.
     """
 
-    def __init__(self, begun_at: float) -> None:
+    def __init__(
+        self, request_id: str, fingerprint: bytes, begun_at: float
+    ) -> None:
+        self.request_id = request_id
+        self.fingerprint = fingerprint
         self.begun_at = begun_at
         # Whether the target answered it whole or did not run it.
         self.answered = False
@@ -108,6 +115,7 @@
         self._ledger = parts.ledger
         self._flights = InFlight()
         self._at_address: dict[str, _Seen] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def __repr__(self) -> str:
         return f"CrashWatch(flights={self._flights!r})"
@@ -118,11 +126,11 @@
 
     @contextlib.contextmanager
     def attempt(
-        self, target: RegisteredTarget, fingerprint: bytes
+        self, target: RegisteredTarget, request_id: str, fingerprint: bytes
     ) -> Iterator[WatchedAttempt]:
         """Watches over an attempt of a request on a target."""
         begun_at = self._parts.clock()
-        watched = WatchedAttempt(begun_at)
+        watched = WatchedAttempt(request_id, fingerprint, begun_at)
         number = self._flights.begin(target.start, fingerprint, begun_at)
         try:
             yield watched
@@ -138,8 +146,10 @@
         """Lets go a request that was answered whole."""
         self._flights.forgive(fingerprint)
         now = self._parts.clock()
-        if self._ledger.note_answered(fingerprint, now, now):
-            self._publish()
+        is_news = self._ledger.note_answered(fingerprint, now, now)
+        # The next report is soon enough for what was only suspected.
+        if is_news and self._log_changes():
+            self._parts.tell_peers()
 
     def hear(
         self, target: RegisteredTarget, head: AnswerHead, begun_at: float
@@ -160,14 +170,40 @@
             events.log_event(LOG, events.CRASH_WITHDRAWN, target=target.id)
             self._publish()
 
-    async def examine(
+    def examine(
         self, target: RegisteredTarget, attempt: WatchedAttempt
-    ) -> str:
-        """Finds out whether a target ended under an attempt that broke off.
+    ) -> "asyncio.Task[None]":
+        """Begins to find out whether a target ended under an attempt.
+
+        Args:
+            target (RegisteredTarget): The target.
+            attempt (WatchedAttempt): One that broke off.
 
         Returns:
-            What was found, for the log.
+            What ends when it is known; it need not be waited for.
         """
+        work = self._examine(target, attempt)
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _examine(
+        self, target: RegisteredTarget, attempt: WatchedAttempt
+    ) -> None:
+        verdict = await self._find_verdict(target, attempt)
+        events.log_event(
+            LOG,
+            events.ATTEMPT_EXAMINED,
+            request=attempt.request_id,
+            fingerprint=attempt.fingerprint.hex(),
+            target=target.id,
+            verdict=verdict,
+        )
+
+    async def _find_verdict(
+        self, target: RegisteredTarget, attempt: WatchedAttempt
+    ) -> str:
         if not self._is_serving(target):
             return LEAVING
         if self._ledger.knows_crash(target.start, attempt.begun_at):
@@ -261,8 +297,9 @@
 
     def _is_serving(self, target: RegisteredTarget) -> bool:
         known = self._parts.registry.get(target.id)
-        same = known is not None and known.start == target.start
-        return known is not None and same and not known.draining
+        if known is None or known.start != target.start:
+            return False
+        return not known.draining
 
     def _ended_on(self, start: TargetStart) -> list[Flight]:
         """Returns what ended unanswered on a target, which is silent since."""
@@ -301,28 +338,29 @@
         self._log_changes()
         self._parts.tell_peers()
 
-    def _log_changes(self) -> None:
-        for change in self._ledger.take_changes():
-            crashes = change.standing.crashes
-            is_held = change.standing.is_held
-            event = (
-                events.REQUEST_QUARANTINED
-                if is_held
-                else events.REQUEST_RELEASED
-            )
-            self._parts.metrics.count(
-                "request_quarantined" if is_held else "request_released"
-            )
-            events.log_event(
-                LOG,
-                event,
-                fingerprint=change.fingerprint.hex(),
-                reason=change.reason,
-                crashes=len(crashes),
-                targets=",".join(c.start.target_id for c in crashes),
-                seen_by=",".join(c.seen_by for c in crashes),
-            )
+    def _log_changes(self) -> bool:
+        """Tells of what is refused from now on, or let go; returns if any."""
+        changes = self._ledger.take_changes()
+        for change in changes:
+            self._log_change(change)
             self._parts.judged(change)
+        return bool(changes)
+
+    def _log_change(self, change: Change) -> None:
+        crashes = change.standing.crashes
+        event, counter = events.REQUEST_RELEASED, "request_released"
+        if change.standing.is_held:
+            event, counter = events.REQUEST_QUARANTINED, "request_quarantined"
+        self._parts.metrics.count(counter)
+        events.log_event(
+            LOG,
+            event,
+            fingerprint=change.fingerprint.hex(),
+            reason=change.reason,
+            crashes=len(crashes),
+            targets=",".join(c.start.target_id for c in crashes),
+            seen_by=",".join(c.seen_by for c in crashes),
+        )
 
 
 def _hexes(fingerprints: "Sequence[bytes] | set[bytes]") -> str:
--- a/packages/standins/tests/test_edge_crashing_request.py
+++ b/packages/standins/tests/test_edge_crashing_request.py
@@ -13,6 +13,7 @@
 PAUSE_S = 0.3
 # A harmless request is served again within the bound of stability.
 STABILITY_S = 3.0
+PROBE_S = 0.4
 CHAT = {"token_usage": "100,30"}
 
 
@@ -138,6 +139,29 @@
         self.assertLessEqual(self.runs() - before, 1)
         self.assertLessEqual(self.runs(), MOST_RUNS)
 
+    async def test_a_stream_that_broke_off_ends_before_its_target_is_probed(
+        self,
+    ):
+        await self.start("model", 2, events=3, crash_after=1)
+        for router in self.fleet.routers:
+            probe = router.connections.probe
+
+            async def slow(target, probe=probe):
+                await asyncio.sleep(PROBE_S)
+                await probe(target)
+
+            router.crashes._parts = router.crashes._parts._replace(probe=slow)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        answer = await self.fleet.call(
+            "/chat/x", body=POISON, request_id="r", **CHAT
+        )
+        self.assertFalse(answer.whole)
+        self.assertLess(loop.time() - started, PROBE_S / 2)
+        await asyncio.sleep(PROBE_S * 1.5)
+        metrics = self.fleet.routers[0].metrics.view()
+        self.assertIn("target_crashed", str(metrics))
+
     def knows_targets(self):
         return all(
             router.config.table is not None and router.targets.revision
