Give a trial a target where all that are left are tainted

Cause: a trial went to no target whose id had ended under the request, nor to one that runs a suspect, and waited for another one. A service whose only targets are those, or whose targets start again under the ids that they had, had none: a harmless request stayed refused. Found by reading the change.

Change: it is the start that is avoided, not the id, and where no other target is left the trial runs beside what is there.

Evidence: both new tests time out on the code before and pass.

--- a/packages/router/chervilwall_router/edge/dispatcher.py
+++ b/packages/router/chervilwall_router/edge/dispatcher.py
@@ -379,22 +379,26 @@
     ) -> Choice | None:
         """Returns a target; a suspect goes where no other one is.
 
-        A trial waits for such a target, other suspects do not.
+        A trial waits for such a target while there is any, other suspects do
+        not.
         """
         parts, demand = self._parts, wish.demand
+        targets = parts.registry.of_service(demand.service)
         choose = functools.partial(
             parts.placement.choose,
             demand,
-            parts.registry.of_service(demand.service),
+            targets,
             now,
             slack_s=ticket.due_at - now,
             urgency=ticket.urgency(now, self._had(now).over),
         )
         if standing.is_suspect:
-            ended = {c.start.target_id for c in standing.crashes}
-            apart = wish.excluded | self._isolation.targets() | ended
-            choice = choose(excluded=apart)
-            if choice is not None or standing.is_held:
+            ended = {crash.start for crash in standing.crashes}
+            busy = self._isolation.targets()
+            apart = {t.id for t in targets if t.start in ended or t.id in busy}
+            choice = choose(excluded=wish.excluded | apart)
+            waits = standing.is_held and len(apart) < len(targets)
+            if choice is not None or waits:
                 return choice
         return choose(excluded=wish.excluded)
 
--- a/packages/router/tests/test_edge_dispatcher.py
+++ b/packages/router/tests/test_edge_dispatcher.py
@@ -85,8 +85,12 @@
     )
 
 
-def note_crash(parts, target_id, fingerprint, at):
+def note_crash(parts, target_id, fingerprint, at, *, later=False):
+    """Notes the crash of a target, whose later start may be registered."""
+    target = parts.registry.get(target_id)
     start = TargetStart(target_id, 1, "127.0.0.1:9")
+    if target is not None and not later:
+        start = target.start
     crash = Crash(start, at, True, "r0")
     parts.crashes.note_crash(crash, (fingerprint,), at)
 
@@ -171,7 +175,30 @@
         self.assertNotIn(trial.choice.target.id, taken)
         with self.assertRaises(RequestRefusedError):
             await dispatcher.acquire(wish)
-        # A trial that no target ran is made again.
+        # A trial that no target ran may be made again.
         with trial:
             dispatcher.note_outcome(trial, message.OUTCOME_NOT_SENT)
         await dispatcher.acquire(wish)
+
+    async def test_a_trial_runs_where_no_other_target_is_left(self):
+        dispatcher, parts = make_dispatcher(self.clock, capacity=1e6)
+        (target,) = parts.registry.of_service("svc")
+        for start in (target.start, target.start._replace(born_ms=7)):
+            crash = Crash(start, self.clock.now, False, "r0")
+            parts.crashes.note_crash(crash, (b"a",), self.clock.now)
+        self.clock.now += TRIAL_PAUSES_S[0]
+        wish = make_wish(self.clock, "team", 1, fingerprint=b"a")
+        await asyncio.wait_for(dispatcher.acquire(wish), 1.0)
+
+    async def test_a_later_start_of_a_target_may_run_a_trial(self):
+        dispatcher, parts = make_dispatcher(self.clock, capacity=1e6, targets=2)
+        for target_id in ("i-1", "i-9"):
+            note_crash(parts, target_id, b"a", self.clock.now, later=True)
+        note_crash(parts, "i-0", b"b", self.clock.now)
+        other = make_wish(self.clock, "team", 1, fingerprint=b"b")
+        suspect = await dispatcher.acquire(other)
+        free = {"i-1", "i-2"} - {suspect.choice.target.id}
+        self.clock.now += TRIAL_PAUSES_S[0]
+        wish = make_wish(self.clock, "team", 2, fingerprint=b"a")
+        trial = await asyncio.wait_for(dispatcher.acquire(wish), 1.0)
+        self.assertEqual({trial.choice.target.id}, free)
