--- a/packages/router/chervilwall_router/edge/edge.py
+++ b/packages/router/chervilwall_router/edge/edge.py
@@ -130,12 +130,12 @@
         )
         self.stored_crashes = StoredCrashes(
             StoredCrashParts(
-                store=self._store,
-                name=self._cfg.name,
-                take_news=self.crashes.take_news,
-                wall=time.time,
-                clock=self._clock,
-                rng=self._rng,
+                self._store,
+                self._cfg.name,
+                self.crashes.take_news,
+                time.time,
+                self._clock,
+                self._rng,
             )
         )
         self.config = ConfigState(decoder, self._config_changed)
@@ -416,8 +416,6 @@
         self.connections.close_all(target_id)
         self._memory.pauses.forget(target_id)
 
-    # Reports between routers.
-
     def _send(self, address: str, item: EdgeMessage) -> None:
         self.link.send(address, item)
 
@@ -425,8 +423,6 @@
         knows_all = self.config.table is not None and self.targets.revision > 0
         return knows_all and not self._shutdown.has_begun()
 
-    # Work in the background.
-
     async def _join(self) -> None:
         self.link.codec = await self._member.join()
         self.link.send_now()
--- a/packages/router/chervilwall_router/edge/granting.py
+++ b/packages/router/chervilwall_router/edge/granting.py
@@ -14,7 +14,8 @@
 from chervilwall.prefix import PromptPart
 from chervilwall.registry import TargetRegistry
 
-from chervilwall_router.edge.dispatcher import Dispatcher, Grant, Wish
+from chervilwall_router.edge.dispatcher import Dispatcher
+from chervilwall_router.edge.grant import Grant, Wish
 
 # Grants that a router's report does not list after this time have ended.
 UNLISTED_GRACE_S = 0.6
--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -17,7 +17,8 @@
     AttemptRunner,
 )
 from chervilwall_router.edge.caller_answer import CallerAnswer
-from chervilwall_router.edge.dispatcher import REASON_CRASHES, Wish
+from chervilwall_router.edge.dispatcher import REASON_CRASHES
+from chervilwall_router.edge.grant import Wish
 from chervilwall_router.edge.relay import PlainRelay, StreamRelay
 from chervilwall_router.edge.scheduling import Placed
 from chervilwall_router.edge.work import (
--- a/packages/router/chervilwall_router/edge/scheduling.py
+++ b/packages/router/chervilwall_router/edge/scheduling.py
@@ -17,7 +17,7 @@
 from chervilwall.placement import Choice
 from chervilwall.registry import RegisteredTarget
 
-from chervilwall_router.edge.dispatcher import Wish
+from chervilwall_router.edge.grant import Wish
 from chervilwall_router.edge.granting import (
     Granting,
     Scheduler,
--- a/packages/router/tests/test_edge_dispatcher.py
+++ b/packages/router/tests/test_edge_dispatcher.py
@@ -19,7 +19,8 @@
 )
 from chervilwall.trials import TRIAL_PAUSES_S
 from chervilwall.wait_queue import WaitSettings
-from chervilwall_router.edge.dispatcher import Dispatcher, DispatcherParts, Wish
+from chervilwall_router.edge.dispatcher import Dispatcher, DispatcherParts
+from chervilwall_router.edge.grant import Wish
 
 OBJECTIVE_S = 0.3
 
--- a/packages/router/tests/test_edge_scheduling.py
+++ b/packages/router/tests/test_edge_scheduling.py
@@ -11,7 +11,7 @@
 from chervilwall.pauses import TargetPauses
 from chervilwall.placement import Demand
 from chervilwall.registry import RegisteredTarget, TargetRegistry
-from chervilwall_router.edge.dispatcher import Wish
+from chervilwall_router.edge.grant import Wish
 from chervilwall_router.edge.granting import Scheduler, SchedulingParts
 from chervilwall_router.edge.scheduling import REMIND_S, Scheduling
 
--- a/packages/standins/chervilwall_standins/lab/fleet.py
+++ b/packages/standins/chervilwall_standins/lab/fleet.py
@@ -14,11 +14,8 @@
 from chervilwall.registry import RegisteredTarget, TargetRegistry
 from chervilwall.route_memory import SizeClasses
 from chervilwall.wait_queue import WaitSettings
-from chervilwall_router.edge.dispatcher import (
-    Dispatcher,
-    DispatcherParts,
-    Wish,
-)
+from chervilwall_router.edge.dispatcher import Dispatcher, DispatcherParts
+from chervilwall_router.edge.grant import Wish
 
 from chervilwall_standins.lab.engine import Engine, EngineRun, EngineSettings
 from chervilwall_standins.lab.load import Call, LoadSettings, make_calls
