--- a/packages/core/chervilwall/crash_ledger.py
+++ b/packages/core/chervilwall/crash_ledger.py
@@ -15,11 +15,10 @@
 
 from chervilwall._latest import LatestTimes, Occurrence
 from chervilwall.crash_news import (
-    AliveNote,
     AnsweredNote,
     CrashNews,
     CrashNote,
-    LostNote,
+    TargetNote,
 )
 from chervilwall.crash_records import (
     Crash,
@@ -255,11 +254,11 @@
         crashes = [*self._recent(now, held_only), *self._held_in_turn(now)]
         answers = self._freed if held_only else self._answered
         lost = [
-            LostNote(found.key, now - found.at, found.stamp)
+            TargetNote(found.key, now - found.at, found.stamp)
             for found in self._lost.newest(now - NEWS_S, MAX_TOLD)
         ]
         alive = [
-            AliveNote(found.key, now - found.at, found.stamp)
+            TargetNote(found.key, now - found.at, found.stamp)
             for found in self._alive.newest(now - NEWS_S, MAX_TOLD)
         ]
         answered = [
--- a/packages/core/chervilwall/crash_news.py
+++ b/packages/core/chervilwall/crash_news.py
@@ -24,12 +24,12 @@
     fingerprints: tuple[bytes, ...]
 
 
-class AliveNote(NamedTuple):
-    """Tells that a target which was thought to have ended has answered.
+class TargetNote(NamedTuple):
+    """Tells how a start of a target was found.
 
     Args:
         start (TargetStart): The start of the target.
-        age_s (float): Seconds since it was asked.
+        age_s (float): Seconds since then.
         stamp (int): Tells what is told again from what happened again.
     """
 
@@ -52,31 +52,18 @@
     stamp: int
 
 
-class LostNote(NamedTuple):
-    """Tells that a target which did not leave refuses connections.
-
-    Args:
-        start (TargetStart): The start of the target.
-        age_s (float): Seconds since it was seen.
-        stamp (int): Tells what is told again from what happened again.
-    """
-
-    start: TargetStart
-    age_s: float
-    stamp: int
-
-
 class CrashNews(NamedTuple):
     """What a router tells its peers of crashes.
 
     Args:
         crashes (tuple): Crashes.
-        lost (tuple): Targets that refuse connections, whatever ran there.
-        alive (tuple): Targets that did not crash.
+        lost (tuple): Targets that did not leave and refuse connections,
+            whatever ran there.
+        alive (tuple): Targets that were thought to have ended and answer.
         answered (tuple): Requests that are let go.
     """
 
     crashes: tuple[CrashNote, ...] = ()
-    lost: tuple[LostNote, ...] = ()
-    alive: tuple[AliveNote, ...] = ()
+    lost: tuple[TargetNote, ...] = ()
+    alive: tuple[TargetNote, ...] = ()
     answered: tuple[AnsweredNote, ...] = ()
