Keep a team's usage until its last entry expires

Cause: a sum of at most half a token was taken for a rounding error and removed while entries of the team were still in the window; the expiry of the next one raised KeyError in the scheduler's pass. Ruled out: comparing with 0, as sums of floats rarely return to it. Change: entries are counted by team, and the sum is removed with the last one. Test: failed before with KeyError.

--- a/packages/core/chervilwall/fair_share.py
+++ b/packages/core/chervilwall/fair_share.py
@@ -4,7 +4,7 @@
 demand beyond its fair share waits behind the requests of the other teams.
 """
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Mapping
 
 # Length of the sliding window. Equal to the window of the deployment platform's
@@ -51,6 +51,7 @@
         self._window_s = window_s
         self._entries: deque[tuple[float, str, float]] = deque()
         self._sum_by_team: dict[str, float] = {}
+        self._entries_by_team: Counter[str] = Counter()
 
     def __repr__(self) -> str:
         return f"TeamUsage(teams={len(self._sum_by_team)})"
@@ -61,17 +62,18 @@
             return
         self._entries.append((now, team, amount))
         self._sum_by_team[team] = self._sum_by_team.get(team, 0.0) + amount
+        self._entries_by_team[team] += 1
 
     def sums(self, now: float) -> dict[str, float]:
         """Returns the sums of the window that ends now, by team."""
         while self._entries and now - self._entries[0][0] > self._window_s:
             _, team, amount = self._entries.popleft()
-            remaining = self._sum_by_team[team] - amount
-            # A sum below half a token is a rounding error.
-            if remaining > 0.5:
-                self._sum_by_team[team] = remaining
+            self._entries_by_team[team] -= 1
+            if self._entries_by_team[team]:
+                self._sum_by_team[team] -= amount
             else:
-                del self._sum_by_team[team]
+                # Also drops the rounding error of the sum.
+                del self._sum_by_team[team], self._entries_by_team[team]
         return self._sum_by_team
 
 
--- a/packages/core/tests/test_fair_share.py
+++ b/packages/core/tests/test_fair_share.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from chervilwall.fair_share import WINDOW_S, FairShare, max_min_level
+from chervilwall.fair_share import (
+    WINDOW_S,
+    FairShare,
+    TeamUsage,
+    max_min_level,
+)
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -27,6 +32,15 @@
         self.assertLessEqual(allocated, capacity * (1 + 1e-6))
 
 
+class TeamUsageTest(unittest.TestCase):
+    def test_a_team_is_kept_until_its_last_entry_expires(self):
+        usage = TeamUsage(window_s=4.0)
+        usage.add("a", 0.3, 0.0)
+        usage.add("a", 0.3, 1.0)
+        self.assertAlmostEqual(usage.sums(4.5)["a"], 0.3)
+        self.assertEqual(usage.sums(5.5), {})
+
+
 class FairShareTest(unittest.TestCase):
     def test_a_flood_is_over_its_share_and_its_neighbours_are_not(self):
         shares = FairShare()
