--- a/packages/core/chervilwall/quarantine.py
+++ b/packages/core/chervilwall/quarantine.py
@@ -10,8 +10,7 @@
 
 CRASHES_TO_SUSPECT = 1
 MAX_ENTRIES = 1000
-# Crashes are forgotten after this time, even within a longer trial pause: the
-# pause of a day in TRIAL_PAUSES_S ends after an hour here.
+# Crashes are forgotten this long after the end of their trial pause.
 ENTRY_TTL_S = 3600.0
 MAX_RECENT_ENTRIES = 8
 MAX_RECENT_AGE_S = 60.0
@@ -43,8 +42,8 @@
     it.
 
     Args:
-        ttl_s (float): Seconds after its last crash or trial for which an entry
-            counts. Defaults to one hour.
+        ttl_s (float): Seconds for which an entry counts, after its last crash
+            or trial and the pause that follows. Defaults to one hour.
     """
 
     def __init__(self, *, ttl_s: float = ENTRY_TTL_S) -> None:
@@ -60,9 +59,14 @@
     def crashes(self, fingerprint: bytes, now: float) -> int:
         """Returns the number of crashes attributed to a request."""
         entry = self._entries.get(fingerprint)
-        if entry is None or now - entry.at > self._ttl_s:
+        if entry is None:
             return 0
-        return entry.crashes
+        age_s = now - entry.at
+        return 0 if self._is_expired(entry.crashes, age_s) else entry.crashes
+
+    def _is_expired(self, crashes: int, age_s: float) -> bool:
+        pause_s = trial_pause_s(crashes) if crashes >= CRASHES_TO_REFUSE else 0
+        return age_s > pause_s + self._ttl_s
 
     def zone(self, fingerprint: bytes) -> str:
         """Returns the availability zone of a request's last crash.
@@ -142,7 +146,8 @@
             is_known = entry.crashes <= self.crashes(entry.fingerprint, now)
             cleared_at = self._cleared_at.get(entry.fingerprint, -math.inf)
             is_cleared = now - entry.age_s <= cleared_at
-            if is_known or is_cleared or entry.age_s > self._ttl_s:
+            is_expired = self._is_expired(entry.crashes, entry.age_s)
+            if is_known or is_cleared or is_expired:
                 continue
             received = _Entry(entry.crashes, now - entry.age_s, "")
             self._put(entry.fingerprint, received)
--- a/packages/core/tests/test_scheduler.py
+++ b/packages/core/tests/test_scheduler.py
@@ -21,7 +21,7 @@
 )
 from chervilwall.quarantine import Quarantine
 from chervilwall.scheduler import CellScheduler, SchedulerSettings
-from chervilwall.trial_pauses import TRIAL_PAUSES_S
+from chervilwall.trial_pauses import CRASHES_TO_REFUSE, TRIAL_PAUSES_S
 
 CELL = "svc#0"
 
@@ -309,6 +309,14 @@
             ).values()
             self.report_crash(cell_scheduler, 1, target, now)
 
+    def test_an_entry_lasts_as_long_as_its_trial_pause(self):
+        quarantine, now = Quarantine(), 0.0
+        for _ in range(CRASHES_TO_REFUSE + len(TRIAL_PAUSES_S)):
+            quarantine.record_crash(b"k", zone="az1", suspect=True, now=now)
+        longest_s = TRIAL_PAUSES_S[-1]
+        self.assertTrue(quarantine.is_refused(b"k", longest_s - 1.0))
+        self.assertTrue(quarantine.is_suspect(b"k", longest_s + 1.0))
+
     def test_peers_that_did_not_hear_do_not_bring_a_suspicion_back(self):
         quarantine, peer_quarantine = Quarantine(), Quarantine()
         quarantine.record_crash(b"k", zone="az1", suspect=False, now=0.0)
