Cut the links in the test of a fleet without reachable hubs

Cause: the test replaced a method that the link had bound at its construction, so nothing was cut and hubs kept telling the others. Change: the codec of each link is removed, which stops it from sending and accepting, and the test waits until no router has a recent report. It is stricter than before and passes on the unchanged code.

--- a/packages/standins/tests/test_edge_hubs.py
+++ b/packages/standins/tests/test_edge_hubs.py
@@ -89,7 +89,16 @@
         fleet = await self.start(FakeTarget("m0", "model"))
         await asyncio.sleep(1.0)
         for router in fleet.routers:
-            router.reports.receive_frame = lambda frame, address: None
+            # Without a codec, a link neither sends nor accepts datagrams.
+            router.link.codec = None
+        await fleet.wait_until(
+            lambda: (
+                not any(
+                    r.peers.recent_reports(elapsed_s()) for r in fleet.routers
+                )
+            ),
+            timeout_s=SETTLE_S,
+        )
         await fleet.store.put("config", "main", make_config(2))
         await fleet.wait_until(
             lambda: all(r.config.version == 2 for r in fleet.routers),
