Do not eject targets for attempts that this router held back

Cause: a claim too old to send its request, and a target that a new configuration had removed, were reported as not sent, which the scheduler takes for a refused connection; it ejected a healthy target at once. Change: both are reported as refused. Not run, charged nothing and retried as before.

--- a/packages/core/chervilwall/scheduler.py
+++ b/packages/core/chervilwall/scheduler.py
@@ -35,7 +35,7 @@
     cell_messages.OUTCOME_BROKEN,
     cell_messages.OUTCOME_TIMEOUT,
     cell_messages.OUTCOME_UNKNOWN,
-    cell_messages.OUTCOME_NOT_SENT,
+    *cell_messages.OUTCOMES_NOT_RUN,
 )
 
 
--- a/packages/router/chervilwall_router/accounting.py
+++ b/packages/router/chervilwall_router/accounting.py
@@ -69,7 +69,7 @@
         self._holder.report_done(done)
 
     def _cost(self, classified: Classified, attempt: Attempt) -> float:
-        if attempt.outcome == cell_messages.OUTCOME_NOT_SENT:
+        if attempt.outcome in cell_messages.OUTCOMES_NOT_RUN:
             return 0.0
         if attempt.outcome != cell_messages.OUTCOME_COMPLETED:
             return COST_UNKNOWN
--- a/packages/router/chervilwall_router/pipeline.py
+++ b/packages/router/chervilwall_router/pipeline.py
@@ -268,7 +268,9 @@
             attempt = await self._run_attempt(
                 req, classified, sink, grant, claim
             )
-            may_have_run |= attempt.outcome != cell_messages.OUTCOME_NOT_SENT
+            may_have_run |= (
+                attempt.outcome not in cell_messages.OUTCOMES_NOT_RUN
+            )
             is_last = attempt_number == self._limits.max_attempts
             if is_last or not self._may_retry(classified, attempt):
                 return self._finish_attempts(
@@ -329,12 +331,12 @@
         now = time.monotonic()
         if target is None:
             return Attempt(
-                cell_messages.OUTCOME_NOT_SENT,
+                cell_messages.OUTCOME_REFUSED,
                 reason="target is no longer configured",
             )
         if claim and not claim_lib.may_dispatch(claim.claimed_at, now):
             return Attempt(
-                cell_messages.OUTCOME_NOT_SENT,
+                cell_messages.OUTCOME_REFUSED,
                 reason="claim is too old to send the request",
             )
         is_scheduled_here = self._cells.is_scheduled_here(grant.cell)
@@ -370,7 +372,7 @@
         return attempt
 
     def _may_retry(self, classified: Classified, attempt: Attempt) -> bool:
-        if attempt.outcome == cell_messages.OUTCOME_NOT_SENT:
+        if attempt.outcome in cell_messages.OUTCOMES_NOT_RUN:
             return True
         if not classified.cls.idempotent or attempt.relayed:
             return False
