Do not pass on an unsigned response that says nothing was run

Cause: only 500 and above counted as failures, so a 429 (or 408, 421) that a target sent without its signature, after it may have run the request, reached the caller as a promise of ours that it had not run. Change: such a response is a failure of the target: retried where the route allows it, otherwise 502 with executed unknown, as unsigned 503 was already. Test: a booking that a stand-in runs and answers with an unsigned 429 got 429.

--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -21,11 +21,12 @@
 from chervilwall_router.edge.grants import GrantRequest
 from chervilwall_router.edge.relay import BufferedRelay, StreamRelay
 from chervilwall_router.edge.request_types import (
-    MIN_SERVER_ERROR,
     AdmittedRequest,
     Attempt,
     AttemptResult,
     RequestContext,
+    is_failure,
+    is_unconfirmed_refusal,
     outcome_of,
 )
 from chervilwall_router.edge.scheduling import PlacedRequest
@@ -238,7 +239,7 @@
     ) -> bool:
         head = attempt.head
         assert head is not None
-        failed = head.status >= MIN_SERVER_ERROR
+        failed = is_failure(head)
         if (
             failed
             and not answer.started
@@ -249,7 +250,7 @@
         if failed and answer.started:
             self._fail(answer, attempt, 502, "broken_answer")
             return True
-        if failed and not head.signed and head.status in (429, 503):
+        if is_unconfirmed_refusal(head):
             self._fail(answer, attempt, 502, "target_failed")
             return True
         if isinstance(relay, StreamRelay):
--- a/packages/router/chervilwall_router/edge/request_types.py
+++ b/packages/router/chervilwall_router/edge/request_types.py
@@ -19,6 +19,8 @@
 from chervilwall_router.edge.settings import RetrySettings
 
 MIN_SERVER_ERROR = 500
+# Statuses by which a response states that the request was not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
 class AttemptResult(enum.Enum):
@@ -137,10 +139,24 @@
         One of the OUTCOME_ constants of cell_messages.
     """
     if attempt.result is AttemptResult.ANSWERED:
-        failed = attempt.head is None or attempt.head.status >= MIN_SERVER_ERROR
+        failed = attempt.head is None or is_failure(attempt.head)
         return (
             cell_messages.OUTCOME_ERROR
             if failed
             else cell_messages.OUTCOME_COMPLETED
         )
     return _OUTCOMES[attempt.result]
+
+
+def is_failure(head: ResponseHead) -> bool:
+    """Returns whether a response means that its target failed.
+
+    An unsigned response that states that the request was not run counts too:
+    the target has not confirmed it, so the statement must not be passed on.
+    """
+    return head.status >= MIN_SERVER_ERROR or is_unconfirmed_refusal(head)
+
+
+def is_unconfirmed_refusal(head: ResponseHead) -> bool:
+    """Returns whether an unsigned response says that nothing was run."""
+    return not head.signed and head.status in NOT_RUN_STATUSES
--- a/packages/standins/chervilwall_standins/users/target.py
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -28,6 +28,8 @@
 CLOSE_DELIMITED = "close-delimited"
 # Sends a second response to the same request.
 EXTRA_RESPONSE = "extra-response"
+# Runs a request and responds with 429 without a signature.
+UNSIGNED_BUSY = "unsigned-busy"
 # Sends a response to another attempt before the right one.
 STALE_RESPONSE = "stale-response"
 # Closes the connection after a response without announcing it.
@@ -309,6 +311,9 @@
         if self.mode == RESET:
             writer.transport.abort()
             return False
+        if self.mode == UNSIGNED_BUSY:
+            writer.write(_head(429, {"Attempt-Id": request.id}, 4) + b"busy")
+            return True
         if self.mode == ERROR:
             writer.write(_head(500, identity, 4) + b"oops")
             return True
--- a/packages/standins/tests/test_edge_answers.py
+++ b/packages/standins/tests/test_edge_answers.py
@@ -98,6 +98,12 @@
                 self.assertIn(response.status, (500, 502))
                 self.assertEqual(self.count_executions(request_id), 1)
 
+    async def test_an_unsigned_429_promises_nothing(self):
+        self.set_mode(t.UNSIGNED_BUSY)
+        response = await self.fleet.call("/book/x")
+        self.assertEqual(response.status, 502)
+        self.assertEqual(self.count_executions("r1"), 1)
+
     async def test_a_read_is_repeated_once_elsewhere(self):
         for mode in (t.RESET, t.TRUNCATED, t.UNSIGNED, t.ERROR):
             with self.subTest(mode=mode):
