Say that a request was not run if its time ended before any send

Cause: the refusal of a request whose time limit passed while connections failed was built like the failure of a target: 503 with executed unknown, and a text that it may have run. It was counted as unknown in the totals, too. Change: refused as not run, counted and logged as a refusal. Test: failed before with executed unknown.

--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -226,9 +226,11 @@
         """Fails the request if its time is up; returns whether it ended."""
         if self._parts.clock() < self._admitted.deadline_at - RETURN_MARGIN_S:
             return False
-        self._fail(
-            answer, attempt, 504 if self._executed_attempts else 503, "timeout"
-        )
+        if self._executed_attempts or answer.started:
+            self._fail(answer, attempt, 504, "timeout")
+            return True
+        detail = "The time limit passed before a target was sent the request."
+        self._refuse(answer, Problem(503, "timeout", detail))
         return True
 
     def _forward_answer(
--- a/packages/router/tests/test_edge_flow.py
+++ b/packages/router/tests/test_edge_flow.py
@@ -1,5 +1,6 @@
 """Tests of the admission of requests."""
 
+import asyncio
 import random
 import time
 import unittest
@@ -7,13 +8,17 @@
 from unittest import mock
 
 from chervilwall.crash_ledger import CrashLedger
-from chervilwall.errors import RequestRefusedError
+from chervilwall.errors import DialError, RequestRefusedError
 from chervilwall.host_load import HostLoad
 from chervilwall.http_messages import InboundRequest
+from chervilwall.placement import Choice
 from chervilwall.prefix import PromptPart
+from chervilwall.registry import RegisteredTarget
 from chervilwall.routing import Route, RouteKind, RoutingTable, WeightedService
 from chervilwall_router.edge.admission import RequestAdmission
+from chervilwall_router.edge.scheduling import PlacedRequest
 from chervilwall_router.edge.settings import RetrySettings
+from chervilwall_router.problem import EXECUTED_NO
 
 OBJECTIVE_S = 0.3
 ROUTE = Route(
@@ -33,6 +38,27 @@
         raise RequestRefusedError("full", 1.0, step="wait", peer="s")
 
 
+class _GrantingScheduling:
+    """Grant the same target to every request."""
+
+    async def acquire(self, request):
+        target = RegisteredTarget("t", "s", "127.0.0.1:9", "z", 8)
+        return PlacedRequest(
+            1, Choice(target), request.arrived_at, mock.Mock(), mock.Mock()
+        )
+
+
+class _SlowlyFailingConnections:
+    """Fail to connect after the time limit of every request."""
+
+    def __init__(self, limit_s):
+        self._limit_s = limit_s
+
+    async def acquire(self, target):
+        await asyncio.sleep(self._limit_s)
+        raise DialError("timed out", step="connect", peer=target.address)
+
+
 class RequestFlowTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.scheduling = _RefusingScheduling()
@@ -62,7 +88,7 @@
         )  # fmt: skip
         answer = mock.MagicMock(started=False)
         await self.flow.handle(req, answer)
-        return answer.refuse.call_args.args[0].reason
+        return answer.refuse.call_args.args[0]
 
     async def test_late_in_a_stop_no_stream_is_taken_that_may_be_cut(self):
         # The mean of five short streams underestimates the longest streams of
@@ -71,14 +97,14 @@
             self.flow.statistics.record_stream(ROUTE, 40, 1.2)
         self.flow.aborts_at = time.monotonic() + 4.3
         self.flow.accepts_until = time.monotonic() + 1.0
-        self.assertNotEqual(await self.arrive(1), "leaving")
+        self.assertNotEqual((await self.arrive(1)).reason, "leaving")
         self.flow.accepts_until = time.monotonic() - 0.1
-        self.assertEqual(await self.arrive(2), "leaving")
+        self.assertEqual((await self.arrive(2)).reason, "leaving")
 
     async def test_late_in_a_stop_what_surely_ends_is_taken(self):
         self.flow.aborts_at = time.monotonic() + ROUTE.timeout_s + 1.0
         self.flow.accepts_until = time.monotonic() - 0.1
-        self.assertNotEqual(await self.arrive(1), "leaving")
+        self.assertNotEqual((await self.arrive(1)).reason, "leaving")
 
     async def test_a_caller_with_less_time_than_others_is_not_late(self):
         for number, remaining_s in enumerate((15.0, 12.8, 14.0)):
@@ -88,3 +114,11 @@
                 request.due_at - request.arrived_at, OBJECTIVE_S
             )
             self.assertTrue(request.is_first_attempt)
+
+    async def test_a_request_whose_time_ends_before_a_send_was_not_run(self):
+        parts = self.flow._parts
+        parts.scheduling = _GrantingScheduling()
+        parts.connections = _SlowlyFailingConnections(0.05)
+        problem = await self.arrive(remaining_s=0.05)
+        self.assertEqual((problem.status, problem.reason), (503, "timeout"))
+        self.assertEqual(problem.executed, EXECUTED_NO)
