Word the refusal after rejected attempts for all their reasons

Cause: "Every target that was asked is full." was also sent when targets had been replaced at their address, were leaving or had asked for a pause. Change: the text says that the targets turned the request away. Test: four targets that another start has replaced; failed before.

--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -326,7 +326,7 @@
         if self._executed_attempts:
             self._fail(answer, attempt, 502, "broken_answer")
             return
-        detail = "Every target that was asked is full."
+        detail = "Every target that was asked turned the request away."
         problem = Problem(503, "busy", detail, retry_after_s=MIN_SILENCE_S)
         self._refuse(answer, problem)
 
--- a/packages/standins/tests/test_edge_answers.py
+++ b/packages/standins/tests/test_edge_answers.py
@@ -277,3 +277,17 @@
         )
         in_flight = self.fleet.routers[0].running_requests
         self.assertEqual(in_flight.loads(), ())
+
+
+class ReplacedTargetsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_refusal_does_not_claim_that_replaced_targets_are_full(
+        self,
+    ):
+        targets = [FakeTarget(f"p{i}", "plain") for i in range(4)]
+        fleet = await EdgeFleet(*targets).__aenter__()
+        self.addAsyncCleanup(fleet.__aexit__)
+        for target in targets:
+            target.id = f"successor of {target.id}"
+        response = await fleet.call("/book/x")
+        self.assertEqual(response.status, 503)
+        self.assertIn(b"turned the request away", response.body)
