Make the limits of waiting and placement checked settings of edge routers

Cause: an ablation or a trial of a limit meant a patch, and nothing checked it. Change: WaitSettings and PlacementSettings are structs that the edge router's settings hold, passed whole to router and lab; the boost of groups, the limit on overtaking and the assumed fraction of cached memory join them.

--- a/packages/core/chervilwall/placement.py
+++ b/packages/core/chervilwall/placement.py
@@ -14,6 +14,9 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
+import msgspec
+
+from chervilwall._setting_types import Fraction, NonNegative
 from chervilwall.load_view import TOTALS_TTL_S, LoadView, TargetLoad
 from chervilwall.prefill import TOKENS_PER_S, PrefillModel, nominal_prefill_s
 from chervilwall.prefix import PrefixMap, PromptPart
@@ -33,7 +36,9 @@
     BEYOND_SHARE = 2
 
 
-class PlacementSettings(NamedTuple):
+class PlacementSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True
+):
     """Limits and weights for the choice of a target.
 
     Args:
@@ -41,7 +46,7 @@
             queued at an engine before a request of that urgency is added.
         idle_queued_s (float): Queued prefill time in seconds up to which an
             engine counts as idle: it may then recompute a prefix that another
-            engine has cached.
+            engine has cached. Negative for never.
         slot_fraction (float): Fraction of an engine's slots that is used.
         plain_queue_fraction (float): Requests that may be queued at a plain
             target, as a fraction of its slots.
@@ -52,15 +57,22 @@
             is the target that all routers prefer for the session.
         cross_zone_penalty_s (float): Added to the cost of targets in other
             availability zones.
+        cached_kv_fraction (float): Fraction of an engine's KV memory that is
+            assumed to hold the parts of recent prompts.
     """
 
-    max_queued_s: tuple[float, float, float] = (0.06, 0.05, 0.045)
+    max_queued_s: tuple[NonNegative, NonNegative, NonNegative] = (
+        0.06,
+        0.05,
+        0.045,
+    )
     idle_queued_s: float = 0.015
-    slot_fraction: float = 0.85
-    plain_queue_fraction: float = 1.0
-    recompute_weight: float = 3.0
-    non_home_penalty_s: float = 0.05
-    cross_zone_penalty_s: float = 0.002
+    slot_fraction: Fraction = 0.85
+    plain_queue_fraction: NonNegative = 1.0
+    recompute_weight: NonNegative = 3.0
+    non_home_penalty_s: NonNegative = 0.05
+    cross_zone_penalty_s: NonNegative = 0.002
+    cached_kv_fraction: Fraction = 0.6
 
 
 class Demand(NamedTuple):
--- a/packages/core/chervilwall/wait_queue.py
+++ b/packages/core/chervilwall/wait_queue.py
@@ -9,6 +9,9 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+import msgspec
+
+from chervilwall._setting_types import Fraction, NonNegative, Positive
 from chervilwall.placement import Demand, Urgency
 
 # Weight of a generated token in the benefit of a request, which is its prompt
@@ -18,8 +21,8 @@
 MIN_WORK_S = 0.002
 # Ranks are cached for this time instead of being computed for each arrival.
 RANKS_TTL_S = 0.01
-# Added to the on-time ratio of a group, so that its boost, which is the inverse
-# square of the sum, is finite at a ratio of 0.
+# Added to the on-time ratio of a group, so that its boost, which is a negative
+# power of the sum, is finite at a ratio of 0.
 BOOST_OFFSET = 0.25
 # Minimum wait before a request is refused for being late, as a target may be
 # about to become free.
@@ -31,7 +34,7 @@
 MIN_LATE_START_RATIO = 0.3
 
 
-class WaitSettings(NamedTuple):
+class WaitSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Limits on waiting and on the Retry-After of refusals.
 
     Of the three limits on waiting, the one that is reached first applies.
@@ -44,13 +47,20 @@
             the deadline of the caller.
         min_retry_s (float): Minimum Retry-After, in seconds.
         max_retry_s (float): Maximum Retry-After, in seconds.
+        boost_exponent (float): Strength of the boost of groups of which few
+            requests start in time; 0 for none.
+        overtaking_factor (float): A team beyond its share may overtake a
+            waiting request of another one if its usage is at most this multiple
+            of that team's.
     """
 
-    late_objectives: float = 1.5
-    late_s: float = 1.0
-    deadline_fraction: float = 0.5
-    min_retry_s: float = 0.3
-    max_retry_s: float = 4.0
+    late_objectives: NonNegative = 1.5
+    late_s: NonNegative = 1.0
+    deadline_fraction: Fraction = 0.5
+    min_retry_s: NonNegative = 0.3
+    max_retry_s: NonNegative = 4.0
+    boost_exponent: NonNegative = 2.0
+    overtaking_factor: Positive = 1.4
 
 
 class Ticket(NamedTuple):
@@ -136,16 +146,18 @@
     While its request waits for free capacity, requests of teams with much more
     usage wait too. Otherwise they would take all the capacity that becomes
     free, and the waiting request would never start.
+
+    Args:
+        max_usage_factor (float): A team may overtake if its usage is at most
+            this multiple of that of the waiting team, plus SLACK_TOKENS.
     """
 
-    # A team may overtake if its usage is at most this multiple of the usage of
-    # the waiting team, plus the slack.
-    MAX_USAGE_FACTOR = 1.4
     # The usages of two teams may differ by one long request, of this many
     # tokens, even if capacity is shared fairly.
     SLACK_TOKENS = 15_000.0
 
-    def __init__(self) -> None:
+    def __init__(self, max_usage_factor: float) -> None:
+        self._max_usage_factor = max_usage_factor
         self._min_usage = float("inf")
 
     def __repr__(self) -> str:
@@ -162,17 +174,22 @@
             return True
         return (
             rank[1]
-            <= self.MAX_USAGE_FACTOR * self._min_usage + self.SLACK_TOKENS
+            <= self._max_usage_factor * self._min_usage + self.SLACK_TOKENS
         )
 
 
 class OnTimeRatios:
-    """Track the ratio of requests that start in time, by group."""
+    """Track the ratio of requests that start in time, by group.
+
+    Args:
+        boost_exponent (float): Strength of the boost; 0 for none.
+    """
 
     # Weight of a new request in the moving average of a group.
     SAMPLE_WEIGHT = 0.03
 
-    def __init__(self) -> None:
+    def __init__(self, boost_exponent: float) -> None:
+        self._boost_exponent = boost_exponent
         self._ratios: dict[str, float] = {}
 
     def __repr__(self) -> str:
@@ -191,27 +208,33 @@
     def boost(self, group: str) -> float:
         """Returns the factor by which the benefit of a group is multiplied.
 
-        The lower the on-time ratio of the group, the higher the boost: it is
-        `(BOOST_OFFSET + ratio) ** -2`, which is 0.64 if all requests of the
-        group start in time and 16 if none does.
+        The lower the on-time ratio of the group, the higher the boost: with the
+        default exponent it is 0.64 if all requests of the group start in time
+        and 16 if none does.
         """
-        return (BOOST_OFFSET + self._ratios.get(group, 1.0)) ** -2
+        ratio = BOOST_OFFSET + self._ratios.get(group, 1.0)
+        return ratio**-self._boost_exponent
 
 
 class WaitQueue:
-    """Order the waiting requests of one service by rank."""
+    """Order the waiting requests of one service by rank.
+
+    Args:
+        settings (WaitSettings): Limits on waiting, and weights of the order.
+    """
 
     # Half-life of started work in the estimate of the drain rate.
     RATE_HALF_LIFE_S = 2.0
 
-    def __init__(self) -> None:
+    def __init__(self, settings: WaitSettings) -> None:
+        self._settings = settings
         self._waiting: dict[int, Ticket] = {}
         self._ranks: dict[int, Rank] = {}
         self._ranked_at = float("-inf")
         self._unranked: list[Ticket] = []
         self._started_work_s = 0.0
         self._rate_updated_at = 0.0
-        self._on_time_ratios = OnTimeRatios()
+        self._on_time_ratios = OnTimeRatios(settings.boost_exponent)
         self._late_start_ratio = 1.0
 
     def __repr__(self) -> str:
@@ -250,6 +273,10 @@
         """Returns whether all waiting requests are for model engines."""
         return all(t.demand.is_generation for t in self._waiting.values())
 
+    def make_overtaking_limit(self) -> OvertakingLimit:
+        """Returns the limit on overtaking for one pass over the queue."""
+        return OvertakingLimit(self._settings.overtaking_factor)
+
     def in_order(
         self, now: float, team_shares: TeamShares
     ) -> list[tuple[Rank, Ticket]]:
@@ -357,7 +384,7 @@
         rate = self._started_work_s / self.RATE_HALF_LIFE_S
         return ahead_s / max(rate, min_rate)
 
-    def retry_after_s(self, wait_s: float, cfg: WaitSettings) -> float:
+    def retry_after_s(self, wait_s: float) -> float:
         """Returns the Retry-After of a refused request, in seconds.
 
         The higher the ratio of requests that do not start in time, the longer
@@ -365,8 +392,8 @@
 
         Args:
             wait_s (float): Expected wait of the request.
-            cfg (WaitSettings): Bounds of the result.
         """
+        cfg = self._settings
         missed_ratio = 1.0 - self._on_time_ratios.mean()
         wait_s = max(wait_s, missed_ratio * cfg.max_retry_s)
         return min(cfg.max_retry_s, max(cfg.min_retry_s, wait_s))
--- a/packages/core/tests/test_decision_cost.py
+++ b/packages/core/tests/test_decision_cost.py
@@ -12,7 +12,12 @@
 from chervilwall.prefill import PrefillModel
 from chervilwall.prefix import PART_TTL_S, PrefixMap, PromptPart
 from chervilwall.registry import RegisteredTarget
-from chervilwall.wait_queue import TeamShares, Ticket, WaitQueue
+from chervilwall.wait_queue import (
+    TeamShares,
+    Ticket,
+    WaitQueue,
+    WaitSettings,
+)
 
 NO_USAGE = TeamShares(frozenset(), {})
 
@@ -62,7 +67,7 @@
         return Ticket(number, "team", demand, due_at, 0.0, 9.0, 0.01)
 
     def test_what_came_and_went_within_a_moment_is_ranked_right(self):
-        queue = WaitQueue()
+        queue = WaitQueue(WaitSettings())
         for number in range(20):
             queue.push(self.ticket(number, 5.0))
         first = queue.in_order(1.0, NO_USAGE)[0][1]
@@ -74,7 +79,7 @@
         self.assertEqual(len(order), 20)
 
     def test_ranks_follow_the_time(self):
-        queue = WaitQueue()
+        queue = WaitQueue(WaitSettings())
         queue.push(self.ticket(1, 1.005))
         queue.push(self.ticket(0, 5.0))
         self.assertEqual(queue.in_order(0.9, NO_USAGE)[0][1].number, 1)
--- a/packages/core/tests/test_wait_queue.py
+++ b/packages/core/tests/test_wait_queue.py
@@ -31,7 +31,7 @@
 
 class WaitQueueTest(unittest.TestCase):
     def setUp(self):
-        self.queue = WaitQueue()
+        self.queue = WaitQueue(WaitSettings())
 
     def order(self, now=0.0, usage=NO_USAGE):
         return [t.number for _, t in self.queue.in_order(now, usage)]
@@ -86,10 +86,10 @@
 
     def test_the_more_is_refused_the_later_callers_should_return(self):
         cfg = WaitSettings()
-        idle_retry_s = self.queue.retry_after_s(0.0, cfg)
+        idle_retry_s = self.queue.retry_after_s(0.0)
         for _ in range(100):
             self.queue.record_outcome(make_ticket(0), 0.0, False)
-        overload_retry_s = self.queue.retry_after_s(0.0, cfg)
+        overload_retry_s = self.queue.retry_after_s(0.0)
         self.assertEqual(idle_retry_s, cfg.min_retry_s)
         self.assertGreater(overload_retry_s, 3 * idle_retry_s)
         self.assertLessEqual(overload_retry_s, cfg.max_retry_s)
@@ -102,7 +102,7 @@
 
 class ServedPortionsTest(unittest.TestCase):
     def test_the_boost_is_bounded(self):
-        ratios = OnTimeRatios()
+        ratios = OnTimeRatios(WaitSettings().boost_exponent)
         for _ in range(1000):
             ratios.record("r", False)
         self.assertLess(ratios.boost("r"), 20)
@@ -111,7 +111,7 @@
 
 class OvertakingTest(unittest.TestCase):
     def test_a_flood_waits_while_a_team_that_had_less_waits(self):
-        overtaking = OvertakingLimit()
+        overtaking = OvertakingLimit(WaitSettings().overtaking_factor)
         flood = (Urgency.BEYOND_SHARE, 9e5, -1.0, 1)
         peer = (Urgency.BEYOND_SHARE, 2.1e5, -1.0, 2)
         self.assertTrue(overtaking.allows(flood))
@@ -120,6 +120,6 @@
         self.assertTrue(overtaking.allows(peer))
 
     def test_teams_within_their_shares_are_not_held_up(self):
-        overtaking = OvertakingLimit()
+        overtaking = OvertakingLimit(WaitSettings().overtaking_factor)
         overtaking.record_waiting((Urgency.BEYOND_SHARE, 0.0, -1.0, 3))
         self.assertTrue(overtaking.allows((Urgency.LATE, 0.0, -1.0, 4)))
--- a/packages/router/chervilwall_router/edge/dispatcher.py
+++ b/packages/router/chervilwall_router/edge/dispatcher.py
@@ -27,7 +27,6 @@
 from chervilwall.registry import TargetRegistry
 from chervilwall.unserved_requests import UnservedRequests
 from chervilwall.wait_queue import (
-    OvertakingLimit,
     TeamShares,
     Ticket,
     WaitQueue,
@@ -182,7 +181,7 @@
     def _queue_of(self, service: str) -> WaitQueue:
         queue = self._queues.get(service)
         if queue is None:
-            queue = self._queues[service] = WaitQueue()
+            queue = self._queues[service] = WaitQueue(self._parts.settings)
         return queue
 
     def _make_ticket(self, request: GrantRequest, now: float) -> Ticket:
@@ -262,7 +261,7 @@
         own_part = ticket.demand.own_part
         self._unserved.record(ticket.team, own_part, ticket.first_sent_at)
         wait_s = self._expected_wait_s(queue, ticket, now)
-        retry_s = queue.retry_after_s(wait_s, self._parts.settings)
+        retry_s = queue.retry_after_s(wait_s)
         service = ticket.demand.service
         return RequestRefusedError(reason, retry_s, step="wait", peer=service)
 
@@ -443,7 +442,7 @@
     def _grant_waiting(self, queue: WaitQueue, now: float) -> None:
         misses = 0
         team_shares = self._team_shares(now)
-        overtaking = OvertakingLimit()
+        overtaking = queue.make_overtaking_limit()
         for rank, ticket in queue.in_order(now, team_shares):
             waiter = self._waiters.get(ticket.number)
             if waiter is None or waiter.future.done():
--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -12,13 +12,12 @@
 from chervilwall.crash_ledger import QuarantineChange
 from chervilwall.edge_messages import EdgeMessage, RecentPrefix
 from chervilwall.hubs import HubCandidate
-from chervilwall.placement import Placement, PlacementSettings
+from chervilwall.placement import Placement
 from chervilwall.prefix import PromptPart
 from chervilwall.protocol import ObjectStore, PlatformDecoder, WireFormat
 from chervilwall.routing import RoutingTable
 from chervilwall.running_requests import Granter
 from chervilwall.service_totals import ServiceTotals
-from chervilwall.wait_queue import WaitSettings
 from tornado.httputil import HTTPServerRequest
 
 from chervilwall_router.edge import snapshot_exchange
@@ -61,9 +60,6 @@
 from chervilwall_router.settings import split_address
 
 LOG = logging.getLogger(__name__)
-# Assumed fraction of a target's KV memory that holds cached prompt prefixes;
-# running requests use the rest.
-CACHED_KV_FRACTION = 0.6
 # Number of connections that a busy host accepts in the second after which
 # callers give up on connecting. The kernel refuses further ones, which would
 # only time out in the backlog.
@@ -190,7 +186,7 @@
 
     def _build_scheduling(self) -> None:
         self.placement = Placement(
-            PlacementSettings(),
+            self._cfg.placement,
             self._cfg.zone,
             self._state.load,
             self._state.prefixes,
@@ -199,7 +195,7 @@
         )
         self.dispatcher = Dispatcher(
             DispatcherParts(
-                settings=WaitSettings(),
+                settings=self._cfg.waiting,
                 placement=self.placement,
                 registry=self.registry,
                 load=self._state.load,
@@ -423,7 +419,7 @@
             # One capacity is assumed for the targets of all services, so the
             # smallest counts.
             self._state.prefixes.capacity_tokens = int(
-                min(tokens) * CACHED_KV_FRACTION
+                min(tokens) * self._cfg.placement.cached_kv_fraction
             )
         self.link.send_reports_now()
 
--- a/packages/router/chervilwall_router/edge/settings.py
+++ b/packages/router/chervilwall_router/edge/settings.py
@@ -5,6 +5,8 @@
 
 import msgspec
 from chervilwall.errors import SettingsError
+from chervilwall.placement import PlacementSettings
+from chervilwall.wait_queue import WaitSettings
 
 from chervilwall_router.settings import (
     Address,
@@ -113,6 +115,9 @@
         event_delay_ms (float): Maximum time in milliseconds that this host may
             take to relay an event of a stream.
         log (LogSettings): Logging.
+        waiting (WaitSettings): Limits on waiting, and weights of its order.
+        placement (PlacementSettings): Limits and weights of the choice of a
+            target.
     """
 
     name: Name
@@ -126,6 +131,8 @@
     cpu: float = 1.0
     event_delay_ms: Milliseconds = 200.0
     log: LogSettings = LogSettings(format="json")
+    waiting: WaitSettings = WaitSettings()
+    placement: PlacementSettings = PlacementSettings()
 
 
 def read_edge_settings(path: pathlib.Path) -> EdgeSettings:
--- a/packages/router/tests/test_edge_settings.py
+++ b/packages/router/tests/test_edge_settings.py
@@ -78,3 +78,22 @@
             read_edge_settings(pathlib.Path("/nonexistent/edge.json"))
         with self.assertRaises(SettingsError):
             self.read(render_template()[:-5])
+
+    def test_limits_on_waiting_and_placement_are_checked(self):
+        text = render_template()
+        cut = text.rindex("}")
+
+        def read_with(section):
+            return self.read(f"{text[:cut]}, {section} }}")
+
+        cfg = read_with('"waiting": {"late_objectives": 0.7}')
+        self.assertEqual(cfg.waiting.late_objectives, 0.7)
+        cfg = read_with('"placement": {"max_queued_s": [0.1, 0.1, 0.1]}')
+        self.assertEqual(cfg.placement.max_queued_s, (0.1, 0.1, 0.1))
+        for section in (
+            '"waiting": {"late": 1}',
+            '"waiting": {"late_s": -1}',
+            '"placement": {"slot_fraction": 1.5}',
+        ):
+            with self.subTest(section), self.assertRaises(SettingsError):
+                read_with(section)
--- a/packages/standins/chervilwall_standins/lab/fleet.py
+++ b/packages/standins/chervilwall_standins/lab/fleet.py
@@ -26,9 +26,6 @@
 
 SERVICE = "engines"
 ROUTER_LATENCY_S = 0.001
-# Fraction of an engine's KV cache in which the router expects cached prompts;
-# running requests use the rest. Edge routers assume the same fraction.
-CACHE_FRACTION = 0.6
 CALLER_LATENCY_S = 0.003
 DEADLINE_S = 15.0
 
@@ -84,7 +81,10 @@
         clock = asyncio.get_running_loop().time
         load = LoadView()
         prefixes = PrefixMap(
-            int(simulation.cfg.engine.kv_tokens * CACHE_FRACTION)
+            int(
+                simulation.cfg.engine.kv_tokens
+                * simulation.cfg.placement.cached_kv_fraction
+            )
         )
         model = PrefillModel()
         placement = Placement(
