Sum up routers' logs with chervilctl explain

Cause: which requests lose worth, when and why, was read from logs by scratch scripts; a refusal and an end lacked the latency objective and the size class that decided them. Test: recorded lines, with and without a prefix, cut off and unstructured ones.

--- a/packages/operator/chervilwall_ctl/commands.py
+++ b/packages/operator/chervilwall_ctl/commands.py
@@ -22,7 +22,7 @@
 from chervilwall.sheet import diff_configs, parse_sheet
 from chervilwall_platform.client import HttpPlatform
 
-from chervilwall_ctl import fleet_view
+from chervilwall_ctl import fleet_view, log_summary
 from chervilwall_ctl.config_change import apply_config, read_stored_config
 from chervilwall_ctl.router_client import RouterClient
 from chervilwall_ctl.table import Column, Table
@@ -301,7 +301,9 @@
 
 
 async def explain(session: Session) -> int:
-    """Shows why a team is waiting or why a request was refused."""
+    """Shows why a team waits or a request was refused, or sums up logs."""
+    if session.args.logs:
+        return _explain_logs(session)
     client = session.routers
     routers = await fleet_view.find_routers(client, session.args.router)
     team, request = session.args.team or "", session.args.request or ""
@@ -319,6 +321,19 @@
     return EXIT_OK
 
 
+def _explain_logs(session: Session) -> int:
+    lines = log_summary.read_lines(session.args.logs)
+    request = session.args.request
+    if request:
+        found = log_summary.find_request(lines, request)
+        text = log_summary.render_lines(found) or "no line names it"
+        session.emit([line._asdict() for line in found], text)
+        return EXIT_OK if found else EXIT_FAILED
+    summary = log_summary.summarise(lines)
+    session.emit(summary, log_summary.render(summary))
+    return EXIT_OK
+
+
 def _describe_queue(queue: dict[str, Any]) -> str:
     summary = f"{queue['cell']}: {queue['waiting']} waiting"
     if not queue["waiting"]:
--- a/packages/operator/chervilwall_ctl/main.py
+++ b/packages/operator/chervilwall_ctl/main.py
@@ -28,6 +28,7 @@
   chervilctl report --csv > service.csv
   python platform/ctl.py report --store 10.0.0.9:8781 --json
   chervilctl explain --team traders
+  chervilctl explain --request 1ba2f923300c07a1 edge-*.log
 
 The environment variables {PLATFORM_VARIABLE}, {ROUTERS_VARIABLE}
 (comma-separated addresses) and {KEY_VARIABLE} provide the
@@ -73,6 +74,13 @@
     sub = _add_command(subparsers, shared, "explain", commands.explain)
     sub.add_argument("--team", help="name of a team whose requests wait")
     sub.add_argument("--request", help="id of a refused request")
+    sub.add_argument(
+        "logs",
+        nargs="*",
+        type=pathlib.Path,
+        help="logs of edge routers; read these instead of asking routers, and "
+        "show the decisions on --request, or a summary of all requests",
+    )
     _add_command(subparsers, shared, "key", commands.make_key)
     return parser
 
