Expect waits by the true rate of started work

Cause: the decaying sum of started work was divided by its half-life, 44 % above the rate; the floor beneath it was the router's part of the targets, also at the scheduler, which places for all routers: a seventh of what it starts. The first made waits look short under load, the second long after an idle time. Change: the sum times ln 2, and a floor of all targets at the scheduler. Test: a steady rate; a burst after an idle time is refused nowhere, with a quarter of the targets it was and is.

--- a/packages/core/chervilwall/wait_queue.py
+++ b/packages/core/chervilwall/wait_queue.py
@@ -6,6 +6,7 @@
 served before their callers give up are refused.
 """
 
+import math
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -361,9 +362,7 @@
         """Returns the expected wait of a request, in seconds.
 
         It is the prefill time that ranks before the request, divided by the
-        rate at which prefill time has recently been started. That rate is
-        estimated by a decaying sum; while it is steady, the estimate is 1.44
-        (1 / ln 2) times the rate.
+        rate at which prefill time has recently been started.
 
         Args:
             ticket (Ticket): The request.
@@ -381,7 +380,7 @@
             if other < rank
         )
         self._decay_rate(now)
-        rate = self._started_work_s / self.RATE_HALF_LIFE_S
+        rate = self._started_work_s * math.log(2) / self.RATE_HALF_LIFE_S
         return ahead_s / max(rate, min_rate)
 
     def retry_after_s(self, wait_s: float) -> float:
--- a/packages/core/tests/test_wait_queue.py
+++ b/packages/core/tests/test_wait_queue.py
@@ -84,6 +84,15 @@
         wait_s = self.queue.expected_wait_s(ticket, 0.0, NO_USAGE, 1.0)
         self.assertAlmostEqual(wait_s, 0.2)
 
+    def test_the_expected_wait_is_that_of_a_steady_drain_rate(self):
+        # Two seconds of prefill are started per second.
+        for step in range(2000):
+            self.queue.record_started_work(0.02, step * 0.01)
+        self.queue.push(make_ticket(1, work_s=4.0, output=10_000))
+        ticket = make_ticket(2, work_s=0.3, output=0)
+        wait_s = self.queue.expected_wait_s(ticket, 20.0, NO_USAGE, 0.1)
+        self.assertAlmostEqual(wait_s, 2.0, delta=0.1)
+
     def test_the_more_is_refused_the_later_callers_should_return(self):
         cfg = WaitSettings()
         idle_retry_s = self.queue.retry_after_s(0.0)
--- a/packages/router/chervilwall_router/edge/dispatcher.py
+++ b/packages/router/chervilwall_router/edge/dispatcher.py
@@ -74,7 +74,9 @@
         crashes (CrashLedger): Crashes and the requests attributed to them.
         tokens_per_s (Callable): Returns the capacity of all model engines in
             tokens per second.
-        router_count (Callable): Returns the number of routers.
+        scheduler_count (Callable): Returns the number of routers that place
+            requests of a service: 1 if this router is its scheduler, all of
+            them if each places its own.
         on_grant (Callable): Called with the target id and the prompt parts of
             each grant.
         clock (Callable): Returns the monotonic time in seconds.
@@ -89,7 +91,7 @@
     shares: FairShare
     crashes: CrashLedger
     tokens_per_s: Callable[[], float]
-    router_count: Callable[[], int]
+    scheduler_count: Callable[[str], int]
     on_grant: Callable[[str, tuple[PromptPart, ...]], None]
     clock: Callable[[], float]
 
@@ -245,12 +247,13 @@
     def _expected_wait_s(
         self, queue: WaitQueue, ticket: Ticket, now: float
     ) -> float:
-        targets = self._parts.registry.serving_targets(ticket.demand.service)
+        service = ticket.demand.service
+        targets = self._parts.registry.serving_targets(service)
         # Lower bound of the rate at which this router starts work, in seconds
         # of prefill per second: its share of the targets, at one second per
         # second for each, or 0.1 if that is more. The measured rate is too low
         # while little arrives.
-        share = len(targets) / max(1, self._parts.router_count())
+        share = len(targets) / max(1, self._parts.scheduler_count(service))
         return queue.expected_wait_s(
             ticket, now, self._team_shares(now), max(share, 0.1)
         )
--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -204,7 +204,7 @@
                 shares=self._state.shares,
                 crashes=self._state.crashes,
                 tokens_per_s=self._tokens_per_s,
-                router_count=self.fleet.router_count,
+                scheduler_count=self.fleet.scheduler_count,
                 on_grant=self._record_grant,
                 clock=self._clock,
             )
--- a/packages/router/chervilwall_router/edge/fleet_view.py
+++ b/packages/router/chervilwall_router/edge/fleet_view.py
@@ -146,6 +146,16 @@
             s.report.hub and s.report.store_reachable for s in recent
         )
 
+    def scheduler_count(self, service: str) -> int:
+        """Returns the number of routers among which a service is divided.
+
+        It is 1 if this router schedules the service, and otherwise the number
+        of all routers, as each places its own requests without a scheduler.
+        """
+        if self.find_scheduler(service, ()) is None:
+            return 1
+        return self.router_count()
+
     def find_scheduler(
         self, service: str, avoided: Collection[str]
     ) -> SchedulerPeer | None:
--- a/packages/router/tests/test_edge_dispatcher.py
+++ b/packages/router/tests/test_edge_dispatcher.py
@@ -66,7 +66,7 @@
         shares=shares,
         crashes=CrashLedger(),
         tokens_per_s=lambda: capacity,
-        router_count=lambda: 1,
+        scheduler_count=lambda service: 1,
         on_grant=lambda target_id, parts: None,
         clock=clock,
     )
@@ -126,6 +126,31 @@
         slacks = [round(slack, 3) for slack in parts.placement.slacks]
         self.assertEqual(slacks, [OBJECTIVE_S, OBJECTIVE_S - 2.0, OBJECTIVE_S])
 
+    async def count_refused_of_burst(self, scheduler_count):
+        """Sends 40 prompts of 36 ms for four targets; returns the refused."""
+        _, parts = make_dispatcher(self.clock, capacity=0.0, targets=4)
+        dispatcher = Dispatcher(
+            parts._replace(scheduler_count=lambda service: scheduler_count)
+        )
+        tasks = [
+            asyncio.ensure_future(
+                dispatcher.acquire(make_request(self.clock, "team", n, 2000))
+            )
+            for n in range(40)
+        ]
+        await asyncio.sleep(0)
+        refused = sum(t.done() and t.exception() is not None for t in tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return refused
+
+    async def test_a_burst_after_an_idle_time_waits_for_all_targets(self):
+        self.assertEqual(await self.count_refused_of_burst(1), 0)
+
+    async def test_a_router_without_scheduler_expects_its_part_of_targets(self):
+        self.assertGreater(await self.count_refused_of_burst(4), 0)
+
     async def test_suspects_go_to_different_targets(self):
         dispatcher, parts = make_dispatcher(self.clock, capacity=1e6, targets=3)
         grants = []
--- a/packages/standins/chervilwall_standins/lab/fleet.py
+++ b/packages/standins/chervilwall_standins/lab/fleet.py
@@ -106,7 +106,7 @@
                 crashes=CrashLedger(),
                 shares=FairShare(),
                 tokens_per_s=lambda: simulation.cfg.capacity_tokens_per_s,
-                router_count=lambda: 1,
+                scheduler_count=lambda service: 1,
                 on_grant=lambda target_id, parts: None,
                 clock=clock,
             )
--- a/packages/standins/tests/test_edge_fleet.py
+++ b/packages/standins/tests/test_edge_fleet.py
@@ -247,6 +247,11 @@
         response = await fleet.call("/read/x", body=b"sound", request_id="s")
         self.assertEqual(response.status, 200)
 
+    async def test_the_scheduler_places_for_all_routers(self):
+        fleet = await self.start(FakeTarget("m0", "model"), routers=3)
+        counts = sorted(r.fleet.scheduler_count("model") for r in fleet.routers)
+        self.assertEqual(counts, [1, 3, 3])
+
     async def test_requests_are_placed_when_the_scheduler_is_silent(self):
         model = FakeTarget("m0", "model", events=2)
         fleet = await self.start(model)
