--- a/packages/core/chervilwall/placement.py
+++ b/packages/core/chervilwall/placement.py
@@ -72,7 +72,7 @@
     recompute_weight: NonNegative = 3.0
     non_home_penalty_s: NonNegative = 0.05
     cross_zone_penalty_s: NonNegative = 0.002
-    cached_kv_fraction: Fraction = 0.6
+    cached_kv_fraction: Fraction = 0.85
 
 
 class Demand(NamedTuple):
--- a/packages/standins/chervilwall_standins/lab/engine.py
+++ b/packages/standins/chervilwall_standins/lab/engine.py
@@ -86,6 +86,7 @@
         self._decoding: list[EngineRun] = []
         self._cache: OrderedDict[str, int] = OrderedDict()
         self._cached_tokens = 0
+        self._last_parts: set[str] = set()
         self._state_changed = asyncio.Event()
         self.prefill_tokens = 0
         self.cached_tokens = 0
@@ -94,6 +95,14 @@
     def __repr__(self) -> str:
         return f"Engine(running={len(self._decoding)})"
 
+    def shared_parts(self) -> list[PromptPart]:
+        """Returns the cached parts that were not the last of their prompts."""
+        return [
+            PromptPart(part_id, tokens)
+            for part_id, tokens in self._cache.items()
+            if part_id not in self._last_parts
+        ]
+
     async def serve(self, run: EngineRun) -> None:
         """Serves a request and returns when it is finished."""
         await asyncio.sleep(self._latency_s + self._cfg.admission_ms / 1000)
@@ -167,6 +176,7 @@
 
     def _cache_prompt(self, run: EngineRun) -> None:
         """Caches a prompt, dropping the least recently used parts if needed."""
+        self._last_parts.add(run.parts[-1].id)
         for part in run.parts:
             self._cached_tokens -= self._cache.pop(part.id, 0)
             self._cache[part.id] = part.tokens
--- a/packages/standins/chervilwall_standins/lab/fleet.py
+++ b/packages/standins/chervilwall_standins/lab/fleet.py
@@ -80,12 +80,7 @@
         self._simulation = simulation
         clock = asyncio.get_running_loop().time
         load = LoadView()
-        prefixes = PrefixMap(
-            int(
-                simulation.cfg.engine.kv_tokens
-                * simulation.cfg.placement.cached_kv_fraction
-            )
-        )
+        prefixes = simulation.prefixes
         model = PrefillModel()
         placement = Placement(
             simulation.cfg.placement,
@@ -176,6 +171,9 @@
     def __init__(self, cfg: SimulationSettings) -> None:
         self.cfg = cfg
         self.registry = TargetRegistry()
+        self.prefixes = PrefixMap(
+            int(cfg.engine.kv_tokens * cfg.placement.cached_kv_fraction)
+        )
         self.engines: dict[str, Engine] = {}
         self.outcomes: list[Outcome] = []
         self._size_classes: dict[str, SizeClasses] = defaultdict(SizeClasses)
--- /dev/null
+++ b/packages/standins/tests/test_lab_loads.py
@@ -0,0 +1,48 @@
+"""Tests that replay overloads into the decisions, in virtual time.
+
+Each class names the load that a decision is made for.
+"""
+
+import asyncio
+import unittest
+
+from chervilwall_standins.lab.engine import EngineSettings
+from chervilwall_standins.lab.fleet import Simulation, SimulationSettings
+from chervilwall_standins.lab.load import LoadSettings
+from chervilwall_standins.lab.virtual_time import run
+
+SECONDS = 12.0
+
+
+class RecurringSessionsTest(unittest.TestCase):
+    """Prompts with shared parts recur at engines that evict all the time."""
+
+    async def count_parts(self, seed):
+        """Returns the shared parts that engines hold, and those unknown.
+
+        The unknown ones are those that the router takes for evicted.
+        """
+        simulation = Simulation(
+            SimulationSettings(
+                load=LoadSettings(seconds=SECONDS, rate_factor=0.8, seed=seed),
+                engine=EngineSettings(kv_tokens=232_000),
+            )
+        )
+        task = asyncio.ensure_future(simulation.run_load())
+        await asyncio.sleep(SECONDS - 1.0)
+        held, unknown = 0, 0
+        now = asyncio.get_running_loop().time()
+        for name, engine in simulation.engines.items():
+            for part in engine.shared_parts():
+                cached = simulation.prefixes.cached_by_target((part,), now)
+                held += 1
+                unknown += name not in cached
+        await task
+        return held, unknown
+
+    def test_what_engines_hold_is_not_taken_for_evicted(self):
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                held, unknown = run(self.count_parts(seed))
+                self.assertGreater(held, 100)
+                self.assertLess(unknown, held / 20)
