Learn the prefill speed of targets within their first prompts

Cause: each sample had a weight of 0.08; and a sample was compared with the prediction of its grant but added to the factor of now, so that several samples in flight would overshoot with larger weights. Change: the first samples of a target weigh 1/4, 1/5, ... down to 0.08, and a sample is related to the factor that its prediction used. Predictions made before the first samples don't add up.

--- a/packages/core/chervilwall/placement.py
+++ b/packages/core/chervilwall/placement.py
@@ -113,12 +113,14 @@
         uncached_tokens (int): Prompt tokens that are not cached there.
         prefill_s (float): Predicted prefill time of the prompt, in seconds.
         first_token_s (float): Predicted time to the first token, in seconds.
+        factor (float): Factor of the target that the predictions used.
     """
 
     target: RegisteredTarget
     uncached_tokens: int = 0
     prefill_s: float = 0.0
     first_token_s: float = 0.0
+    factor: float = 1.0
 
 
 class _Candidate(NamedTuple):
@@ -131,6 +133,7 @@
         queued_s (float): Prefill time queued at the engine.
         prefill_s (float): Prefill time of the request.
         uncached_tokens (int): Prompt tokens that are not cached.
+        factor (float): Factor of its prefill times.
         target (RegisteredTarget): The engine.
     """
 
@@ -139,13 +142,18 @@
     queued_s: float
     prefill_s: float
     uncached_tokens: int
+    factor: float
     target: RegisteredTarget
 
     def to_choice(self) -> Choice:
         """Returns the choice of this engine."""
         first_token_s = self.queued_s + self.prefill_s
         return Choice(
-            self.target, self.uncached_tokens, self.prefill_s, first_token_s
+            self.target,
+            self.uncached_tokens,
+            self.prefill_s,
+            first_token_s,
+            self.factor,
         )
 
 
@@ -371,7 +379,7 @@
                 continue
             wait_s = self._capacity_wait_s(target, load, max_queued_s)
             candidate = _Candidate(
-                cost, wait_s, queued_s, prefill_s, uncached, target
+                cost, wait_s, queued_s, prefill_s, uncached, factor, target
             )
             if is_best:
                 best = candidate
--- a/packages/core/chervilwall/prefill.py
+++ b/packages/core/chervilwall/prefill.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections import Counter
 
 # Nominal speed: that of a target with factor 1. Both values are only a starting
 # point, as the factors of the targets are learned within seconds.
@@ -16,8 +17,11 @@
 # Part of the time to the first token that is not prefill: a network round trip
 # and one decoding step.
 START_LATENCY_S = 0.012
-# Weight of a new sample in the moving average of a target's factor.
+# Weight of a new sample in the moving average of a target's factor. The first
+# samples weigh more, as the nominal speed says little about a target.
 SAMPLE_WEIGHT = 0.08
+# Makes the weight of the first sample 1/4, so that one fault does not decide.
+FIRST_SAMPLES_OFFSET = 3
 # Factors are clamped to these bounds, as values outside them are caused by
 # faults, not by a target's speed.
 MIN_FACTOR = 0.2
@@ -37,6 +41,7 @@
 
     def __init__(self) -> None:
         self._log_factors: dict[str, float] = {}
+        self._samples: Counter[str] = Counter()
         self._factors: dict[str, float] = {}
         self._mean_log = 0.0
         self._mean = 1.0
@@ -74,7 +79,11 @@
         return nominal_prefill_s(uncached_tokens, cached_tokens) * self._mean
 
     def observe(
-        self, target_id: str, predicted_s: float, first_token_s: float
+        self,
+        target_id: str,
+        predicted_s: float,
+        first_token_s: float,
+        predicted_factor: float,
     ) -> None:
         """Updates a target's factor by an observed time to first token.
 
@@ -83,16 +92,21 @@
             predicted_s (float): Predicted prefill time of the prompt and of
                 those queued before it.
             first_token_s (float): Observed time to the first token.
+            predicted_factor (float): Factor that the prediction used, which
+                may have changed since.
         """
         first_token_s -= START_LATENCY_S
         if predicted_s < MIN_SAMPLE_S or first_token_s <= 0:
             return
         known = self._log_factors.get(target_id, self._mean_log)
-        observed = known + math.log(first_token_s / predicted_s)
+        observed = math.log(predicted_factor * first_token_s / predicted_s)
         observed = min(
             math.log(MAX_FACTOR), max(math.log(MIN_FACTOR), observed)
         )
-        log_factor = known + SAMPLE_WEIGHT * (observed - known)
+        self._samples[target_id] += 1
+        count = self._samples[target_id] + FIRST_SAMPLES_OFFSET
+        weight = max(SAMPLE_WEIGHT, 1.0 / count)
+        log_factor = known + weight * (observed - known)
         self._log_factors[target_id] = log_factor
         self._factors[target_id] = math.exp(log_factor)
         self._update_mean()
@@ -100,6 +114,7 @@
     def forget(self, target_id: str) -> None:
         """Removes a target that ended."""
         self._log_factors.pop(target_id, None)
+        self._samples.pop(target_id, None)
         self._factors.pop(target_id, None)
         self._update_mean()
 
--- a/packages/router/chervilwall_router/edge/grants.py
+++ b/packages/router/chervilwall_router/edge/grants.py
@@ -128,6 +128,9 @@
         choice = self.choice
         self._load.record_prefill_done(choice.target.id, self._number)
         self._model.observe(
-            choice.target.id, choice.first_token_s, first_token_s
+            choice.target.id,
+            choice.first_token_s,
+            first_token_s,
+            choice.factor,
         )
         self._on_capacity_freed()
