Spend a flooding team's share on requests in time, and leave room for others

Change: within a team beyond its share, requests that can be in time go first; such a request is added to an engine with less than 20 ms queued, a late one with less than 40 ms.

--- a/packages/core/chervilwall/placement.py
+++ b/packages/core/chervilwall/placement.py
@@ -63,8 +63,8 @@
 
     max_queued_s: tuple[NonNegative, NonNegative, NonNegative] = (
         0.06,
-        0.05,
-        0.045,
+        0.04,
+        0.02,
     )
     idle_queued_s: float = 0.015
     slot_fraction: Fraction = 0.85
--- a/packages/core/chervilwall/wait_queue.py
+++ b/packages/core/chervilwall/wait_queue.py
@@ -136,8 +136,9 @@
 
 
 # Sort key of the queue: urgency, usage of the team where it exceeds its share
-# (else 0), negated benefit per time, number of the ticket.
-Rank = tuple[Urgency, float, float, int]
+# (else 0), whether it would start late, negated benefit per time, number of the
+# ticket.
+Rank = tuple[Urgency, float, bool, float, int]
 
 
 class OvertakingLimit:
@@ -258,8 +259,9 @@
         """Returns the sort key of a request; the lowest goes first.
 
         Requests of teams beyond their shares are ordered by the usage of the
-        team. All others are ordered by benefit per time, boosted for groups of
-        which few requests start in time.
+        team, and within a team those that can be in time go first. All others
+        are ordered by benefit per time, boosted for groups of which few
+        requests start in time.
         """
         urgency = ticket.urgency(now, team_shares.teams_over_share)
         team_usage = 0.0
@@ -268,7 +270,8 @@
         benefit = ticket.benefit_per_s * self._on_time_ratios.boost(
             ticket.group
         )
-        return (urgency, team_usage, -benefit, ticket.number)
+        is_late = now > ticket.latest_start_at()
+        return (urgency, team_usage, is_late, -benefit, ticket.number)
 
     def has_only_generations(self) -> bool:
         """Returns whether all waiting requests are for model engines."""
--- a/packages/core/tests/test_wait_queue.py
+++ b/packages/core/tests/test_wait_queue.py
@@ -55,6 +55,12 @@
         )
         self.assertEqual(self.order(usage=usage), [3, 2, 1])
 
+    def test_beyond_a_share_what_can_be_in_time_goes_before_what_is_late(self):
+        self.queue.push(make_ticket(1, team="flood", due_at=0.1))
+        self.queue.push(make_ticket(2, team="flood", work_s=0.2))
+        usage = TeamShares(frozenset({"flood"}), {"flood": 9e5})
+        self.assertEqual(self.order(now=0.5, usage=usage), [2, 1])
+
     def test_plain_requests_know_no_shares(self):
         ticket = make_ticket(1, prompt=0, team="flood")
         self.assertEqual(
@@ -121,14 +127,14 @@
 class OvertakingTest(unittest.TestCase):
     def test_a_flood_waits_while_a_team_that_had_less_waits(self):
         overtaking = OvertakingLimit(WaitSettings().overtaking_factor)
-        flood = (Urgency.BEYOND_SHARE, 9e5, -1.0, 1)
-        peer = (Urgency.BEYOND_SHARE, 2.1e5, -1.0, 2)
+        flood = (Urgency.BEYOND_SHARE, 9e5, False, -1.0, 1)
+        peer = (Urgency.BEYOND_SHARE, 2.1e5, False, -1.0, 2)
         self.assertTrue(overtaking.allows(flood))
-        overtaking.record_waiting((Urgency.BEYOND_SHARE, 2e5, -1.0, 3))
+        overtaking.record_waiting((Urgency.BEYOND_SHARE, 2e5, False, -1.0, 3))
         self.assertFalse(overtaking.allows(flood))
         self.assertTrue(overtaking.allows(peer))
 
     def test_teams_within_their_shares_are_not_held_up(self):
         overtaking = OvertakingLimit(WaitSettings().overtaking_factor)
-        overtaking.record_waiting((Urgency.BEYOND_SHARE, 0.0, -1.0, 3))
-        self.assertTrue(overtaking.allows((Urgency.LATE, 0.0, -1.0, 4)))
+        overtaking.record_waiting((Urgency.BEYOND_SHARE, 0.0, False, -1.0, 3))
+        self.assertTrue(overtaking.allows((Urgency.LATE, 0.0, True, -1.0, 4)))
--- a/packages/standins/tests/test_lab_loads.py
+++ b/packages/standins/tests/test_lab_loads.py
@@ -14,6 +14,28 @@
 SECONDS = 12.0
 
 
+class FloodTest(unittest.TestCase):
+    """One team sends eight times its usual traffic in the middle third."""
+
+    def play(self, seed):
+        load = LoadSettings(seconds=SECONDS, flood_factor=8.0, seed=seed)
+        simulation = Simulation(SimulationSettings(load=load))
+        run(simulation.run_load())
+        return [
+            o
+            for o in simulation.outcomes
+            if o.call.team == "team1"
+            and SECONDS / 3 < o.call.at < 2 * SECONDS / 3
+        ]
+
+    def test_a_teams_share_is_spent_on_requests_that_are_in_time(self):
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                served = [o for o in self.play(seed) if o.first_s is not None]
+                late = [o for o in served if o.first_s > o.call.cls.objective_s]
+                self.assertLess(len(late), len(served) / 5)
+
+
 class RecurringSessionsTest(unittest.TestCase):
     """Prompts with shared parts recur at engines that evict all the time."""
 
