--- a/review/lib/proxy.py
+++ b/review/lib/proxy.py
@@ -1,4 +1,4 @@
-"""Proxy before the store that can cut off watches that are waiting."""
+"""Proxy before the store, which cuts watches off or loses responses."""
 
 import asyncio
 
@@ -9,6 +9,10 @@
     def __init__(self, upstream, record):
         self.upstream, self.record = upstream, record
         self._waiting = set()
+        # While true, responses are lost: nothing of them is passed on, and
+        # their channels return nothing further.
+        self.is_silent = False
+        self.lost = 0
         self._server = None
         self.address = ""
 
@@ -40,6 +44,10 @@
             upward = asyncio.ensure_future(self._pump(reader, to_store))
             first = await from_store.read(65_536)
             self._waiting.discard(writer)
+            if self.is_silent:
+                self.lost += 1
+                await upward
+                return
             writer.write(first)
             if first:
                 await self._pump(from_store, writer)
