Review: a case of streams that a version's arrival during a loss of all ends

A router that starts and finds a further version registered cannot tell where unrecorded streams began, and refuses them.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,9 @@
-"""Another writer leaves an entry in the store that lacks fields."""
+"""A further software version registers while all routers are gone."""
 
 import asyncio
-import json
 import pathlib
+import re
+import signal
 import sys
 import time
 
@@ -11,113 +12,142 @@
 
 import deployment as d  # noqa: E402
 
-PLAY_S = 20.0
-ENGINES = 3
-
-
-async def serve_pages(record):
-    """Starts a web server that has nothing to do with the engines.
-
-    Returns it and its address. It knows one page, and answers 404 otherwise.
-    """
-
-    async def serve(reader, writer):
-        try:
-            head = await reader.readuntil(b"\r\n\r\n")
-            line = head.split(b"\r\n", 1)[0].decode("latin1")
-            found = " /metrics " in line
-            record.note("web server asked", line=line)
-            writer.write(
-                b"HTTP/1.1 %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-                % (b"200 OK" if found else b"404 Not Found")
-            )
-            await writer.drain()
-        except (OSError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            writer.close()
-
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    return server, f"{host}:{port}"
-
-
-async def consumer(deployment, router, name, until, path):
-    """Asks on a kept channel, a few times a second."""
-    channel, number = d.Channel(router.front, deployment.record, name), 0
-    while time.monotonic() < until:
-        try:
-            if channel.writer is None:
+STABILITY_S = d.BOUNDS["stability_ms"] / 1000
+EVENTS, EVENT_MS = 150, 80
+LIMIT_S = 15.0
+DOWN_S = 2.0
+OLD, NEW = "v1", "v2"
+
+
+class Viewer:
+    """Takes a stream up again, with Resumes, until its time is over."""
+
+    def __init__(self, deployment, router, name):
+        self.record = deployment.record
+        self.router, self.name = router, name
+
+    async def watch(self):
+        begun = time.monotonic()
+        first = f"{self.name}-1"
+        last, number, resumed = 0, 0, False
+        while time.monotonic() < begun + LIMIT_S - 0.5 and last < EVENTS:
+            number += 1
+            attempt = f"{self.name}-{number}"
+            left_ms = int((begun + LIMIT_S - time.monotonic()) * 1000)
+            more = {"timeout_ms": left_ms, "model": "m"}
+            more |= {"token_usage": "600,750", "max_gap_s": 3.2}
+            if last:
+                more |= {"last_event_id": str(last), "resumes": first}
+            channel = d.Channel(self.router.front, self.record, self.name)
+            try:
                 await channel.open()
-        except OSError:
-            await asyncio.sleep(0.1)
-            continue
-        number += 1
-        await channel.ask(path, f"{name}-{number}")
-        await asyncio.sleep(0.05)
-    channel.close()
+            except OSError:
+                await asyncio.sleep(0.2)
+                continue
+            resumed = bool(last)
+            status, complete, body = await channel.ask(
+                "/review/x", attempt, **more
+            )
+            ids = [int(i) for i in re.findall(rb"^id: (\d+)$", body, re.M)]
+            self.record.note(
+                "try", id=attempt, after=last, status=status,
+                complete=complete, events=len(ids),
+            )
+            last = ids[-1] if ids else last
+            channel.close()
+            await asyncio.sleep(0.5)
+        self.record.note(
+            "stream", id=first, last=last, whole=last == EVENTS, tries=number,
+            resumed=resumed,
+        )
 
 
 async def case(deployment, trouble):
     store, record = deployment.store, deployment.record
     routes = [
-        d.route("book", "tuki-app", kind="non_idempotent"),
-        d.route("read", "tuki-app", max_attempts=2),
+        d.route(
+            "review", "neuvo-llm", kind="streaming", resumable=True,
+            max_attempts=2, timeout_ms=15_000, target_latency_ms=800,
+        )
     ]
-    await store.put("config", "main", d.config(1, routes, {"tuki-app": 100}))
-    for number in range(ENGINES):
-        await deployment.engine("tuki-app", f"i-app{number}", work_ms=45)
+    await store.put("config", "main", d.config(1, routes, {"neuvo-llm": 360}))
+    for number in range(3):
+        await deployment.engine(
+            "neuvo-llm", f"i-llm{number}", slots=64, events=EVENTS,
+            gap_ms=EVENT_MS, version=OLD,
+        )
     for name, zone in (("a-1", "fi-south-a"), ("b-1", "fi-south-b")):
         deployment.router(f"edge-fi-south-{name}", zone).start()
     if not await deployment.wait_ready():
         raise RuntimeError("the routers did not become ready")
-    server, address = await serve_pages(record)
-    until = time.monotonic() + PLAY_S
-    tasks = []
-    for number in range(8):
-        router = deployment.routers[number % 2]
-        path = "/book/x" if number < 4 else "/read/x"
-        work = consumer(deployment, router, f"c{number}", until, path)
-        tasks.append(asyncio.ensure_future(work))
-    await asyncio.sleep(5.0)
+    await asyncio.sleep(3.0)
+
+    def start_viewers(name, count):
+        viewers = [
+            Viewer(deployment, deployment.routers[n % 2], f"{name}{n}")
+            for n in range(count)
+        ]
+        return [asyncio.ensure_future(v.watch()) for v in viewers]
+
+    tasks = start_viewers("old", 20)
+    await asyncio.sleep(2.0)
     if trouble:
-        # It lacks version, cold_remaining_ms, sequence and born.
-        entry = {
-            "backend": "tuki-app",
-            "address": address,
-            "zone": "fi-south-a",
-            "slots": 6,
-            "state": "ready",
-        }
-        await store.put("servers", "exporter-1", entry)
-        record.note("entry of another writer", entry=json.dumps(entry))
+        for router in deployment.routers:
+            router.signal(signal.SIGKILL)
+            router.process.wait()
+    # The first engine of a release.
+    await deployment.engine(
+        "neuvo-llm", "i-llm3", slots=64, events=EVENTS, gap_ms=EVENT_MS,
+        version=NEW,
+    )
+    record.note("a further version registers")
+    await asyncio.sleep(DOWN_S)
+    if trouble:
+        for router in deployment.routers:
+            router.start()
+    if not await deployment.wait_ready():
+        raise RuntimeError("the routers did not become ready again")
+    record.note("ready again")
+    await asyncio.sleep(STABILITY_S)
+    record.note("in touch")
+    tasks += start_viewers("new", 20)
     await asyncio.wait(tasks)
     for task in tasks:
         task.result()
-    server.close()
     return judge(record)
 
 
 def judge(record):
-    """DENIED: proper requests that end with a 404 which no engine gave."""
-    sent = sum(line["what"] == "sent" for line in record.lines)
-    ran = {line["id"] for line in record.lines if line["what"] == "begin"}
-    denied = [
-        line["id"]
-        for line in record.lines
-        if line["what"] == "answered"
-        and line["status"] in (401, 403, 404)
-        and line["id"] not in ran
+    """LOST: streams that are taken up again and do not go on."""
+    touch_at = next(x["t"] for x in record.lines if x["what"] == "in touch")
+    tries = [
+        x for x in record.lines if x["what"] == "try" and x["t"] >= touch_at
     ]
-    excused = 5 + sent / 500
+    again = {x["id"].partition("-")[0] for x in tries if x["after"]}
+    went_on = {
+        x["id"].partition("-")[0]
+        for x in tries
+        if x["after"] and x["events"]
+    }
+    new = {x["id"].partition("-")[0] for x in tries if not x["after"]}
+    began = {
+        x["id"].partition("-")[0]
+        for x in tries
+        if not x["after"] and x["events"]
+    }
     record.note(
         "summary",
-        requests=sent,
-        denied=len(denied),
-        excused=round(excused, 1),
-        bookings=sum(id < "c4" for id in denied),
+        taken_up_again=len(again),
+        went_on=len(went_on),
+        new_streams=len(new),
+        began=len(began),
+        answers_to_take_ups=sorted(
+            {x["status"] for x in tries if x["after"]}
+        ),
     )
-    return len(denied) <= excused
+    if len(again) < 12 or not new:
+        return True
+    return len(went_on) / len(again) >= 0.5 * len(began) / len(new)
 
 
 d.run(case, FOLDER)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,9 @@
-"""The store is silent for some seconds, and loses the responses of watches."""
+"""A router is stopped as planned while an engine preempts streams."""
 
 import asyncio
 import pathlib
+import re
+import signal
 import sys
 import time
 
@@ -9,18 +11,19 @@
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
 import deployment as d  # noqa: E402
-from proxy import StoreProxy  # noqa: E402
 
-SILENT_S = 2.0
-STABILITY_S = d.BOUNDS["stability_ms"] / 1000
-APPLY_S = d.BOUNDS["config_apply_ms"] / 1000
-OUTER_S = 5.0
-PLAY_S = 45.0
-OLD_KEY, NEW_KEY = "oldkeyoldkeyoldkey00", d.KEY
+GRACE_S = d.BOUNDS["grace_s"]
+STOP_AT_S = 15.0
+SLOTS, EVENTS, EVENT_MS = 4, 60, 100
+ENGINES = 2
+# One engine runs out of memory so long after the stop began.
+PREEMPT_AFTER_S = 0.5
+# An engine that is at work in the last sixth of the grace is excused.
+EXCUSED_FROM_S = GRACE_S * 5 / 6
 
 
-async def consumer(deployment, router, name, until, path, key):
-    """Asks on a kept channel, a few times a second."""
+async def consumer(deployment, router, name, until):
+    """Asks for one stream after the other on a channel that it keeps."""
     channel, number = d.Channel(router.front, deployment.record, name), 0
     while time.monotonic() < until:
         try:
@@ -30,103 +33,85 @@
             await asyncio.sleep(0.1)
             continue
         number += 1
-        await channel.ask(
-            path, f"{name}-{number}", authorization=f"Token {key}"
+        attempt = f"{name}-{number}"
+        status, complete, body = await channel.ask(
+            "/review/x", attempt, timeout_ms=15_000, max_gap_s=3.2, model="m",
+            token_usage="600,300", prompt_prefix=f"{number:x}{name}:600",
         )
-        await asyncio.sleep(0.25)
+        ids = [int(i) for i in re.findall(rb"^id: (\d+)$", body, re.M)]
+        deployment.record.note(
+            "stream", id=attempt, status=status, complete=complete,
+            last=ids[-1] if ids else 0,
+        )
+        await asyncio.sleep(0.05 if status == 200 else 0.3)
     channel.close()
 
 
-def make_config(version, *, service, keys):
-    routes = [
-        d.route("book", service, kind="non_idempotent"),
-        d.route("read", "tuki-app"),
-    ]
-    services = {"tuki-app": 100, "tuki-new": 100}
-    tenants = [{"name": d.TENANT, "api_keys": keys}]
-    return d.config(version, routes, services, tenants=tenants)
-
-
 async def case(deployment, trouble):
     store, record = deployment.store, deployment.record
-    proxy = StoreProxy(store.address, record)
-    await proxy.start()
-    deployment.store_address = proxy.address
-    first = make_config(1, service="tuki-app", keys=[NEW_KEY, OLD_KEY])
-    second = make_config(4, service="tuki-new", keys=[NEW_KEY])
-    await store.put("config", "main", first)
-    for service in ("tuki-app", "tuki-new"):
-        for number in range(2):
-            await deployment.engine(service, f"i-{service[-3:]}{number}")
+    routes = [
+        d.route(
+            "review", "neuvo-llm", kind="streaming", resumable=True,
+            max_attempts=2, timeout_ms=15_000, target_latency_ms=800,
+        )
+    ]
+    await store.put("config", "main", d.config(1, routes, {"neuvo-llm": 360}))
+    for number in range(ENGINES):
+        await deployment.engine(
+            "neuvo-llm", f"i-llm{number}", slots=SLOTS, events=EVENTS,
+            gap_ms=EVENT_MS,
+        )
     for name, zone in (("a-1", "fi-south-a"), ("b-1", "fi-south-b")):
         deployment.router(f"edge-fi-south-{name}", zone).start()
     if not await deployment.wait_ready():
         raise RuntimeError("the routers did not become ready")
-    until = time.monotonic() + PLAY_S
+    until = time.monotonic() + STOP_AT_S + GRACE_S + 2.0
     tasks = []
-    for number, router in enumerate(deployment.routers * 2):
-        path, key = ("/book/x", NEW_KEY) if number < 2 else ("/read/x", OLD_KEY)
-        work = consumer(
-            deployment, router, f"c{number}", until, path, key
-        )
+    for number in range(ENGINES * SLOTS):
+        router = deployment.routers[0]
+        work = consumer(deployment, router, f"c{number}", until)
         tasks.append(asyncio.ensure_future(work))
-    await asyncio.sleep(5.0)
-    proxy.is_silent = trouble
-    record.note("store silent" if trouble else "store sound")
-    await asyncio.sleep(1.0)
-    # The operator's call is executed; while the store is silent, it gets no
-    # response, and is made again afterwards, which changes nothing.
-    await store.put("config", "main", second)
-    record.note("desired state written", version=4)
-    await asyncio.sleep(SILENT_S - 1.0)
-    proxy.is_silent = False
-    record.note("store answers", lost=proxy.lost)
-    record.note("acknowledged", version=4)
+    await asyncio.sleep(STOP_AT_S)
+    stopped = deployment.routers[0]
+    stopped.signal(signal.SIGTERM)
+    await asyncio.sleep(PREEMPT_AFTER_S)
+    if trouble:
+        await deployment.engines[0].change(preempt=2)
+    await asyncio.sleep(GRACE_S - PREEMPT_AFTER_S)
+    stopped.signal(signal.SIGKILL)
     await asyncio.wait(tasks)
     for task in tasks:
         task.result()
-    proxy.close()
     return judge(record)
 
 
 def judge(record):
-    """CONFIG: requests that are handled as only the older version allows.
-
-    The bound is config_apply_ms after the acknowledgement; the machines are in
-    touch stability_ms after the end of the outage, and outer_ms is allowed on
-    top.
-    """
-    at = {line["what"]: line["t"] for line in record.lines}
-    bound = at["acknowledged"] + max(STABILITY_S, APPLY_S) + OUTER_S
-    sent = {
-        line["id"]: line["t"]
-        for line in record.lines
-        if line["what"] == "sent" and line["t"] > bound
-    }
-    old_service = [
-        line["id"]
+    """LOST: requests that are cut around a planned stop."""
+    stop_at = next(
+        line["t"] for line in record.lines if line.get("signal") == "SIGTERM"
+    )
+    begun = {x["id"] for x in record.lines if x["what"] == "begin"}
+    abandoned = {x["id"] for x in record.lines if x["what"] == "abandoned"}
+    cut = [
+        (line["id"], line["last"], round(line["t"] - stop_at, 2))
         for line in record.lines
-        if line["what"] == "begin"
-        and line["id"] in sent
-        and "/book/" in line["line"]
-        and line["engine"].startswith("i-app")
+        if line["what"] == "stream"
+        and not line["complete"]
+        and line["id"] in begun - abandoned
+        and stop_at <= line["t"] <= stop_at + EXCUSED_FROM_S
     ]
-    old_key = [
-        line["id"]
+    everywhere = sum(
+        line["what"] == "stream" and not line["complete"]
         for line in record.lines
-        if line["what"] == "begin"
-        and line["id"] in sent
-        and "/read/" in line["line"]
-    ]
-    late = [sent[id] - at["acknowledged"] for id in old_service + old_key]
+    )
     record.note(
         "summary",
-        sent_after_bound=len(sent),
-        run_by_the_old_service=len(old_service),
-        run_with_a_removed_key=len(old_key),
-        latest_s=round(max(late, default=0), 1),
+        streams=sum(line["what"] == "stream" for line in record.lines),
+        preempted=sum(line["what"] == "preempted" for line in record.lines),
+        cut_by_the_stopped_router=cut,
+        incomplete_at_any_time_and_router=everywhere,
     )
-    return not late
+    return not cut
 
 
 d.run(case, FOLDER)
