Review: consumers of the third case try three times at most

Change: they wait until the routers are back and try up to three times; requests of all cases have bodies of their own.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -26,9 +26,9 @@
             await asyncio.sleep(0.1)
             continue
         number += 1
-        status, _, _ = await channel.ask(
-            path, f"{name}-{number}", body=b"x" * 600, **options
-        )
+        attempt = f"{name}-{number}"
+        body = attempt.encode().ljust(600, b"x")
+        status, _, _ = await channel.ask(path, attempt, body=body, **options)
         if status != 200:
             await asyncio.sleep(0.2)
     channel.close()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,51 +15,45 @@
 STABILITY_S = d.BOUNDS["stability_ms"] / 1000
 EVENTS, EVENT_MS = 150, 80
 LIMIT_S = 15.0
+MOST_RETRIES = 3
 DOWN_S = 2.0
 OLD, NEW = "v1", "v2"
 
 
-class Viewer:
-    """Takes a stream up again, with Resumes, until its time is over."""
-
-    def __init__(self, deployment, router, name):
-        self.record = deployment.record
-        self.router, self.name = router, name
-
-    async def watch(self):
-        begun = time.monotonic()
-        first = f"{self.name}-1"
-        last, number, resumed = 0, 0, False
-        while time.monotonic() < begun + LIMIT_S - 0.5 and last < EVENTS:
-            number += 1
-            attempt = f"{self.name}-{number}"
-            left_ms = int((begun + LIMIT_S - time.monotonic()) * 1000)
-            more = {"timeout_ms": left_ms, "model": "m"}
-            more |= {"token_usage": "600,750", "max_gap_s": 3.2}
-            if last:
-                more |= {"last_event_id": str(last), "resumes": first}
-            channel = d.Channel(self.router.front, self.record, self.name)
-            try:
-                await channel.open()
-            except OSError:
-                await asyncio.sleep(0.2)
-                continue
-            resumed = bool(last)
-            status, complete, body = await channel.ask(
-                "/review/x", attempt, **more
-            )
-            ids = [int(i) for i in re.findall(rb"^id: (\d+)$", body, re.M)]
-            self.record.note(
-                "try", id=attempt, after=last, status=status,
-                complete=complete, events=len(ids),
-            )
-            last = ids[-1] if ids else last
-            channel.close()
-            await asyncio.sleep(0.5)
-        self.record.note(
-            "stream", id=first, last=last, whole=last == EVENTS, tries=number,
-            resumed=resumed,
+async def viewer(deployment, router, name, in_touch):
+    """Asks for a stream; takes it up again with Resumes if it breaks off.
+
+    The consumer waits for the machines to be back, and then tries up to three
+    times, while its time limit lasts.
+    """
+    begun, first = time.monotonic(), f"{name}-1"
+    last, number = 0, 0
+    while last < EVENTS and number <= MOST_RETRIES:
+        number += 1
+        attempt = f"{name}-{number}"
+        left_s = begun + LIMIT_S - time.monotonic()
+        more = {"timeout_ms": int(left_s * 1000), "model": "m"}
+        more |= {"token_usage": "600,750", "max_gap_s": 3.2}
+        if last:
+            more |= {"last_event_id": str(last), "resumes": first}
+        channel = d.Channel(router.front, deployment.record, name)
+        await channel.open()
+        status, complete, body = await channel.ask(
+            "/review/x", attempt, body=name.encode(), **more
+        )
+        channel.close()
+        ids = [int(i) for i in re.findall(rb"^id: (\d+)$", body, re.M)]
+        deployment.record.note(
+            "try", id=attempt, after=last, status=status, complete=complete,
+            events=len(ids),
         )
+        last = ids[-1] if ids else last
+        if last < EVENTS:
+            await in_touch.wait()
+            await asyncio.sleep(0.5)
+    deployment.record.note(
+        "stream", id=first, last=last, whole=last == EVENTS, tries=number
+    )
 
 
 async def case(deployment, trouble):
@@ -82,12 +76,17 @@
         raise RuntimeError("the routers did not become ready")
     await asyncio.sleep(3.0)
 
+    in_touch = asyncio.Event()
+
     def start_viewers(name, count):
-        viewers = [
-            Viewer(deployment, deployment.routers[n % 2], f"{name}{n}")
+        return [
+            asyncio.ensure_future(
+                viewer(
+                    deployment, deployment.routers[n % 2], f"{name}{n}", in_touch
+                )
+            )
             for n in range(count)
         ]
-        return [asyncio.ensure_future(v.watch()) for v in viewers]
 
     tasks = start_viewers("old", 20)
     await asyncio.sleep(2.0)
@@ -110,6 +109,7 @@
     record.note("ready again")
     await asyncio.sleep(STABILITY_S)
     record.note("in touch")
+    in_touch.set()
     tasks += start_viewers("new", 20)
     await asyncio.wait(tasks)
     for task in tasks:
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -301,10 +301,12 @@
     async def ask(self, path, attempt, *, method="POST", body=b"", max_gap_s=0, **more):
         """Sends one request; returns (status, complete, body).
 
-        The consumer gives up after `max_gap_s` without a piece, 0 for never.
+        Each request has a body of its own unless one is given. The consumer
+        gives up after `max_gap_s` without a piece, 0 for never.
 
         Status 0 stands for a channel that ended without an answer.
         """
+        body = body or attempt.encode()
         headers = {
             "Host": HOST,
             "Attempt-Id": attempt,
--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -177,7 +177,8 @@
             while time.monotonic() < run["until"]:
                 await asyncio.sleep(0.02)
             run["events"] += 1
-            event = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
+            text = f"{attempt} {number} {self.spec['version']}"
+            event = f"id: {number}\ndata: {text}\n\n".encode()
             if is_framed:
                 event = b"%x\r\n%b\r\n" % (len(event), event)
             await conn.write(event)
