--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import contextlib
-import itertools
 import json
 import logging
 import os
@@ -45,7 +44,6 @@
 MEMORY_MB = 150
 # Delay after which the platform starts a process that ended again.
 RESTART_S = 0.5
-_PORTS = itertools.count(21_003)
 
 
 def fill(template, fields):
@@ -396,8 +394,6 @@
     def __init__(self, folder):
         self.record = Record(pathlib.Path(folder))
         self.store = FakeStore(page_size=500)
-        # Where routers find the store, "" for the address of the store itself.
-        self.store_address = ""
         self.routers, self.engines = [], []
         self._stack = contextlib.AsyncExitStack()
 
@@ -419,7 +415,7 @@
         router = Router(
             name,
             zone,
-            self.store_address or self.store.address,
+            self.store.address,
             self.folder,
             self.record,
         )
--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -25,7 +25,6 @@
     "preempt_ms": 2000,
     # "sound", or the name of a fault that a case defines below.
     "mode": "sound",
-    "leaving": False,
     "version": "",
 }
 SIGNATURE = "3e1b.07.5a2.600.0.c9f2a4d1"
@@ -144,16 +143,12 @@
             "Keep-Alive: timeout=10",
             *more,
         ]
-        if self.spec["leaving"]:
-            lines.append("Server-Leaving: 1")
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
     async def answer(self, line, headers, attempt, conn):
         mode = self.spec["mode"]
         if mode == "endless trailer":
             return await self.answer_endless_trailer(attempt, conn)
-        if mode == "endless comments":
-            return await self.answer_endless_comments(attempt, conn)
         if "/stream/" in line or headers.get("model"):
             return await self.answer_stream(headers, attempt, conn)
         await asyncio.sleep(self.spec["work_ms"] / 1000)
@@ -198,24 +193,6 @@
         )
         while True:
             await conn.write(BLOCK)
-    
-
-    async def answer_endless_comments(self, attempt, conn):
-        """Sends a sound head, and then a body without end.
-
-        The body holds nothing but empty comments of the event stream format,
-        which are no events, in chunks of one byte.
-        """
-        await conn.write(
-            self.head(
-                attempt,
-                "Content-Type: text/event-stream",
-                "Transfer-Encoding: chunked",
-            )
-        )
-        block = b"1\r\n:\r\n1\r\n\n\r\n1\r\n\n\r\n" * 4_000
-        while True:
-            await conn.write(block)
 
 
 async def read_commands(engine):
