Limit chunk extensions and trailers of responses and requests

Cause: Exchange counted bytes of the head and of the body only, and the parser keeps an unfinished trailer in memory. Requests of callers had the same gap. Bytes behind a head that are no body are now counted, with an allowance for each byte of the body, as a chunk may be one byte.

Evidence: test_edge_endless with the new modes failed before in 8 cases (48 to 268 MB sent before the connection closed, callers were not refused) and passes. review/2: 26 requests lost before, 0 after, one run each, beside jobs of the bench. http_call was tried with eight endless responses and is bounded by its library.

--- a/packages/router/chervilwall_router/edge/caller_connection.py
+++ b/packages/router/chervilwall_router/edge/caller_connection.py
@@ -347,11 +347,15 @@
     def _parse(self, data: bytes) -> None:
         if self._is_malformed or self.closed():
             return
+        before = self._request
+        was_in_head = before is None or not before.has_head
         unparsed = data
         while unparsed:
             unparsed = self._feed_parser(unparsed)
         request = self._request
-        if request is not None and request.add_head_bytes(len(data)):
+        if request is not None and request.add_bytes(
+            len(data), was_in_head=was_in_head or request is not before
+        ):
             self._enqueue_request()
         self._serve_next()
 
--- a/packages/router/chervilwall_router/edge/exchange.py
+++ b/packages/router/chervilwall_router/edge/exchange.py
@@ -10,6 +10,7 @@
 from chervilwall.http_messages import Headers, InboundRequest, ResponseHead
 from chervilwall.protocol import WireFormat
 
+from chervilwall_router.edge._framing import FramingCounter
 from chervilwall_router.edge._head import decode_headers, encode_head
 from chervilwall_router.edge.target_connection import TargetConnection
 
@@ -123,6 +124,9 @@
         self._head_bytes = 0
         self._body_bytes = 0
         self._unmatched_bytes = 0
+        # Bytes of bodies in the read that is being parsed.
+        self._read_body_bytes = 0
+        self._framing = FramingCounter()
         self._informational_count = 0
         self._is_unmatched = False
         self._pending_body = b""
@@ -186,8 +190,10 @@
             self.reusable = False
             self._conn.close()
             return
-        if self._in_head:
+        was_in_head = self._in_head
+        if was_in_head:
             self._head_bytes += len(data)
+        self._read_body_bytes = 0
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
@@ -201,6 +207,10 @@
                 f"response head of {self._head_bytes} bytes exceeds"
                 f" {MAX_HEAD_BYTES} bytes"
             )
+        if not was_in_head and self._framing.add(
+            len(data), self._read_body_bytes
+        ):
+            self.abort("chunk extensions or trailers are too large")
         if self._unmatched_bytes > MAX_UNMATCHED_BYTES:
             self.abort(
                 f"responses to other requests exceed {MAX_UNMATCHED_BYTES}"
@@ -271,6 +281,7 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Collects a chunk of the body."""
+        self._read_body_bytes += len(chunk)
         if self._is_done():
             return
         if self._is_unmatched:
--- a/packages/router/chervilwall_router/edge/partial_request.py
+++ b/packages/router/chervilwall_router/edge/partial_request.py
@@ -5,6 +5,7 @@
 from chervilwall.protocol import WireFormat
 from chervilwall.routing import CallerLimits
 
+from chervilwall_router.edge._framing import FramingCounter
 from chervilwall_router.edge._head import decode_headers
 from chervilwall_router.problem import Problem
 
@@ -34,6 +35,8 @@
         self._chunks: list[bytes] = []
         self._head_bytes = 0
         self._body_bytes = 0
+        self._counted_body_bytes = 0
+        self._framing = FramingCounter()
         self._req: InboundRequest | None = None
         self.has_head = False
         self.method = ""
@@ -46,18 +49,27 @@
         if not self.has_head:
             self._raw_headers.append((name, value))
 
-    def add_head_bytes(self, count: int) -> bool:
-        """Counts received bytes of the head.
+    def add_bytes(self, count: int, *, was_in_head: bool) -> bool:
+        """Counts received bytes.
+
+        Args:
+            count (int): Number of bytes of the request that were parsed.
+            was_in_head (bool): Whether the head was incomplete before.
 
         Returns:
-            Whether the head is so large that the request must be refused before
-            the head is complete.
+            Whether the head, the chunk extensions or the trailers are so large
+            that the request must be refused before it is complete.
         """
-        if self.has_head:
-            return False
-        self._head_bytes += count
-        if self._head_bytes > self._limits.max_header_bytes * HEAD_READ_FACTOR:
-            self.problem = _head_too_large(self._limits)
+        if not self.has_head:
+            self._head_bytes += count
+            limit = self._limits.max_header_bytes * HEAD_READ_FACTOR
+            if self._head_bytes > limit:
+                self.problem = _head_too_large(self._limits)
+        elif not was_in_head:
+            body_bytes = self._body_bytes - self._counted_body_bytes
+            if self._framing.add(count, body_bytes):
+                self.problem = _framing_too_large()
+        self._counted_body_bytes = self._body_bytes
         return self.problem is not None
 
     def read_head(self, wire: WireFormat, now: float) -> None:
@@ -150,6 +162,11 @@
     return Problem(431, "head_too_large", detail)
 
 
+def _framing_too_large() -> Problem:
+    detail = "The chunk extensions or trailers are too large."
+    return Problem(431, "framing_too_large", detail)
+
+
 def _body_too_large(limits: CallerLimits) -> Problem:
     detail = f"A body may have {limits.max_body_bytes} bytes."
     return Problem(413, "body_too_large", detail)
--- a/packages/standins/chervilwall_standins/users/target.py
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -54,6 +54,9 @@
 ENDLESS_UNSIGNED = "endless unsigned body"
 ENDLESS_EVENT = "endless event"
 ENDLESS_CHUNK_LINE = "endless chunk line"
+ENDLESS_CHUNK_EXTENSION = "endless chunk extension"
+ENDLESS_TRAILER = "endless trailer"
+ENDLESS_TRAILERS = "endless trailers"
 ENDLESS_TRAILING_BYTES = "endless bytes after a response"
 _ENDLESS = (
     ENDLESS_HEAD,
@@ -62,6 +65,9 @@
     ENDLESS_UNSIGNED,
     ENDLESS_EVENT,
     ENDLESS_CHUNK_LINE,
+    ENDLESS_CHUNK_EXTENSION,
+    ENDLESS_TRAILER,
+    ENDLESS_TRAILERS,
     ENDLESS_TRAILING_BYTES,
 )
 BLOCK_BYTES = 65_536
@@ -582,6 +588,12 @@
         return _head(200, {}, None), block
     if mode == ENDLESS_CHUNK_LINE:
         return _head(200, identity, -1), block
+    if mode == ENDLESS_CHUNK_EXTENSION:
+        return _head(200, identity, -1) + b"4;x=", block
+    if mode == ENDLESS_TRAILER:
+        return _head(200, identity, -1) + b"0\r\nX-Long: ", block
+    if mode == ENDLESS_TRAILERS:
+        return _head(200, identity, -1) + b"0\r\n", b"X-Long: 1\r\n" * 4096
     if mode == ENDLESS_TRAILING_BYTES:
         return _head(200, identity, 4) + b"done", block
     return _head(200, identity | EVENT_STREAM, -1), _chunk(block)
--- a/packages/standins/tests/test_edge_endless.py
+++ b/packages/standins/tests/test_edge_endless.py
@@ -9,7 +9,7 @@
 import unittest
 
 from chervilwall_standins.users import target as t
-from chervilwall_standins.users.fleet import EdgeFleet
+from chervilwall_standins.users.fleet import HOST, KEY, EdgeFleet
 from chervilwall_standins.users.target import FakeTarget
 
 # Bound of the bytes that a router reads of one response before it closes the
@@ -22,6 +22,9 @@
     t.ENDLESS_INFORMATIONAL,
     t.ENDLESS_UNSIGNED,
     t.ENDLESS_CHUNK_LINE,
+    t.ENDLESS_CHUNK_EXTENSION,
+    t.ENDLESS_TRAILER,
+    t.ENDLESS_TRAILERS,
 )
 STREAM_MODES = (*PLAIN_MODES, t.ENDLESS_EVENT)
 
@@ -71,6 +74,41 @@
         response = await self.fleet.call("/book/x", request_id="next")
         self.assertEqual(response.body, b"p0:next")
 
+    async def test_a_caller_with_an_endless_trailer_is_refused(self):
+        head = (
+            f"POST /book/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: r1\r\n"
+            f"Authorization: Token {KEY}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        ).encode()
+        for start in (b"0\r\nX-Long: ", b"4;x="):
+            with self.subTest(start=start):
+                before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+                sent, received = await self.send_endless(head + start)
+                after = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+                self.assertLess(sent, MAX_BYTES)
+                self.assertLess(after - before, MAX_GROWTH_KB)
+                self.assertTrue(received.startswith(b"HTTP/1.1 431 "))
+                self.assertEqual(self.plain.executed, [])
+
+    async def send_endless(self, prefix):
+        """Sends blocks to the router until it answers.
+
+        Returns:
+            The number of bytes that were sent, and the beginning of the answer.
+        """
+        caller = await self.fleet.connect()
+        self.addCleanup(caller.close)
+        answer = asyncio.ensure_future(caller.reader.read(t.BLOCK_BYTES))
+        caller.writer.write(prefix)
+        sent = 0
+        while sent < MAX_BYTES and not answer.done():
+            caller.writer.write(b"x" * t.BLOCK_BYTES)
+            await caller.writer.drain()
+            sent += t.BLOCK_BYTES
+            await asyncio.sleep(0)
+        if not answer.done():
+            caller.close()
+        return sent, await answer
+
     async def test_neighbours_are_answered_meanwhile(self):
         self.model.mode = t.ENDLESS_EVENT
         stream = asyncio.ensure_future(
