Reset unframed answers whose router is killed

Cause: only code of the router made the close of such an answer a reset, but the kernel closes the connections of a killed process. The socket is now set to reset on close before such a body begins, and back when the last byte of it has been sent. Answers to HTTP/1.0 callers had the same fault.

--- a/packages/router/chervilwall_router/edge/_dial.py
+++ b/packages/router/chervilwall_router/edge/_dial.py
@@ -38,13 +38,14 @@
             sock.setsockopt(level, option, value)
 
 
-def reset_on_close(sock: socket.socket) -> None:
-    """Makes the close of a connection a reset.
+def set_reset_on_close(sock: socket.socket, enabled: bool) -> None:
+    """Sets whether the close of a connection is a reset.
 
-    A transport that is aborted drops its unsent data, but still closes the
-    connection without an error, which ends a body without length or chunks.
+    A transport that is aborted, and a process that is killed, drop unsent data
+    but still close the connection without an error, which ends a body without
+    length or chunks.
     """
-    linger = struct.pack("ii", 1, 0)
+    linger = struct.pack("ii", int(enabled), 0)
     # Fails only on a connection that has already ended.
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/packages/router/chervilwall_router/edge/caller_connection.py
+++ b/packages/router/chervilwall_router/edge/caller_connection.py
@@ -11,7 +11,7 @@
 from chervilwall.limit_history import LimitHistory
 
 from chervilwall_router.edge._dial import (
-    reset_on_close,
+    set_reset_on_close,
     set_tcp_options,
     unread_bytes,
 )
@@ -67,6 +67,10 @@
         # Start of the period that was last found to exceed its timeout.
         self._overdue_since = -1.0
         self._last_active_at = 0.0
+        # Whether the response ends with the connection, and whether the
+        # connection closes once its last bytes are sent.
+        self._is_unframed = False
+        self._closes_when_sent = False
         # Time to linger after a request that was not read completely.
         self._linger_s = 0.0
         self._linger_timer: asyncio.TimerHandle | None = None
@@ -123,6 +127,9 @@
         drained, self._drained = self._drained, None
         if drained is not None and not drained.done():
             drained.set_result(None)
+        if self._closes_when_sent:
+            self._closes_when_sent = False
+            self._close_without_reset()
 
     # Methods for responses.
 
@@ -142,8 +149,20 @@
             self._transport is None
             or self._transport.is_closing()
             or self._linger_timer is not None
+            or self._closes_when_sent
         )
 
+    def begin_unframed(self) -> None:
+        """Prepares for a body that ends with the connection.
+
+        Until end_answer() is called and all bytes are sent, the connection is
+        reset if it ends, also with the process.
+        """
+        self._is_unframed = True
+        if self._transport is not None:
+            sock = self._transport.get_extra_info("socket")
+            set_reset_on_close(sock, True)
+
     def end_answer(self, *, close: bool) -> None:
         """Proceeds to the next request, or closes after sending all bytes."""
         self._active = None
@@ -163,10 +182,22 @@
         """
         self._record_close(CloseReason.RESPONSE_SENT)
         self._queue.clear()
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if self._is_unframed and self.has_unsent_data():
+            self._closes_when_sent = True
+            transport.set_write_buffer_limits(high=0)
+            return
+        self._close_without_reset()
+
+    def _close_without_reset(self) -> None:
         transport = self._transport
         if transport is None or transport.is_closing():
             return
         sock = transport.get_extra_info("socket")
+        if self._is_unframed:
+            set_reset_on_close(sock, False)
         if not self._linger_s and not unread_bytes(sock):
             transport.close()
             return
@@ -186,7 +217,8 @@
         if self._transport is None:
             return
         if abort:
-            reset_on_close(self._transport.get_extra_info("socket"))
+            sock = self._transport.get_extra_info("socket")
+            set_reset_on_close(sock, True)
             self._transport.abort()
         else:
             self._transport.close()
--- a/packages/router/chervilwall_router/edge/caller_response.py
+++ b/packages/router/chervilwall_router/edge/caller_response.py
@@ -42,6 +42,14 @@
         """Returns whether the caller has disconnected."""
         ...
 
+    def begin_unframed(self) -> None:
+        """Prepares for a body that ends with the connection.
+
+        Until end_answer() is called and all bytes are sent, the connection is
+        reset if it ends, also with the process.
+        """
+        ...
+
     def end_answer(self, *, close: bool) -> None:
         """Proceeds to the next request, or closes after sending all bytes."""
         ...
@@ -135,6 +143,8 @@
         phrase = _REASON_PHRASES.get(status, "-")
         head = encode_head(f"HTTP/1.1 {status} {phrase}", headers)
         self._bodiless = not has_body
+        if self.framing is Framing.CLOSE:
+            self._sink.begin_unframed()
         self._sink.write(head + self._frame(body))
 
     def write(self, chunk: bytes) -> "asyncio.Future[None] | None":
--- a/packages/router/tests/test_edge_ingress.py
+++ b/packages/router/tests/test_edge_ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 import time
 import unittest
 from unittest import mock
@@ -30,11 +31,15 @@
     def may_cancel(self, req):
         return True
 
+    # Whether responses end with their connection.
+    is_unframed = False
+
     async def handle(self, req, answer):
         done = asyncio.get_running_loop().create_future()
         self.received.append((req, done))
         await done
-        answer.send(200, (), req.id.encode())
+        known_end = not self.is_unframed
+        answer.send(200, (), req.id.encode(), has_known_end=known_end)
 
 
 def request(number):
@@ -150,6 +155,37 @@
                 ],
             )
 
+    async def test_an_unframed_answer_is_reset_until_all_of_it_is_sent(self):
+        # The end of the process closes the connection: what is unsent is lost.
+        self.handler.is_unframed = True
+        self.transport.get_write_buffer_size.return_value = 100
+        ends = socket.socketpair()
+        for end in ends:
+            self.addCleanup(end.close)
+        sock = self.transport.get_extra_info.return_value
+        sock.fileno.return_value = ends[0].fileno()
+        self.conn.data_received(request(1))
+        await self.run_loop()
+        sock.setsockopt.reset_mock()
+        self.handler.received[0][1].set_result(None)
+        await self.run_loop()
+        self.assertEqual(self.lingers(sock), [(1, 0)])
+        self.transport.close.assert_not_called()
+        self.transport.set_write_buffer_limits.assert_called_with(high=0)
+        self.transport.get_write_buffer_size.return_value = 0
+        self.conn.resume_writing()
+        self.assertEqual(self.lingers(sock), [(1, 0), (0, 0)])
+        self.transport.close.assert_called_once()
+
+    def lingers(self, sock):
+        """Returns the SO_LINGER options that were set on a socket."""
+        calls = [c.args for c in sock.setsockopt.mock_calls]
+        return [
+            struct.unpack("ii", value)
+            for _, option, value in calls
+            if option == socket.SO_LINGER
+        ]
+
     async def test_a_caller_that_leaves_ends_its_request(self):
         self.conn.data_received(request(1))
         await self.run_loop()
