Do not retry a request after a part of a body was sent

Callers got a body that is no target's (MIXED): an answer of over 1 MiB to a request that may be repeated was relayed while it arrived, broke off, and the whole answer of the next target was appended. 4,194,304 bytes, 2,097,152 wanted, status 200, complete in chunks.

Cause: whether a request may be retried did not depend on what its caller already has. Only events of a stream can be continued; a body that is buffered can be replaced until its first part is sent.

--- a/packages/router/chervilwall_router/edge/relay.py
+++ b/packages/router/chervilwall_router/edge/relay.py
@@ -49,6 +49,11 @@
         """Always 0, as the body is not divided into events."""
         return 0
 
+    @property
+    def may_be_replaced(self) -> bool:
+        """Whether another response may still take the place of this one."""
+        return not self._answer.started
+
     def find_fault(self, *, is_framed: bool) -> str:
         """Returns "", as a buffered body alone does not show a fault."""
         del is_framed
@@ -139,6 +144,8 @@
         self._splitter = EventSplitter()
         self._head: ResponseHead | None = None
         self._buffered_relay: BufferedRelay | None = None
+        # Whether the caller has events, which a body must not follow.
+        self._follows_events = False
         self.last_event_id = last_event_id
         self.events = 0
         self._is_continuation = last_event_id > 0
@@ -173,11 +180,25 @@
         """Whether the current response is not relayed as events."""
         return self._buffered_relay is not None
 
+    @property
+    def may_be_replaced(self) -> bool:
+        """Whether another response may still replace or continue this one.
+
+        It may not once a body that is no event stream was sent in part.
+        """
+        has_sent_body = (
+            self._buffered_relay is not None
+            and not self._follows_events
+            and not self._buffered_relay.may_be_replaced
+        )
+        return not has_sent_body
+
     def reset(self) -> None:
         """Resets the parser for the response of another attempt."""
         self._splitter = EventSplitter()
         self._head = None
         self._buffered_relay = None
+        self._follows_events = self._answer.started
         self._is_continuation = self.last_event_id > 0
 
     def receive_head(self, head: ResponseHead) -> None:
--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -337,9 +337,11 @@
         return RequestRefusedError(REASON_CRASHES, retry_s, step="send")
 
     def _may_retry(self) -> bool:
-        route = self._admitted.route
+        route, relay = self._admitted.route, self._relay
         if self._quarantine_status().is_quarantined:
             return False
+        if relay is not None and not relay.may_be_replaced:
+            return False
         return route.repeatable and self._executed_attempts < route.max_attempts
 
     def _may_move(self) -> bool:
--- a/packages/standins/chervilwall_standins/users/target.py
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -28,6 +28,12 @@
 UNSIGNED = "unsigned"
 # Sends a body without length or chunks, which ends with the connection.
 CLOSE_DELIMITED = "close-delimited"
+# Sends LARGE_BYTES of another content type than an event stream, in chunks or
+# without length or chunks.
+LARGE_BODY = "large body"
+LARGE_UNFRAMED = "large unframed"
+# Sends the same in chunks and resets the connection before the last one.
+LARGE_BROKEN = "large broken"
 # Sends a second response to the same request.
 EXTRA_RESPONSE = "extra-response"
 # Runs a request and responds with 429 without a signature.
@@ -71,9 +77,12 @@
     ENDLESS_TRAILING_BYTES,
 )
 BLOCK_BYTES = 65_536
+LARGE_BYTES = 24 << 20
 # Time from a response to its repetition in mode LATE_DUPLICATE.
 LATE_DUPLICATE_S = 0.002
 DRIP_INTERVAL_S = 0.1
+# Time for a router to read what came before a reset in mode LARGE_BROKEN.
+RESET_DELAY_S = 0.1
 UNRESPONSIVE_POLL_S = 0.05
 EVENT_STREAM = {"Content-Type": "text/event-stream"}
 # Keeps a failing test from exhausting the memory.
@@ -438,6 +447,9 @@
         if self.events:
             return await self._send_stream(request, reader, writer, identity)
         await asyncio.sleep(self.response_delay_s)
+        if self.mode in (LARGE_BODY, LARGE_UNFRAMED, LARGE_BROKEN):
+            await self._send_large(writer, identity)
+            return False
         return self._send_plain(request, writer, identity)
 
     async def _send_endless(
@@ -453,6 +465,23 @@
             sent += len(block)
             self.endless_bytes_sent += len(block)
 
+    async def _send_large(
+        self, writer: asyncio.StreamWriter, identity: dict[str, str]
+    ) -> None:
+        """Sends a body that is larger than a router buffers."""
+        identity["Content-Type"] = "application/json"
+        body = b"x" * LARGE_BYTES
+        length = None if self.mode == LARGE_UNFRAMED else -1
+        if length == -1:
+            body = _chunk(body)
+        if self.mode == LARGE_BODY:
+            body += b"0\r\n\r\n"
+        writer.write(_head(200, identity, length) + body)
+        await writer.drain()
+        if self.mode == LARGE_BROKEN:
+            await asyncio.sleep(RESET_DELAY_S)
+            writer.transport.abort()
+
     async def _send_unframed(
         self,
         end: UnframedEnd,
--- a/packages/standins/tests/test_edge_broken_off.py
+++ b/packages/standins/tests/test_edge_broken_off.py
@@ -126,6 +126,13 @@
         self.assertEqual((response.status, response.is_complete), (200, True))
         self.assertTrue(response.body.endswith(b":r1"))
 
+    async def test_no_stream_follows_a_large_body_that_broke_off(self):
+        for model in self.models:
+            model.events, model.mode = 0, t.LARGE_BROKEN
+        response = await self.call("/draft/x")
+        self.assertEqual(sum(len(m.executed) for m in self.models), 1)
+        self.assertFalse(response.is_complete)
+
     async def test_a_reset_stream_is_not_complete(self):
         end = UnframedEnd(rest=HALF_EVENT, resets=True)
         self.assert_broken_off(await self.call_broken("/chat/x", end))
@@ -207,6 +214,15 @@
         self.assertIn(b"unknown", response.body)
         self.assertEqual(sum(len(x.executed) for x in self.targets), 1)
 
+    async def test_a_large_body_that_broke_off_is_not_joined_with_another(
+        self,
+    ):
+        self.targets[0].mode = t.LARGE_BROKEN
+        self.targets[1].mode = t.LARGE_BODY
+        response = await self.call_until_first("/read/x")
+        self.assertFalse(response.is_complete)
+        self.assertLessEqual(len(response.body), t.LARGE_BYTES)
+
     async def test_a_body_without_length_gets_none_from_the_router(self):
         for is_whole in (True, False):
             with self.subTest(is_whole=is_whole):
