Pass on large bodies that are no event stream on streaming routes

Callers of streaming routes got a broken-off answer where a target answered with a complete body of over 1 MiB that is no event stream, or with a failure of that size on any route: the router dropped what came after the first part, and then cut the answer.

Cause: "the answer has begun" stood for "the caller has events". It is also true once the relay itself has sent the first part of the body.

Evidence: test_a_large_body_that_is_no_event_stream_is_passed_on_whole (4 cases) and test_a_large_failure_is_passed_on_whole failed before and pass. test_edge_killed now also kills a router within such a body.

--- a/packages/router/chervilwall_router/edge/relay.py
+++ b/packages/router/chervilwall_router/edge/relay.py
@@ -49,6 +49,11 @@
         """Always 0, as the body is not divided into events."""
         return 0
 
+    @property
+    def is_discarded(self) -> bool:
+        """Always False, as no part of a response is sent before this one."""
+        return False
+
     @property
     def may_be_replaced(self) -> bool:
         """Whether another response may still take the place of this one."""
@@ -175,6 +180,11 @@
             return "stream ended without an event"
         return ""
 
+    @property
+    def is_discarded(self) -> bool:
+        """Whether the response cannot follow the events that were sent."""
+        return self._buffered_relay is not None and self._follows_events
+
     @property
     def is_buffering(self) -> bool:
         """Whether the current response is not relayed as events."""
@@ -224,7 +234,7 @@
                 large.
         """
         if self._buffered_relay is not None:
-            if self._answer.started:
+            if self._follows_events:
                 return None
             return self._buffered_relay.receive_data(chunk)
         new_events = []
@@ -266,7 +276,7 @@
 
     def finish(self) -> None:
         """Ends the stream, or sends the target's failure response."""
-        if self._buffered_relay is not None and not self._answer.started:
+        if self._buffered_relay is not None and not self._follows_events:
             self._buffered_relay.finish()
             return
         if not self._answer.started:
--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -310,10 +310,7 @@
             and self._spend_retry(CAUSE_FAILED)
         ):
             return False
-        # A failure, or anything else that is no stream, does not continue the
-        # events that the caller already has.
-        continues = isinstance(relay, BufferedRelay) or not relay.is_buffering
-        if answer.started and (failed or not continues):
+        if relay.is_discarded:
             self._fail(answer, attempt, 502, "broken_answer")
             return True
         if is_unconfirmed_refusal(head):
--- a/packages/standins/chervilwall_standins/users/target.py
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -197,6 +197,8 @@
         # Events after which a stream breaks off in modes TRUNCATED and
         # ENDED_INSIDE_EVENT, and with `unframed`.
         self.truncate_after_events = 2
+        # Status of responses in the modes whose bodies are large.
+        self.large_status = 200
         # Whether it answers 404 to requests to resume a stream.
         self.rejects_resumption = False
         # Body of the event stream that it sends instead of resuming a stream;
@@ -476,7 +478,7 @@
             body = _chunk(body)
         if self.mode == LARGE_BODY:
             body += b"0\r\n\r\n"
-        writer.write(_head(200, identity, length) + body)
+        writer.write(_head(self.large_status, identity, length) + body)
         await writer.drain()
         if self.mode == LARGE_BROKEN:
             await asyncio.sleep(RESET_DELAY_S)
--- a/packages/standins/tests/test_edge_broken_off.py
+++ b/packages/standins/tests/test_edge_broken_off.py
@@ -126,6 +126,19 @@
         self.assertEqual((response.status, response.is_complete), (200, True))
         self.assertTrue(response.body.endswith(b":r1"))
 
+    async def test_a_large_body_that_is_no_event_stream_is_passed_on_whole(
+        self,
+    ):
+        for mode in (t.LARGE_BODY, t.LARGE_UNFRAMED):
+            for model in self.models:
+                model.events, model.mode = 0, mode
+            for path in ("/chat/x", "/draft/x"):
+                with self.subTest(mode=mode, path=path):
+                    response = await self.call(path)
+                    self.assertEqual(response.status, 200)
+                    self.assertTrue(response.is_complete)
+                    self.assertEqual(len(response.body), t.LARGE_BYTES)
+
     async def test_no_stream_follows_a_large_body_that_broke_off(self):
         for model in self.models:
             model.events, model.mode = 0, t.LARGE_BROKEN
@@ -214,6 +227,14 @@
         self.assertIn(b"unknown", response.body)
         self.assertEqual(sum(len(x.executed) for x in self.targets), 1)
 
+    async def test_a_large_failure_is_passed_on_whole(self):
+        for target in self.targets:
+            target.mode, target.large_status = t.LARGE_BODY, 500
+        response = await self.fleet.call("/book/x")
+        self.assertEqual(response.status, 500)
+        self.assertTrue(response.is_complete)
+        self.assertEqual(len(response.body), t.LARGE_BYTES)
+
     async def test_a_large_body_that_broke_off_is_not_joined_with_another(
         self,
     ):
--- a/packages/standins/tests/test_edge_killed.py
+++ b/packages/standins/tests/test_edge_killed.py
@@ -9,6 +9,7 @@
 import signal
 import unittest
 
+from chervilwall_standins.users import target as t
 from chervilwall_standins.users.fleet import HOST, KEY, CallerConnection
 from chervilwall_standins.users.flood import run_router
 from chervilwall_standins.users.target import UnframedEnd
@@ -64,6 +65,18 @@
         with self.assertRaises(ConnectionResetError):
             await caller.reader.read()
 
+    async def test_a_large_body_that_a_slow_caller_reads_is_not_complete(self):
+        for model in self.router.models:
+            model.events, model.mode = 0, t.LARGE_UNFRAMED
+        caller = await self.connect()
+        await caller.send("/chat/x", token_usage="100,30")
+        await caller.reader.readuntil(b"\r\n\r\n")
+        await asyncio.sleep(KILL_AFTER_S)
+        self.kill()
+        with self.assertRaises(ConnectionResetError):
+            while await caller.reader.read(1 << 20):
+                pass
+
     async def test_an_answer_that_was_sent_before_is_complete(self):
         for model in self.router.models:
             model.unframed = UnframedEnd(is_whole=True)
