Resume streams from before a release during a loss of all routers

Cause: while one version serves nothing is recorded, and the one agreed version did not prove where streams began, as they may also have begun at a version that could not be agreed for a second. Now no resumable stream begins unagreed while an agreed version serves, and a router that starts takes the one agreed version for the origin of unrecorded streams, for the lifetime of a stream and until another router is lost. Peers that start later are told.

--- a/packages/core/chervilwall/edge_messages.py
+++ b/packages/core/chervilwall/edge_messages.py
@@ -291,11 +291,15 @@
             the object store; empty unless the sender places its streams.
         origins (tuple): Versions and the concatenated ids of streams that began
             there.
+        predecessor (tuple | None): Version that began the streams from before
+            the fleet started, and the seconds for which these may be resumed.
+            Defaults to None, not known.
     """
 
     service: str
     versions: tuple[str, ...]
     origins: tuple[tuple[str, bytes], ...] = ()
+    predecessor: tuple[str, float] | None = None
 
 
 class SnapshotPull(NamedTuple):
--- a/packages/core/chervilwall/service_versions.py
+++ b/packages/core/chervilwall/service_versions.py
@@ -14,8 +14,9 @@
 from chervilwall.store_era import StoreRevision
 
 # Time after which a version is used that could not be agreed, as the object
-# store does not answer. A stream that it begins cannot be resumed if all
-# routers are lost before the version is agreed.
+# store does not answer, if no target of an agreed version takes requests. A
+# stream that it begins cannot be resumed if all routers are lost before the
+# version is agreed.
 AGREE_TIMEOUT_S = 1.0
 
 
@@ -32,6 +33,19 @@
     revision: StoreRevision | None = None
 
 
+class Predecessor(NamedTuple):
+    """The one version that was agreed when the fleet started.
+
+    Args:
+        version (str): The version. It began every stream that is not recorded
+            and may still be resumed.
+        until (float): Monotonic time until which such streams may be resumed.
+    """
+
+    version: str
+    until: float
+
+
 class _Service:
     """Versions of one service that this router has observed.
 
@@ -42,11 +56,17 @@
     def __init__(self, now: float) -> None:
         self.observed_since = now
         self.registered: frozenset[str] = frozenset()
+        # Versions with a target that takes requests.
+        self.serving: frozenset[str] = frozenset()
         self.registered_since: dict[str, float] = {}
         # Monotonic time until which streams of versions that have left may be
         # resumed. The timeouts in force later do not bind them.
         self.left_until: dict[str, float] = {}
         self.agreed: AgreedVersions | None = None
+        self.predecessor: Predecessor | None = None
+        # Whether a router was lost since. It may have begun streams that are
+        # not recorded.
+        self.has_lost_router = False
         # Until then, versions may have served of which nothing is known.
         self.uncertain_until = now
 
@@ -74,10 +94,14 @@
             now (float): Monotonic time.
         """
         registered: dict[str, set[str]] = {}
+        serving: dict[str, set[str]] = {}
         for target in targets:
             registered.setdefault(target.service, set()).add(target.version)
+            if not target.draining:
+                serving.setdefault(target.service, set()).add(target.version)
         for name in self._services.keys() | registered.keys():
             service = self._service(name, now)
+            service.serving = frozenset(serving.get(name, ()))
             found = frozenset(registered.get(name, ()))
             if found != service.registered:
                 until = now + self._retention_s(name)
@@ -124,6 +148,23 @@
         if is_outdated:
             service.uncertain_until = until
 
+    def inherit(self, name: str, now: float) -> None:
+        """Records that this router has just started with what is agreed.
+
+        If that is one version, no stream began at another before. Streams of
+        versions that register later are recorded.
+
+        Args:
+            name (str): The service.
+            now (float): Monotonic time.
+        """
+        service = self._service(name, now)
+        if service.agreed is None or len(service.agreed.versions) != 1:
+            return
+        (version,) = service.agreed.versions
+        until = now + self._retention_s(name)
+        service.predecessor = Predecessor(version, until)
+
     def learn_from_peer(
         self, name: str, versions: Iterable[str], now: float
     ) -> None:
@@ -141,6 +182,30 @@
         if known is None or known.revision is None:
             self.learn(name, AgreedVersions(frozenset(versions)), now)
 
+    def learn_predecessor(self, name: str, known: Predecessor) -> None:
+        """Records what a peer knows of the time before the fleet started."""
+        service = self._service(name, known.until)
+        if service.predecessor is None:
+            service.predecessor = known
+
+    def record_router_lost(self) -> None:
+        """Records that a router is gone, with streams that it began."""
+        for service in self._services.values():
+            service.has_lost_router = True
+
+    def predecessor(self, name: str, now: float) -> Predecessor | None:
+        """Returns the version that began every unrecorded stream.
+
+        None if there is no such version, or if none of its targets takes
+        requests.
+        """
+        service = self._service(name, now)
+        known = service.predecessor
+        if known is None or service.has_lost_router:
+            return None
+        is_valid = service.uncertain_until <= now <= known.until
+        return known if is_valid and known.version in service.serving else None
+
     def agree_again(self, now: float) -> None:
         """Has all versions agreed again, as the store may have lost them."""
         for name, service in self._services.items():
@@ -160,6 +225,8 @@
         """Returns the registered versions at which no stream may begin yet."""
         service = self._service(name, now)
         agreed = service.agreed.versions if service.agreed else frozenset()
+        if agreed & service.serving:
+            return service.registered - agreed
         return frozenset(
             version
             for version in service.registered - agreed
@@ -167,7 +234,11 @@
         )
 
     def sole_version(self, name: str, now: float) -> str | None:
-        """Returns the version that began all streams, None if not certain."""
+        """Returns the version that began all unrecorded streams.
+
+        Returns:
+            The version, or None if it is not certain.
+        """
         service = self._service(name, now)
         if now < service.uncertain_until:
             return None
@@ -175,7 +246,10 @@
         if service.agreed is None and observed_s < self._retention_s(name):
             return None
         candidates = self._candidates(service)
-        return next(iter(candidates)) if len(candidates) == 1 else None
+        if len(candidates) == 1:
+            return next(iter(candidates))
+        predecessor = self.predecessor(name, now)
+        return predecessor.version if predecessor else None
 
     def are_mixed(self, name: str) -> bool:
         """Returns whether more than one version may have begun streams."""
--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -358,6 +358,7 @@
                 dispatcher=self.dispatcher,
                 state=self._state,
                 scheduling=self.scheduling,
+                stream_records=self.stream_records,
                 snapshot_exchange=self._snapshot_exchange,
                 is_store_away=self._is_store_away,
                 metrics=self.metrics,
--- a/packages/router/chervilwall_router/edge/housekeeping.py
+++ b/packages/router/chervilwall_router/edge/housekeeping.py
@@ -15,6 +15,7 @@
 from chervilwall_router.edge.scheduling import Scheduling
 from chervilwall_router.edge.snapshot_exchange import SnapshotExchange
 from chervilwall_router.edge.store_state import RegistryState
+from chervilwall_router.edge.stream_records import StreamRecords
 
 LOG = logging.getLogger(__name__)
 INTERVAL_S = 0.1
@@ -33,6 +34,7 @@
         state (RouterState): State from which lost peers are removed and in
             which the event loop lag is recorded.
         scheduling (Scheduling): Grants; those of a lost router are ended.
+        stream_records (StreamRecords): Told of lost routers.
         snapshot_exchange (SnapshotExchange): Pulls newer snapshots of the
             object store from peers.
         is_store_away (Callable): Returns whether the object store answers
@@ -47,6 +49,7 @@
     dispatcher: Dispatcher
     state: RouterState
     scheduling: Scheduling
+    stream_records: StreamRecords
     snapshot_exchange: SnapshotExchange
     is_store_away: Callable[[], bool]
     metrics: Metrics
@@ -89,5 +92,6 @@
             parts.state.load.drop_peer(name)
             parts.state.shares.drop_peer(name)
             parts.scheduling.drop_peer(name)
+            parts.stream_records.record_router_lost()
             events.log_event(LOG, events.PEER_LOST, peer=name)
         parts.snapshot_exchange.pull_if_behind()
--- a/packages/router/chervilwall_router/edge/reports.py
+++ b/packages/router/chervilwall_router/edge/reports.py
@@ -214,6 +214,7 @@
             events.log_event(LOG, events.PEER_REPORTING, peer=name)
         elif known_incarnation != incarnation:
             self._parts.scheduling.drop_peer(name)
+            self._parts.stream_records.record_router_lost()
         self._parts.learn_era(report.registry_revision.era, name)
         self._parts.scheduling.reconcile_grants(name, report.loads)
         self._parts.crashes.apply_updates(name, report.crashes)
@@ -260,6 +261,7 @@
                 )
         for name, incarnation in digest.lost:
             if self._state.peers.remove_from_hub(name, incarnation):
+                self._parts.stream_records.record_router_lost()
                 events.log_event(LOG, events.PEER_LOST, peer=name, hub=hub)
 
     def _load_from_others(
--- a/packages/router/chervilwall_router/edge/stream_records.py
+++ b/packages/router/chervilwall_router/edge/stream_records.py
@@ -25,7 +25,11 @@
     VersionConflictError,
 )
 from chervilwall.protocol import ObjectStore, StoredObject
-from chervilwall.service_versions import AGREE_TIMEOUT_S, AgreedVersions
+from chervilwall.service_versions import (
+    AGREE_TIMEOUT_S,
+    AgreedVersions,
+    Predecessor,
+)
 from chervilwall.stream_origins import (
     StreamDemand,
     StreamOrigin,
@@ -226,6 +230,10 @@
             return False
         return True
 
+    def record_router_lost(self) -> None:
+        """Concludes nothing from the absence of a record from now on."""
+        self._streams.services.record_router_lost()
+
     def check_versions(self) -> None:
         """Checks the versions now, as the registered targets changed."""
         self._changed.set()
@@ -244,16 +252,28 @@
             agreed = services.agreed(service)
             if agreed is not None and service in managed:
                 versions = tuple(sorted(agreed.versions))
-                yield StreamOriginsUpdate(service, versions)
+                yield StreamOriginsUpdate(
+                    service, versions, predecessor=self._predecessor(service)
+                )
             unreported = self._streams.take_unreported(service)
             for version, ids in unreported.items():
                 for start in range(0, len(ids), MAX_REPORTED_STREAMS):
                     batch = join_ids(ids[start : start + MAX_REPORTED_STREAMS])
                     yield StreamOriginsUpdate(service, (), ((version, batch),))
 
+    def _predecessor(self, service: str) -> tuple[str, float] | None:
+        now = self._parts.clock()
+        known = self._streams.services.predecessor(service, now)
+        return (known.version, known.until - now) if known else None
+
     def receive(self, update: StreamOriginsUpdate) -> None:
         """Records what a peer states."""
         now = self._parts.clock()
+        if update.predecessor:
+            version, left_s = update.predecessor
+            self._streams.services.learn_predecessor(
+                update.service, Predecessor(version, now + left_s)
+            )
         if update.versions:
             self._streams.services.learn_from_peer(
                 update.service, update.versions, now
@@ -377,6 +397,8 @@
             now,
             is_outdated=is_outdated,
         )
+        if is_first and not is_outdated:
+            self._streams.services.inherit(item.name, now)
 
     def _apply_origins(self, items: tuple[StoredObject, ...]) -> None:
         """Records the origins that routers have written.
--- a/packages/router/tests/test_edge_stream_records.py
+++ b/packages/router/tests/test_edge_stream_records.py
@@ -233,6 +233,10 @@
     async def test_two_routers_agree_on_the_union_of_what_they_see(self):
         first = await self.start("r0", OLD)
         second = await self.start("r1", OLD)
+        for router in (first, second):
+            # Streams from before they started are not resumed any more.
+            router.advanced_s = 1.1 * RETENTION_S
+            await router.records.wait_for_versions("svc")
         first.register(OLD, NEW)
         second.register(OLD, "v2")
         await asyncio.sleep(2 * SETTLE_S)
@@ -382,6 +386,30 @@
         await second.confirm("a1")
         self.assertEqual(second.version_of("a1"), OLD)
 
+    async def test_streams_of_a_release_after_two_losses_are_not_guessed(self):
+        await self.start("r0", OLD)
+        await asyncio.sleep(SETTLE_S)
+        self.kill_all()
+        second = await self.start("r1", OLD, NEW)
+        await asyncio.sleep(SETTLE_S)
+        second.begin("a1", NEW)
+        self.kill_all()
+        third = await self.start("r2", OLD, NEW)
+        self.assertIsNone(third.version_of("a1"))
+
+    async def test_a_router_that_starts_later_learns_it_from_a_peer(self):
+        await self.start("r0", OLD)
+        await asyncio.sleep(SETTLE_S)
+        self.kill_all()
+        second = await self.start("r1", OLD, NEW)
+        second.begin("a0", NEW)
+        await asyncio.sleep(SETTLE_S)
+        third = await self.start("r2", OLD, NEW)
+        self.assertIsNone(third.version_of("a1"))
+        for message in list(second.records.messages()):
+            third.records.receive(message)
+        self.assertEqual(third.version_of("a1"), OLD)
+
     async def test_versions_that_a_restored_store_never_held_are_not_guessed(
         self,
     ):
