--- a/packages/standins/chervilwall_standins/users/target.py
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -58,6 +58,7 @@
 ENDLESS_HEADERS = "endless headers"
 ENDLESS_INFORMATIONAL = "endless informational responses"
 ENDLESS_UNSIGNED = "endless unsigned body"
+ENDLESS_BODY = "endless body"
 ENDLESS_EVENT = "endless event"
 ENDLESS_CHUNK_LINE = "endless chunk line"
 ENDLESS_CHUNK_EXTENSION = "endless chunk extension"
@@ -69,6 +70,7 @@
     ENDLESS_HEADERS,
     ENDLESS_INFORMATIONAL,
     ENDLESS_UNSIGNED,
+    ENDLESS_BODY,
     ENDLESS_EVENT,
     ENDLESS_CHUNK_LINE,
     ENDLESS_CHUNK_EXTENSION,
@@ -101,12 +103,15 @@
         crashes (bool): Whether the target ends together with the connection,
             without an error on it. Defaults to False.
         resets (bool): Whether the connection is reset. Defaults to False.
+        repeats (bool): Whether the response is sent twice before the end.
+            Defaults to False.
     """
 
     is_whole: bool = False
     rest: bytes = b""
     crashes: bool = False
     resets: bool = False
+    repeats: bool = False
 
 
 class ReceivedRequest(NamedTuple):
@@ -492,6 +497,9 @@
         identity: dict[str, str],
     ) -> None:
         """Sends a response that ends with its connection."""
+        if end.repeats and "Last-Event-Id" not in request.headers:
+            original = end._replace(repeats=False, crashes=False, resets=False)
+            await self._send_unframed(original, request, writer, identity)
         if self.events:
             writer.write(_head(200, identity | EVENT_STREAM, None))
             first = int(request.headers.get("Last-Event-Id", 0)) + 1
@@ -617,6 +625,8 @@
         return b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 1024
     if mode == ENDLESS_UNSIGNED:
         return _head(200, {}, None), block
+    if mode == ENDLESS_BODY:
+        return _head(200, identity, -1), _chunk(block)
     if mode == ENDLESS_CHUNK_LINE:
         return _head(200, identity, -1), block
     if mode == ENDLESS_CHUNK_EXTENSION:
--- a/packages/standins/tests/test_edge_broken_off.py
+++ b/packages/standins/tests/test_edge_broken_off.py
@@ -227,6 +227,14 @@
         self.assertIn(b"unknown", response.body)
         self.assertEqual(sum(len(x.executed) for x in self.targets), 1)
 
+    async def test_an_endless_body_is_not_joined_with_another_answer(self):
+        # It is sent for longer than a target may be silent, so that the other
+        # one would be asked if that was still possible.
+        self.targets[0].mode = t.ENDLESS_BODY
+        response = await self.call_until_first("/read/x")
+        self.assertEqual(response.status, 200)
+        self.assertFalse(response.is_complete)
+
     async def test_a_large_failure_is_passed_on_whole(self):
         for target in self.targets:
             target.mode, target.large_status = t.LARGE_BODY, 500
