End a body without framing at the head of a further response

Cause: the end of the connection ended the body, whatever came before it. The head of a further response is now found by its status line with the id of a request that the connection has carried; a status line alone may be text. The answer counts as broken, so repeatable requests are retried.

Evidence: test_a_repeated_body_without_length_is_told_from_its_copy and test_a_repeated_stream_without_length_is_told_from_its_copy failed before and pass; bodies that quote other responses are passed on (test_a_body_without_framing_may_quote_a_response).

--- a/packages/router/chervilwall_router/edge/exchange.py
+++ b/packages/router/chervilwall_router/edge/exchange.py
@@ -12,6 +12,7 @@
 
 from chervilwall_router.edge._framing import FramingCounter
 from chervilwall_router.edge._head import decode_headers, encode_head
+from chervilwall_router.edge._repeated_head import RepeatedHeadDetector
 from chervilwall_router.edge.target_connection import TargetConnection
 
 # Limit on the body of a response, streams included.
@@ -130,6 +131,8 @@
         self._informational_count = 0
         self._is_unmatched = False
         self._pending_body = b""
+        # None unless the body ends with the connection.
+        self._repeats: RepeatedHeadDetector | None = None
         self._is_paused = False
         self.head: ResponseHead | None = None
         self.is_complete = False
@@ -154,6 +157,7 @@
         self._request_id = req.id
         self._is_head_request = req.method == "HEAD"
         self._is_first_request = not self._conn.has_carried_request
+        self._conn.request_ids.append(req.id)
         self._conn.attach(self)
         if req.body or req.method in _BODY_METHODS:
             headers += (("Content-Length", str(len(req.body))),)
@@ -273,6 +277,8 @@
             return
         self._on_head(head)
         self.head = head
+        if not head.is_delimited:
+            self._repeats = RepeatedHeadDetector(self._conn.request_ids)
         self._receiver.receive_head(head)
         if self._is_head_request:
             self.is_complete = True
@@ -336,6 +342,9 @@
         if not chunk or self._is_done():
             return
         self._body_bytes += len(chunk)
+        if self._repeats is not None and self._repeats.feed(chunk):
+            self.abort("another response follows in a body without framing")
+            return
         try:
             if self._body_bytes > MAX_BODY_BYTES:
                 raise OversizedError(
--- a/packages/router/chervilwall_router/edge/target_connection.py
+++ b/packages/router/chervilwall_router/edge/target_connection.py
@@ -1,6 +1,7 @@
 """TCP connection to a target, used by one request at a time."""
 
 import asyncio
+from collections import deque
 from typing import Protocol, cast
 
 from chervilwall.errors import DialError
@@ -8,6 +9,9 @@
 from chervilwall_router.edge._dial import set_tcp_options
 from chervilwall_router.settings import split_address
 
+# Requests of a connection whose responses may still be repeated.
+MAX_REQUEST_IDS = 8
+
 
 class ConnectionHandler(Protocol):
     """Receive the data and the end of a connection."""
@@ -32,6 +36,7 @@
     Attributes:
         has_carried_request (bool): Whether a request was sent on it. If so, it
             may deliver responses to that request once more.
+        request_ids (deque): Ids of the last requests that were sent on it.
     """
 
     def __init__(self) -> None:
@@ -39,6 +44,7 @@
         self._handler: ConnectionHandler | None = None
         self._has_received_eof = False
         self.has_carried_request = False
+        self.request_ids: deque[str] = deque(maxlen=MAX_REQUEST_IDS)
 
     def __repr__(self) -> str:
         return f"TargetConnection(closed={self.closed()})"
--- a/packages/router/tests/test_edge_exchange.py
+++ b/packages/router/tests/test_edge_exchange.py
@@ -25,6 +25,7 @@
     conn.closed.return_value = False
     conn.has_unsent_data.return_value = False
     conn.has_carried_request = has_carried_request
+    conn.request_ids = ["r0"] if has_carried_request else []
     return conn
 
 
@@ -59,6 +60,25 @@
         await asyncio.sleep(0)
         self.conn.resume.assert_called_once()
 
+    async def test_a_copy_in_a_body_without_framing_ends_it(self):
+        head = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\n\r\n"
+        for size in (1, 7, 1000):
+            await self.asyncSetUp()
+            data = head + b"body" + head + b"body"
+            for at in range(0, len(data), size):
+                if not self.done.done():
+                    self.exchange.receive(data[at : at + size])
+            await self.done
+            self.exchange.on_connection_lost("closed", clean=True)
+            self.assertFalse(self.exchange.is_complete)
+
+    async def test_a_body_without_framing_may_quote_a_response(self):
+        quoted = b"HTTP/1.1 200 OK\r\nAttempt-Id: r2\r\n\r\n"
+        self.exchange.receive(quoted.replace(b"r2", b"r1") + quoted)
+        self.exchange.on_connection_lost("closed", clean=True)
+        await self.done
+        self.assertTrue(self.exchange.is_complete)
+
     async def test_bytes_after_an_answer_end_the_connection(self):
         self.exchange.receive(ANSWER)
         self.exchange.receive(b"x")
--- a/packages/standins/tests/test_edge_broken_off.py
+++ b/packages/standins/tests/test_edge_broken_off.py
@@ -146,6 +146,13 @@
         self.assertEqual(sum(len(m.executed) for m in self.models), 1)
         self.assertFalse(response.is_complete)
 
+    async def test_a_repeated_stream_without_length_is_told_from_its_copy(self):
+        end = UnframedEnd(is_whole=True, repeats=True)
+        response = await self.call_broken("/chat/x", end)
+        self.assertNotIn(b"HTTP/1.1", response.body)
+        self.assertFalse(response.is_complete)
+        self.assert_whole(await self.call_broken("/draft/x", end))
+
     async def test_a_reset_stream_is_not_complete(self):
         end = UnframedEnd(rest=HALF_EVENT, resets=True)
         self.assert_broken_off(await self.call_broken("/chat/x", end))
@@ -227,6 +234,15 @@
         self.assertIn(b"unknown", response.body)
         self.assertEqual(sum(len(x.executed) for x in self.targets), 1)
 
+    async def test_a_repeated_body_without_length_is_told_from_its_copy(self):
+        end = UnframedEnd(is_whole=True, repeats=True)
+        self.set_ends(end)
+        response = await self.call_until_first("/read/x")
+        self.assertRegex(response.body, rb"^p1:r\d$")
+        self.set_ends(end, end)
+        response = await self.fleet.call("/book/x")
+        self.assertEqual(response.status, 502)
+
     async def test_an_endless_body_is_not_joined_with_another_answer(self):
         # It is sent for longer than a target may be silent, so that the other
         # one would be asked if that was still possible.
