Begin no request that outlasts the grace of a planned stop

Operators of similar systems lost requests that came late in the grace of a planned stop. Here it shows in two ways: requests of a route without a time limit were accepted to the end and got 502 after they had run, and a stream that waited for a place when the stop began was sent when it got one, and cut at the end.

Cause: the route's time limit decided, once, on arrival. Now the request's own limit decides, and again when it gets a place; what would not end in time is refused as not run. What is accepted during a stop has a time limit that ends when unfinished answers are aborted.

--- a/packages/router/chervilwall_router/edge/admission.py
+++ b/packages/router/chervilwall_router/edge/admission.py
@@ -24,8 +24,8 @@
 
 LOG = logging.getLogger(__name__)
 # A stream is assumed to last at most this multiple of the mean duration of the
-# streams of its route.
-STREAM_DURATION_FACTOR = 2.5
+# streams of its route, and any other request this multiple of its objective.
+DURATION_FACTOR = 2.5
 NO_CONFIG_RETRY_S = 0.5
 
 
@@ -54,20 +54,35 @@
     def __repr__(self) -> str:
         return f"RequestAdmission(aborts_at={self.aborts_at})"
 
-    def _would_outlast_shutdown(self, route: Route) -> bool:
-        """Returns whether a request is too long to accept during a shutdown."""
+    def _would_outlast_shutdown(self, admitted: AdmittedRequest) -> bool:
+        """Returns whether a request is too long to accept during a shutdown.
+
+        Until `accepts_until`, callers may not know of the shutdown, so a stream
+        is accepted if it is likely to end before `aborts_at`. After that, only
+        requests whose time limit ends before it are accepted.
+        """
         if self.aborts_at is None:
             return False
+        is_early = self._parts.clock() < self.accepts_until
+        if admitted.route.is_stream and is_early:
+            return self._is_too_late(admitted)
+        return self.aborts_at < admitted.deadline_at
+
+    def _is_too_late(self, admitted: AdmittedRequest) -> bool:
+        """Returns whether a request is unlikely to end before the router does.
+
+        Such a request is not sent any more: its answer would be aborted.
+        """
+        # The time limit of a request that is accepted during the shutdown is
+        # `aborts_at` at the latest.
+        if self.aborts_at is None or admitted.deadline_at < self.aborts_at:
+            return False
+        route = admitted.route
+        typical_s = route.latency_objective_s
+        if route.is_stream:
+            typical_s = self.statistics.duration_s(route)
         remaining_s = self.aborts_at - self._parts.clock()
-        needed_s = route.timeout_s
-        # Until `accepts_until`, callers may not know of the shutdown, so a
-        # stream is accepted if it is likely to end before `aborts_at`. After
-        # that, only requests whose timeout ends before it are accepted.
-        if route.is_stream and self._parts.clock() < self.accepts_until:
-            needed_s = STREAM_DURATION_FACTOR * self.statistics.duration_s(
-                route
-            )
-        return remaining_s < needed_s
+        return remaining_s < DURATION_FACTOR * typical_s
 
     def limits(self) -> CallerLimits:
         """Returns the limits of the current routing table, or the defaults."""
@@ -120,7 +135,13 @@
             admitted.req, admitted.route, admitted.team
         )
         budget = self.budget(admitted.service)
-        run = RequestRun(self._parts, budget, self.statistics, admitted)
+        run = RequestRun(
+            self._parts,
+            budget,
+            self.statistics,
+            admitted,
+            lambda: self._is_too_late(admitted),
+        )
         await run.run(answer)
 
     def budget(self, service: str) -> RetryWindow:
@@ -153,13 +174,6 @@
             if key_team is None:
                 return Problem(401, "unknown_key", "The key is not known.")
             team = key_team
-        if self._would_outlast_shutdown(route):
-            return Problem(
-                503,
-                "leaving",
-                "This router is leaving.",
-                retry_after_s=LEAVING_RETRY_S,
-            )
         load, now = self._parts.host_load, self._parts.clock()
         if load.should_refuse(team, now):
             return Problem(
@@ -168,7 +182,18 @@
                 "This router falls behind.",
                 retry_after_s=load.retry_after_s(team, now),
             )
-        return self._make_admitted(req, route, team)
+        admitted = self._make_admitted(req, route, team)
+        if self._would_outlast_shutdown(admitted):
+            return Problem(
+                503,
+                "leaving",
+                "This router is leaving.",
+                retry_after_s=LEAVING_RETRY_S,
+            )
+        if self.aborts_at is not None:
+            deadline_at = min(admitted.deadline_at, self.aborts_at)
+            admitted = admitted._replace(deadline_at=deadline_at)
+        return admitted
 
     def _make_admitted(
         self, req: InboundRequest, route: Route, team: str
--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from chervilwall import cell_messages, events
 from chervilwall.errors import RequestRefusedError
@@ -66,6 +67,8 @@
         budget (RetryWindow): Retry budget of the service.
         statistics (RouteStatistics): Statistics of the requests of each route.
         admitted (AdmittedRequest): Request to serve.
+        is_too_late (Callable): Returns whether the request must not be begun
+            any more, as the router stops.
     """
 
     def __init__(
@@ -74,7 +77,9 @@
         budget: RetryWindow,
         statistics: RouteStatistics,
         admitted: AdmittedRequest,
+        is_too_late: Callable[[], bool],
     ) -> None:
+        self._is_too_late = is_too_late
         self._statistics = statistics
         self._parts = parts
         self._budget = budget
@@ -126,6 +131,11 @@
                         answer, last, self._crash_refusal()
                     )
                 return
+            if not self._tried and self._is_too_late():
+                with grant:
+                    refusal = _shutdown_refusal()
+                    self._end_without_target(answer, last, refusal)
+                return
             with grant:
                 self._grant = grant
                 try:
--- a/packages/standins/chervilwall_standins/users/flood.py
+++ b/packages/standins/chervilwall_standins/users/flood.py
@@ -42,6 +42,8 @@
 EVENT_INTERVAL_S = 0.02
 PROFILE_LINES = 45
 
+SHORT_STOP = ShutdownSettings(grace_s=1.0, accept_s=0.1)
+
 
 class Load(NamedTuple):
     """Requests that concurrent callers send, each one at a time.
@@ -70,11 +72,13 @@
         address (str): Address for callers, as `host:port`.
         pid (int): Process id.
         models (list): Its targets that are model engines.
+        plain (list): Its other targets.
     """
 
     address: str
     pid: int
     models: list[FakeTarget]
+    plain: list[FakeTarget]
 
 
 class Cost(NamedTuple):
@@ -109,12 +113,20 @@
 
 
 @contextlib.asynccontextmanager
-async def run_router(profile: str = "") -> AsyncIterator[RunningRouter]:
+async def run_router(
+    profile: str = "",
+    *,
+    routes: list[dict] | None = None,
+    stop: ShutdownSettings = SHORT_STOP,
+) -> AsyncIterator[RunningRouter]:
     """Runs a router with stand-ins for store and targets.
 
     Args:
         profile (str): File to which cProfile writes a profile of the router.
             Defaults to none.
+        routes (list): Routes of the configuration. Defaults to those of
+            `make_config`.
+        stop (ShutdownSettings): How it stops. Defaults to SHORT_STOP.
     """
     plain = [FakeTarget(f"p{i}", "plain") for i in range(TARGETS)]
     models = [
@@ -123,7 +135,7 @@
     ]
     async with contextlib.AsyncExitStack() as stack:
         store = await stack.enter_async_context(FakeStore())
-        config = make_config(1)
+        config = make_config(1, routes)
         unserved = config["routes"][0] | {
             "name": "none",
             "path_prefix": "/none/",
@@ -135,17 +147,19 @@
             await stack.enter_async_context(target)
             spec = target.spec(slots=SLOTS)
             await store.put("servers", target.id, spec)
-        cfg = make_settings("router0", StoreSettings(store.address))
+        cfg = make_settings("router0", StoreSettings(store.address), stop)
         folder = stack.enter_context(tempfile.TemporaryDirectory())
         path = pathlib.Path(folder) / "settings.json"
         path.write_bytes(msgspec.json.encode(cfg))
         process = stack.enter_context(start_process(path, profile))
         stack.callback(process.terminate)
         await _wait_until_ready(cfg.listen.callers)
-        yield RunningRouter(cfg.listen.callers, process.pid, models)
+        yield RunningRouter(cfg.listen.callers, process.pid, models, plain)
 
 
-def make_settings(name: str, store: StoreSettings) -> EdgeSettings:
+def make_settings(
+    name: str, store: StoreSettings, stop: ShutdownSettings = SHORT_STOP
+) -> EdgeSettings:
     """Returns the settings of a router at a loopback address of its own."""
     address = unique_loopback_address()
     listen = {
@@ -157,7 +171,7 @@
         zone="z1",
         listen=EdgeListen(**listen),
         store=store,
-        stop=ShutdownSettings(grace_s=1.0, accept_s=0.1),
+        stop=stop,
     )
 
 
