Report the silence of a target before it is left

Since a silent target is left only for a granted place, its scheduler learned of the silence later, and placed further requests there. The router that waits now reports it at once; it counts as a failure of the target unless that goes on, and only once.

--- a/packages/core/chervilwall/codec.py
+++ b/packages/core/chervilwall/codec.py
@@ -55,6 +55,7 @@
     edge_messages.StoreSnapshot,
     edge_messages.PeerDigest,
     edge_messages.StreamOriginsUpdate,
+    edge_messages.PlacementSilent,
 )
 _CODE_BY_TYPE = {cls: code for code, cls in enumerate(_TYPES)}
 _DECODERS: tuple[msgspec.msgpack.Decoder, ...] = tuple(
--- a/packages/core/chervilwall/edge_messages.py
+++ b/packages/core/chervilwall/edge_messages.py
@@ -267,6 +267,18 @@
     has_event: bool = False
 
 
+class PlacementSilent(NamedTuple):
+    """Report that the target of a request has been silent for too long.
+
+    The request still holds its place.
+
+    Args:
+        number (int): Number of the request, unique in the asking router.
+    """
+
+    number: int
+
+
 class PlacementEnded(NamedTuple):
     """Report that a request ended or was cancelled.
 
@@ -345,6 +357,7 @@
     | PlacementRefused
     | PlacementFirstToken
     | PlacementEnded
+    | PlacementSilent
     | StreamOriginsUpdate
     | SnapshotPull
     | StoreSnapshot
--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -238,6 +238,8 @@
         Returns:
             Whether there is a replacement, for which a retry was spent.
         """
+        assert self._grant is not None
+        self._grant.record_silence()
         event_count = getattr(relay, "events", 0)
 
         def is_silent() -> bool:
--- a/packages/router/chervilwall_router/edge/peer_grants.py
+++ b/packages/router/chervilwall_router/edge/peer_grants.py
@@ -131,6 +131,10 @@
                 grant.record_first_token(
                     item.first_token_ms / 1000, has_event=item.has_event
                 )
+        elif isinstance(item, edge_messages.PlacementSilent):
+            grant = self._grants.get(_make_key(sender, item.number))
+            if grant is not None:
+                record_silence(self._parts, grant)
         elif isinstance(item, edge_messages.PlacementEnded):
             self._end_request(_make_key(sender, item.number), item.outcome)
 
@@ -281,6 +285,12 @@
     return _Key(sender.name, sender.incarnation, number)
 
 
+def record_silence(parts: SchedulingParts, grant: Grant) -> None:
+    """Records that the target of a grant has been silent for too long."""
+    target = grant.choice.target
+    parts.health(target.service).record_failure(target.id, parts.clock())
+
+
 def record_outcome(
     parts: SchedulingParts, service: str, grant: Grant, outcome: str
 ) -> None:
--- a/packages/router/chervilwall_router/edge/scheduling.py
+++ b/packages/router/chervilwall_router/edge/scheduling.py
@@ -24,6 +24,7 @@
     SchedulerPeer,
     SchedulingParts,
     record_outcome,
+    record_silence,
 )
 
 LOG = logging.getLogger(__name__)
@@ -69,6 +70,7 @@
         started_at (float): Monotonic time of the grant.
         record_first_token (Callable): Called at the first token, with the
             seconds since the grant and whether it is an event of a stream.
+        record_silence (Callable): Called if the target is silent for too long.
         end (Callable): Called with the outcome when the context ends.
     """
 
@@ -78,6 +80,7 @@
         choice: Choice,
         started_at: float,
         record_first_token: Callable[[float, bool], None],
+        record_silence: Callable[[], None],
         end: Callable[[str], None],
     ) -> None:
         self.number = number
@@ -85,6 +88,8 @@
         self.started_at = started_at
         self.outcome = cell_messages.OUTCOME_CANCELLED
         self._on_first_token = record_first_token
+        self._on_silence = record_silence
+        self._is_silence_recorded = False
         self._on_end = end
 
     def __repr__(self) -> str:
@@ -94,7 +99,23 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        self._on_end(self.outcome)
+        outcome = self.outcome
+        if (
+            self._is_silence_recorded
+            and outcome == cell_messages.OUTCOME_TIMEOUT
+        ):
+            # It counts as a failure of the target already.
+            outcome = cell_messages.OUTCOME_CANCELLED
+        self._on_end(outcome)
+
+    def record_silence(self) -> None:
+        """Records that the target has been silent for too long.
+
+        It counts as a failure of the target, unless that goes on.
+        """
+        if not self._is_silence_recorded:
+            self._is_silence_recorded = True
+            self._on_silence()
 
     def record_first_token(self, now: float, *, has_event: bool) -> None:
         """Records the arrival of the first token.
@@ -300,13 +321,21 @@
             parts.running_requests.record_prefill_done(number)
             grant.record_first_token(first_token_s, has_event=has_event)
 
+        def report_silence() -> None:
+            record_silence(parts, grant)
+
         def end(outcome: str) -> None:
             parts.running_requests.remove(number)
             record_outcome(parts, service, grant, outcome)
             grant.__exit__()
 
         return PlacedRequest(
-            number, grant.choice, grant.started_at, record_first_token, end
+            number,
+            grant.choice,
+            grant.started_at,
+            record_first_token,
+            report_silence,
+            end,
         )
 
     def _add_running(
@@ -439,12 +468,21 @@
             )
             self._parts.send(scheduler.address, item)
 
+        def report_silence() -> None:
+            item = edge_messages.PlacementSilent(number)
+            self._parts.send(scheduler.address, item)
+
         def end(outcome: str) -> None:
             self._parts.running_requests.remove(number)
             self._send_ended(scheduler, number, outcome)
 
         return PlacedRequest(
-            number, choice, self._parts.clock(), record_first_token, end
+            number,
+            choice,
+            self._parts.clock(),
+            record_first_token,
+            report_silence,
+            end,
         )
 
     def _send_ended(
--- a/packages/router/tests/test_edge_flow.py
+++ b/packages/router/tests/test_edge_flow.py
@@ -45,7 +45,12 @@
     async def acquire(self, request):
         target = RegisteredTarget("t", "s", "127.0.0.1:9", "z", 8)
         return PlacedRequest(
-            1, Choice(target), request.arrived_at, mock.Mock(), mock.Mock()
+            1,
+            Choice(target),
+            request.arrived_at,
+            mock.Mock(),
+            mock.Mock(),
+            mock.Mock(),
         )
 
 
--- a/packages/router/tests/test_edge_scheduling.py
+++ b/packages/router/tests/test_edge_scheduling.py
@@ -4,7 +4,7 @@
 import time
 import unittest
 
-from chervilwall import edge_messages
+from chervilwall import cell_messages, edge_messages
 from chervilwall.errors import RequestRefusedError
 from chervilwall.health import CellHealth
 from chervilwall.load_view import LoadView
@@ -123,6 +123,35 @@
         _, took_s = await self.acquire()
         self.assertLess(took_s, REMINDER_INTERVAL_S / 2)
 
+    async def test_the_silence_of_a_target_is_reported_once(self):
+        self.answers = [self.granted]
+        placed, _ = await self.acquire()
+        with placed:
+            for _ in range(2):
+                placed.record_silence()
+            placed.outcome = cell_messages.OUTCOME_TIMEOUT
+        reports = [
+            x for x in self.sent if isinstance(x, edge_messages.PlacementSilent)
+        ]
+        self.assertEqual(len(reports), 1)
+        # A further failure of the same attempt would count twice.
+        self.assertEqual(self.sent[-1].outcome, cell_messages.OUTCOME_CANCELLED)
+
+    async def test_silence_that_a_peer_reports_counts_as_a_failure(self):
+        parts = self.scheduling._parts._replace(
+            dispatcher=_GrantingDispatcher()
+        )
+        self.scheduling = Scheduling(parts)
+        health = self.scheduling._parts.health("model")
+        self.scheduling.receive(SCHEDULER, _placement_request(1, TARGET.id))
+        await asyncio.sleep(0)
+        silent = edge_messages.PlacementSilent(1)
+        self.scheduling.receive(SCHEDULER, silent)
+        self.assertEqual(health.of(TARGET.id).failures, 1)
+        ended = edge_messages.PlacementEnded(1, cell_messages.OUTCOME_CANCELLED)
+        self.scheduling.receive(SCHEDULER, ended)
+        self.assertEqual(health.of(TARGET.id).failures, 1)
+
     async def test_a_refusal_says_when_to_come_back(self):
         self.answers = [
             edge_messages.PlacementQueued,
