--- a/packages/router/chervilwall_router/edge/request_types.py
+++ b/packages/router/chervilwall_router/edge/request_types.py
@@ -22,6 +22,7 @@
 from chervilwall_router.edge.scheduling import Scheduling
 from chervilwall_router.edge.settings import RetrySettings
 
+MIN_CLIENT_ERROR = 400
 MIN_SERVER_ERROR = 500
 # Statuses by which a response states that the request was not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -179,12 +180,17 @@
 def is_failure(head: ResponseHead) -> bool:
     """Returns whether a response means that its target failed.
 
-    An unsigned response that states that the request was not run counts too:
-    the target has not confirmed it, so the statement must not be passed on.
+    An unsigned response that refuses the request counts too: the target has not
+    confirmed it, so it must not be passed on.
     """
     return head.status >= MIN_SERVER_ERROR or is_unconfirmed_refusal(head)
 
 
 def is_unconfirmed_refusal(head: ResponseHead) -> bool:
-    """Returns whether an unsigned response says that nothing was run."""
-    return not head.signed and head.status in NOT_RUN_STATUSES
+    """Returns whether an unsigned response refuses the request.
+
+    It may say that nothing was run, or come from a server that is no target and
+    knows no such page.
+    """
+    is_refusal = MIN_CLIENT_ERROR <= head.status < MIN_SERVER_ERROR
+    return not head.signed and (is_refusal or head.status in NOT_RUN_STATUSES)
--- a/packages/router/tests/test_edge_wire.py
+++ b/packages/router/tests/test_edge_wire.py
@@ -13,6 +13,9 @@
     "zone": "a",
     "slots": 8,
     "state": "ready",
+    "cold_remaining_ms": 0,
+    "born": 1,
+    "sequence": 1,
 }
 HEAD = (("Host", "a.example"), ("Attempt-Id", "a2"), ("Last-Event-Id", "4"))
 
@@ -26,8 +29,9 @@
         self.assertEqual(self.decode(version="v1.1").version, "v1.1")
         self.assertEqual(self.decode(version=7).version, "7")
 
-    def test_a_registration_without_version_is_usable(self):
-        self.assertEqual(self.decode().version, "")
+    def test_a_registration_without_version_names_no_target(self):
+        with self.assertRaises(CodecError):
+            self.decode()
 
     def test_a_version_of_another_type_names_no_target(self):
         for version in (None, ["v1"], {"v": 1}, True, 1.5):
--- a/packages/standins/chervilwall_standins/users/target.py
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -26,6 +26,9 @@
 # Leaves out the headers that identify the target and the attempt, among them
 # the response signature.
 UNSIGNED = "unsigned"
+# Answers as a web server does that knows no such page: 404, without the headers
+# that identify a target.
+FOREIGN = "foreign"
 # Sends a body without length or chunks, which ends with the connection.
 CLOSE_DELIMITED = "close-delimited"
 # Sends LARGE_BYTES of another content type than an event stream, in chunks or
@@ -555,6 +558,8 @@
             identity["Content-Type"] = "application/json"
         if self.mode == UNSIGNED:
             writer.write(_head(200, {}, len(body)) + body)
+        elif self.mode == FOREIGN:
+            writer.write(_head(404, {}, 9) + b"not found")
         elif self.mode == TRUNCATED:
             writer.write(_head(200, identity, len(body)) + body[:-3])
             return False
--- a/packages/standins/tests/test_edge_answers.py
+++ b/packages/standins/tests/test_edge_answers.py
@@ -104,8 +104,14 @@
         self.assertEqual(response.status, 502)
         self.assertEqual(self.count_executions("r1"), 1)
 
+    async def test_a_404_of_a_server_that_is_no_target_is_not_passed_on(self):
+        self.set_mode(t.FOREIGN)
+        for path in ("/book/x", "/read/x"):
+            response = await self.fleet.call(path)
+            self.assertEqual(response.status, 502)
+
     async def test_a_read_is_repeated_once_elsewhere(self):
-        for mode in (t.RESET, t.TRUNCATED, t.UNSIGNED, t.ERROR):
+        for mode in (t.RESET, t.TRUNCATED, t.UNSIGNED, t.ERROR, t.FOREIGN):
             with self.subTest(mode=mode):
                 self.set_mode(t.NORMAL)
                 self.set_mode(mode, self.plain[:1])
--- a/packages/standins/tests/test_edge_odd_entries.py
+++ b/packages/standins/tests/test_edge_odd_entries.py
@@ -86,6 +86,14 @@
     "too many closing brackets": spec_with(extra="]}}"),
     "mixed brackets": spec_with(extra='[{"a":1]]'),
 }
+ODD |= {
+    f"no {field}": json.dumps({k: v for k, v in SPEC.items() if k != field})
+    for field in SPEC
+}
+ODD |= {
+    "sequence of another type": spec_with(sequence='"many"'),
+    "version of another type": spec_with(version="[1]"),
+}
 MAX_REASON_CHARS = 300
 
 
