Limit comments between the events of a stream

Cause: the bytes of a read were copied once for each chunk; nothing limited comments; and they counted as events, so the target never counted as silent. Chunks are now joined once a read, 16 KiB of comments may come between two events, and comments are neither events nor the first data.

--- a/packages/core/chervilwall/event_stream.py
+++ b/packages/core/chervilwall/event_stream.py
@@ -25,6 +25,11 @@
     raw: bytes
     id: int
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has neither an id nor content."""
+        return not self.id and not _CONTENT_LINE.search(self.raw)
+
     @property
     def is_without_id(self) -> bool:
         """Whether it has content but no id; a comment has no content."""
--- a/packages/router/chervilwall_router/edge/exchange.py
+++ b/packages/router/chervilwall_router/edge/exchange.py
@@ -130,7 +130,7 @@
         self._framing = FramingCounter()
         self._informational_count = 0
         self._is_unmatched = False
-        self._pending_body = b""
+        self._pending_body: list[bytes] = []
         # None unless the body ends with the connection.
         self._repeats: RepeatedHeadDetector | None = None
         self._is_paused = False
@@ -293,9 +293,7 @@
         if self._is_unmatched:
             self._unmatched_bytes += len(chunk)
         else:
-            self._pending_body = (
-                self._pending_body + chunk if self._pending_body else chunk
-            )
+            self._pending_body.append(chunk)
 
     def on_message_complete(self) -> None:
         """Ends a response; the exchange ends if it matches the request."""
@@ -338,7 +336,8 @@
 
     def _deliver_body(self) -> None:
         """Passes the body bytes that one read brought to the receiver."""
-        chunk, self._pending_body = self._pending_body, b""
+        chunk = b"".join(self._pending_body)
+        self._pending_body.clear()
         if not chunk or self._is_done():
             return
         self._body_bytes += len(chunk)
--- a/packages/router/chervilwall_router/edge/relay.py
+++ b/packages/router/chervilwall_router/edge/relay.py
@@ -1,10 +1,10 @@
 """Relaying of a target's response to the caller."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from chervilwall.errors import CodecError, OversizedError
-from chervilwall.event_stream import EventSplitter
+from chervilwall.event_stream import EventSplitter, StreamEvent
 from chervilwall.http_messages import ResponseHead
 
 from chervilwall_router.edge.caller_response import CallerResponse
@@ -13,6 +13,12 @@
 # so that another target can be tried if one fails.
 MAX_BUFFERED_BYTES = 1 << 20
 
+# Comments that a stream may have between two events, in bytes.
+MAX_COMMENT_BYTES = 1 << 14
+# Bytes that are split into events at a time, so that a limit that they exceed
+# ends the work on the rest.
+SPLIT_BYTES = 1 << 14
+
 
 class BufferedRelay:
     """Buffer a response until it is complete, and stream it if it is large.
@@ -126,6 +132,8 @@
     to the stream: it may tell of an error. A `BufferedRelay` handles a response
     that is a failure, unsigned, encoded or of another content type.
 
+    Comments are relayed, but are neither events nor the first data.
+
     Args:
         answer (CallerResponse): Response to the caller.
         on_first_data (Callable): Called on each batch of new events; the
@@ -153,6 +161,7 @@
         self._follows_events = False
         self.last_event_id = last_event_id
         self.events = 0
+        self._comment_bytes = 0
         self._is_continuation = last_event_id > 0
 
     def __repr__(self) -> str:
@@ -237,29 +246,52 @@
             if self._follows_events:
                 return None
             return self._buffered_relay.receive_data(chunk)
-        new_events = []
+        new_events: list[bytes] = []
+        comments: list[bytes] = []
         is_foreign = False
-        for event in self._splitter.feed(chunk):
+        for event in self._split(chunk):
+            if event.is_comment:
+                self._add_comment(event.raw)
+                (new_events or comments).append(event.raw)
+                continue
+            self._comment_bytes = 0
             is_foreign = self._is_continuation and event.is_without_id
             if is_foreign:
                 break
             if event.id and event.id <= self.last_event_id:
                 continue
             self.last_event_id = event.id or self.last_event_id
+            self.events += 1
             new_events.append(event.raw)
-        drained = self._send_events(new_events) if new_events else None
+        drained = None
+        if comments:
+            drained = self._write(b"".join(comments))
+        if new_events:
+            self._on_first_data()
+            drained = self._write(b"".join(new_events))
         if is_foreign:
             raise CodecError(
                 "a continuation has an event without an id", step="read events"
             )
         return drained
 
-    def _send_events(
-        self, new_events: list[bytes]
-    ) -> "asyncio.Future[None] | None":
-        self.events += len(new_events)
-        self._on_first_data()
-        return self._write(b"".join(new_events))
+    def _split(self, chunk: bytes) -> Iterator[StreamEvent]:
+        """Generates the events that a chunk completes."""
+        for start in range(0, len(chunk), SPLIT_BYTES):
+            yield from self._splitter.feed(chunk[start : start + SPLIT_BYTES])
+
+    def _add_comment(self, raw: bytes) -> None:
+        """Counts a comment.
+
+        Raises:
+            OversizedError: There are too many since the last event.
+        """
+        self._comment_bytes += len(raw)
+        if self._comment_bytes > MAX_COMMENT_BYTES:
+            raise OversizedError(
+                f"comments between two events exceed {MAX_COMMENT_BYTES} bytes",
+                step="read events",
+            )
 
     def _write(self, data: bytes) -> "asyncio.Future[None] | None":
         if self._answer.started:
--- a/packages/standins/chervilwall_standins/users/target.py
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -63,6 +63,8 @@
 ENDLESS_UNSIGNED = "endless unsigned body"
 ENDLESS_BODY = "endless body"
 ENDLESS_EVENT = "endless event"
+# Empty comments of an event stream, each byte in a chunk of its own.
+ENDLESS_COMMENTS = "endless comments"
 ENDLESS_CHUNK_LINE = "endless chunk line"
 ENDLESS_CHUNK_EXTENSION = "endless chunk extension"
 ENDLESS_TRAILER = "endless trailer"
@@ -75,6 +77,7 @@
     ENDLESS_UNSIGNED,
     ENDLESS_BODY,
     ENDLESS_EVENT,
+    ENDLESS_COMMENTS,
     ENDLESS_CHUNK_LINE,
     ENDLESS_CHUNK_EXTENSION,
     ENDLESS_TRAILER,
@@ -647,6 +650,9 @@
         return _head(200, {}, None), block
     if mode == ENDLESS_BODY:
         return _head(200, identity, -1), _chunk(block)
+    if mode == ENDLESS_COMMENTS:
+        comment = b"".join(_chunk(b) for b in (b":", b"\n", b"\n"))
+        return _head(200, identity | EVENT_STREAM, -1), comment * 4096
     if mode == ENDLESS_CHUNK_LINE:
         return _head(200, identity, -1), block
     if mode == ENDLESS_CHUNK_EXTENSION:
--- a/packages/standins/tests/test_edge_endless.py
+++ b/packages/standins/tests/test_edge_endless.py
@@ -74,6 +74,29 @@
         response = await self.fleet.call("/book/x", request_id="next")
         self.assertEqual(response.body, b"p0:next")
 
+    async def test_endless_comments_delay_no_other_request(self):
+        self.model.mode = t.ENDLESS_COMMENTS
+        streams = [
+            asyncio.ensure_future(
+                self.fleet.call(
+                    "/chat/x", token_usage="100,30", request_id=f"s{number}"
+                )
+            )
+            for number in range(4)
+        ]
+        loop = asyncio.get_running_loop()
+        longest_s = 0.0
+        while not all(stream.done() for stream in streams):
+            started_at = loop.time()
+            response = await self.fleet.call("/book/x")
+            self.assertEqual(response.status, 200)
+            longest_s = max(longest_s, loop.time() - started_at)
+        self.assertLess(longest_s, 0.5)
+        for stream in streams:
+            response = await stream
+            self.assertFalse(response.is_complete and response.status == 200)
+        self.assertLess(self.model.endless_bytes_sent, MAX_BYTES)
+
     async def test_a_caller_with_an_endless_trailer_is_refused(self):
         head = (
             f"POST /book/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: r1\r\n"
