Count a watch that is cut off as no outage of the store

Cause: any failed call counted as an outage, after which removals count as lapses for 2.2 s, and while no router is known to reach the store these graces begin anew. A watch that is cut off while it waits is now an outage only if the next call fails; that call does not wait, and only what it finds removed may have lapsed.

Evidence: test_a_watch_that_is_cut_off_is_no_outage fails without the change.

--- a/packages/core/chervilwall/errors.py
+++ b/packages/core/chervilwall/errors.py
@@ -50,6 +50,13 @@
     """
 
 
+class WatchCutError(PlatformUnavailableError):
+    """The object store closed a watch that was waiting.
+
+    That alone is no outage: the next call may be answered.
+    """
+
+
 class RetryLaterError(ChervilwallError):
     """An operation was refused without any effect and may succeed later.
 
--- a/packages/router/chervilwall_router/edge/http_call.py
+++ b/packages/router/chervilwall_router/edge/http_call.py
@@ -30,6 +30,10 @@
     """
 
 
+class CallTimeoutError(CallFailedError):
+    """Call whose response was not complete in time."""
+
+
 class CallResponse(NamedTuple):
     """Complete response to a call.
 
@@ -93,8 +97,8 @@
 
     Raises:
         DialError: The connection failed; nothing was sent.
-        CallFailedError: The connection closed or the timeout passed before the
-            response was complete.
+        CallFailedError: The connection closed before the response was complete.
+        CallTimeoutError: The timeout passed before.
     """
     try:
         async with asyncio.timeout(timeout_s):
@@ -103,7 +107,7 @@
             )
     except TimeoutError as exc:
         reason = f"no complete response within {timeout_s:g} s"
-        raise CallFailedError(reason, step=step, peer=address) from exc
+        raise CallTimeoutError(reason, step=step, peer=address) from exc
 
 
 async def _send_request(
@@ -143,4 +147,10 @@
     return CallResponse(response.status, response.headers, bytes(response.body))
 
 
-__all__ = ["CallFailedError", "CallResponse", "DialError", "send_request"]
+__all__ = [
+    "CallFailedError",
+    "CallResponse",
+    "CallTimeoutError",
+    "DialError",
+    "send_request",
+]
--- a/packages/router/chervilwall_router/edge/store_watch.py
+++ b/packages/router/chervilwall_router/edge/store_watch.py
@@ -18,6 +18,7 @@
     RateLimitedError,
     RevisionExpiredError,
     UnreadablePageError,
+    WatchCutError,
 )
 from chervilwall.protocol import ObjectList, ObjectStore
 from chervilwall.registry import LAPSE_GRACE_S
@@ -121,6 +122,8 @@
         self._is_restarted = False
         self._call: asyncio.Task[ObjectList] | None = None
         self._failures = 0
+        # Whether the last watch was cut off and no call was answered since.
+        self._is_cut = False
         self._recovered_at = -math.inf
 
     def __repr__(self) -> str:
@@ -152,6 +155,11 @@
                 # A list skips the revisions of a page that stays unreadable.
                 self._revision = None
                 await self._back_off(exc)
+            except WatchCutError as exc:
+                # The next call, which is short, shows whether it is an outage.
+                if self._failures or self._is_cut:
+                    await self._back_off(exc)
+                self._is_cut = True
             except PlatformError as exc:
                 await self._back_off(exc)
 
@@ -171,28 +179,28 @@
     async def _poll(self) -> None:
         if self._revision is None:
             listing = await self._store.list_objects(self.kind)
-            self._record_success()
-            self._handler.apply_list(
-                listing, lapse_grace_until=self._lapse_grace_until()
-            )
+            grace_until = self._record_success()
+            self._handler.apply_list(listing, lapse_grace_until=grace_until)
             self._revision = listing.position
             self._has_read = True
             self._log_restart(listing)
             return
-        wait_s = RECOVERY_WAIT_S if self._failures else self._wait_s
+        wait_s = self._wait_s
+        if self._failures:
+            wait_s = RECOVERY_WAIT_S
+        elif self._is_cut:
+            wait_s = 0.0
         since = max(self._revision, self._handler.revision)
         changes = await self._watch(since, wait_s)
         if changes is None or self._revision is None:
             await self._spread_restarts()
             return
-        self._record_success()
+        grace_until = self._record_success()
         if self._handler.revision > since:
             # A peer reported a newer revision during the call, so these changes
             # may be outdated; the next watch starts at the newer one.
             return
-        self._handler.apply_changes(
-            changes, lapse_grace_until=self._lapse_grace_until()
-        )
+        self._handler.apply_changes(changes, lapse_grace_until=grace_until)
         self._revision = max(self._revision, changes.position)
 
     def _log_restart(self, listing: ObjectList) -> None:
@@ -224,11 +232,15 @@
         """Waits, so that all routers do not read at the same moment."""
         await asyncio.sleep(RESTART_SPREAD_S * self._rng.random())
 
-    def _lapse_grace_until(self) -> float:
-        until = self._recovered_at + LAPSE_GRACE_S
-        return until if self._clock() < until else 0.0
+    def _record_success(self) -> float:
+        """Records that a call was answered.
 
-    def _record_success(self) -> None:
+        Returns:
+            Monotonic time until which what it does not name may have lapsed, or
+            0. A watch that was cut off may have waited through an outage, so
+            that holds for the first call after it.
+        """
+        was_cut, self._is_cut = self._is_cut, False
         if self._failures:
             self._recovered_at = self._clock()
             events.log_event(
@@ -238,6 +250,11 @@
                 failures=self._failures,
             )
         self._failures = 0
+        now = self._clock()
+        until = now + LAPSE_GRACE_S
+        if not was_cut:
+            until = self._recovered_at + LAPSE_GRACE_S
+        return until if now < until else 0.0
 
     async def _back_off(self, exc: PlatformError) -> None:
         if not self._failures:
--- a/packages/router/tests/test_edge_store_watch.py
+++ b/packages/router/tests/test_edge_store_watch.py
@@ -10,6 +10,7 @@
     PlatformUnavailableError,
     RevisionExpiredError,
     UnreadablePageError,
+    WatchCutError,
 )
 from chervilwall.protocol import ObjectList
 from chervilwall.registry import LAPSE_GRACE_S
@@ -111,6 +112,42 @@
         )
         self.assertEqual(self.seen[-1], ("changes", 6, 101.0 + LAPSE_GRACE_S))
 
+    async def test_a_watch_that_is_cut_off_is_no_outage(self):
+        cut = WatchCutError("closed")
+        store = await self.run_watch(
+            ObjectList(5, ()),
+            cut,
+            ObjectList(5, ()),
+            ObjectList(6, ()),
+            cut,
+            self.answer_later(1.0, 7),
+            ObjectList(8, ()),
+        )
+        # Only what is found at once may have lapsed in an outage before.
+        self.assertEqual(
+            self.seen,
+            [
+                ("list", 5, 0.0),
+                ("changes", 5, 100.0 + LAPSE_GRACE_S),
+                ("changes", 6, 0.0),
+                ("changes", 7, 101.0 + LAPSE_GRACE_S),
+                ("changes", 8, 0.0),
+            ],
+        )
+        self.assertEqual(store.waits, [1.0, 0.0, 1.0, 1.0, 0.0, 1.0, 1.0])
+
+    async def test_a_failure_after_a_watch_that_was_cut_off_is_an_outage(self):
+        cut = WatchCutError("closed")
+        for failure in (PlatformUnavailableError("away"), cut):
+            self.seen.clear()
+            store = await self.run_watch(
+                ObjectList(5, ()), cut, failure, ObjectList(5, ())
+            )
+            self.assertEqual(store.waits, [1.0, 0.0, RECOVERY_WAIT_S, 1.0])
+            self.assertEqual(
+                self.seen[-1], ("changes", 5, 100.0 + LAPSE_GRACE_S)
+            )
+
     async def test_the_doubt_ends_a_while_after_the_stores_return(self):
         outage = PlatformUnavailableError("away")
         await self.run_watch(
