Notice that the response to a watch of the configuration was lost

Cause: a waiting watch was trusted for 27 s, by all routers alike. While the watch of the configuration waits, the objects are now read every 2 s, as stale as the store likes; a change that the watch does not deliver begins it again (E407).

Evidence: test_a_watch_whose_response_is_lost_begins_again fails without the change.

--- a/packages/core/chervilwall/events.py
+++ b/packages/core/chervilwall/events.py
@@ -56,6 +56,7 @@
     405, logging.WARNING, "object of the store refused"
 )
 STORE_READ_AGAIN = Event(406, logging.INFO, "older copy of the store read")
+WATCH_LOST = Event(407, logging.WARNING, "response to a store watch was lost")
 CELL_SCHEDULING_STARTED = Event(500, logging.INFO, "started scheduling a cell")
 CELL_SCHEDULING_STOPPED = Event(501, logging.INFO, "stopped scheduling a cell")
 TARGET_EJECTED = Event(502, logging.WARNING, "target ejected")
--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -81,6 +81,8 @@
 STREAM_RETENTION_FACTOR = 2.0
 # Time for a started router to receive the first reports of its peers.
 SETTLE_S = 1.0
+# Interval of reads that show whether a change of the configuration was missed.
+CONFIG_CHECK_INTERVAL_S = 2.0
 
 
 class EdgeRouter:
@@ -196,7 +198,11 @@
             )
         )
         self._watches = [
-            self._make_watch(decoder.config_kind, self.config),
+            self._make_watch(
+                decoder.config_kind,
+                self.config,
+                check_interval_s=CONFIG_CHECK_INTERVAL_S,
+            ),
             self._make_watch(decoder.target_kind, self.targets),
         ]
         self._crash_record_watch = self._make_watch(
@@ -204,7 +210,13 @@
         )
         self._store.era.subscribe(self._store_restored)
 
-    def _make_watch(self, kind: str, handler: ObjectHandler) -> StoreWatch:
+    def _make_watch(
+        self,
+        kind: str,
+        handler: ObjectHandler,
+        *,
+        check_interval_s: float | None = None,
+    ) -> StoreWatch:
         return StoreWatch(
             self._store,
             kind,
@@ -213,6 +225,7 @@
             clock=self._clock,
             rng=self._rng,
             enabled=self.fleet.follows_store,
+            check_interval_s=check_interval_s,
         )
 
     def _is_store_reachable(self) -> bool:
--- a/packages/router/chervilwall_router/edge/store_watch.py
+++ b/packages/router/chervilwall_router/edge/store_watch.py
@@ -94,6 +94,10 @@
         rng (random.Random): Source of the jitter of retries.
         enabled (Callable): Returns whether to watch. While disabled, the
             handler gets its updates from peers. Defaults to always enabled.
+        check_interval_s (float | None): Interval in seconds at which a waiting
+            watch is checked by reads that may be stale. A response that was
+            lost shows otherwise only at the end of the wait. Defaults to None,
+            no checks.
 
     Attributes:
         kind (str): Kind of the objects.
@@ -109,8 +113,10 @@
         clock: Callable[[], float],
         rng: random.Random,
         enabled: Callable[[], bool] = lambda: True,
+        check_interval_s: float | None = None,
     ) -> None:
         self._enabled = enabled
+        self._check_interval_s = check_interval_s
         self._store = store
         self.kind = kind
         self._handler = handler
@@ -217,17 +223,40 @@
     async def _watch(
         self, since: StoreRevision, wait_s: float
     ) -> ObjectList | None:
-        """Returns the changes, or None if the watch was restarted meanwhile."""
+        """Returns the changes, or None if the watch has to begin again.
+
+        It was restarted meanwhile, or a response to it was lost.
+        """
         call = self._store.watch_objects(self.kind, since.number, wait_s)
         self._call = asyncio.get_running_loop().create_task(call)
         task = self._call
         try:
-            await asyncio.wait((task,))
+            while not task.done():
+                await asyncio.wait((task,), timeout=self._check_interval_s)
+                if task.done() or not await self._has_missed_change(since):
+                    continue
+                # The response may be on its way.
+                await asyncio.wait((task,), timeout=RECOVERY_WAIT_S)
+                if not task.done():
+                    events.log_event(
+                        LOG, events.WATCH_LOST, kind=self.kind, revision=since
+                    )
+                    return None
         finally:
             task.cancel()
             self._call = None
         return None if task.cancelled() else task.result()
 
+    async def _has_missed_change(self, since: StoreRevision) -> bool:
+        """Returns whether the store holds a change that a watch waits for."""
+        try:
+            listing = await self._store.list_objects(self.kind, stale=True)
+        except PlatformError as exc:
+            LOG.debug("the check of a watch failed: %s", exc)
+            return False
+        known = max(since, self._handler.revision)
+        return any(item.position > known for item in listing.objects)
+
     async def _spread_restarts(self) -> None:
         """Waits, so that all routers do not read at the same moment."""
         await asyncio.sleep(RESTART_SPREAD_S * self._rng.random())
--- a/packages/router/tests/test_edge_store_watch.py
+++ b/packages/router/tests/test_edge_store_watch.py
@@ -12,7 +12,7 @@
     UnreadablePageError,
     WatchCutError,
 )
-from chervilwall.protocol import ObjectList
+from chervilwall.protocol import ObjectList, StoredObject
 from chervilwall.registry import LAPSE_GRACE_S
 from chervilwall.store_era import StoreRevision
 from chervilwall_router.edge.store_watch import (
@@ -53,6 +53,14 @@
         return step() if callable(step) else step
 
 
+class _SilentStore(_ScriptedStore):
+    """Object store that answers lists and loses the responses to watches."""
+
+    async def watch_objects(self, kind, since, wait_s):
+        self.since.append(since)
+        await asyncio.Event().wait()
+
+
 class StoreWatchTest(unittest.IsolatedAsyncioTestCase):
     """Tests of StoreWatch; each test case is the handler of its watch."""
 
@@ -148,6 +156,28 @@
                 self.seen[-1], ("changes", 5, 100.0 + LAPSE_GRACE_S)
             )
 
+    async def test_a_watch_whose_response_is_lost_begins_again(self):
+        changed = StoredObject("main", 6, b"{}")
+        store = _SilentStore(
+            ObjectList(5, ()), ObjectList(5, ()), ObjectList(6, (changed,))
+        )
+        watch = StoreWatch(
+            store,
+            "config",
+            self,
+            wait_s=25.0,
+            clock=lambda: self.now,
+            rng=random.Random(1),
+            check_interval_s=0.1,
+        )
+        task = asyncio.create_task(watch.run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(2.0):
+            while len(store.since) < 2:
+                await asyncio.sleep(0.01)
+        self.assertEqual(store.since, [5, 5])
+        self.assertFalse(watch.unavailable)
+
     async def test_the_doubt_ends_a_while_after_the_stores_return(self):
         outage = PlatformUnavailableError("away")
         await self.run_watch(
