End the search for a replacement at the time limit of its request

Cause: the length of the wait was computed before the search.

Evidence: test_the_search_for_another_target_ends_in_time failed before (0.4 s late, 0.2 s allowed) and passes.

--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -224,6 +224,9 @@
                     pause_s = min(pause_s, left_s)
                 elif await self._find_replacement(work, relay):
                     return False
+                else:
+                    left_s = max(0.0, admitted.deadline_at - clock())
+                    pause_s = min(left_s, MIN_SILENCE_S)
             done, _ = await asyncio.wait((work,), timeout=pause_s)
             if done:
                 return True
--- a/packages/router/tests/test_edge_flow.py
+++ b/packages/router/tests/test_edge_flow.py
@@ -17,6 +17,7 @@
 from chervilwall.routing import Route, RouteKind, RoutingTable, WeightedService
 from chervilwall.stream_versions import StreamVersions
 from chervilwall_router.edge.admission import RequestAdmission
+from chervilwall_router.edge.attempts import MIN_SILENCE_S, AttemptRunner
 from chervilwall_router.edge.scheduling import PlacedRequest
 from chervilwall_router.edge.settings import RetrySettings
 from chervilwall_router.problem import EXECUTED_NO
@@ -130,3 +131,33 @@
         problem = await self.arrive(remaining_s=0.05)
         self.assertEqual((problem.status, problem.reason), (503, "timeout"))
         self.assertEqual(problem.executed, EXECUTED_NO)
+
+
+class _FullTargets:
+    """Refuse replacements at the end of a wait."""
+
+    def __init__(self, until):
+        self._until = until
+
+    def may_replace(self):
+        return True
+
+    async def acquire_replacement(self):
+        await asyncio.sleep(self._until - time.monotonic())
+        raise RequestRefusedError("full", 1.0, step="wait", peer="s")
+
+
+class SilentTargetTest(unittest.IsolatedAsyncioTestCase):
+    async def test_the_search_for_another_target_ends_in_time(self):
+        now = time.monotonic()
+        deadline_at = now + MIN_SILENCE_S + 0.4
+        runner = AttemptRunner(
+            SimpleNamespace(clock=time.monotonic),
+            SimpleNamespace(deadline_at=deadline_at, route=ROUTE),
+            _FullTargets(deadline_at),
+        )
+        runner._grant = mock.MagicMock()
+        runner._grant.choice.first_token_s = 0.0
+        work = asyncio.get_running_loop().create_future()
+        self.assertFalse(await runner._wait_for_end(work, mock.Mock(events=0)))
+        self.assertLess(time.monotonic() - deadline_at, 0.2)
