Close idle connections of callers without a reset

Callers that reuse a connection got a reset if their request crossed its close, at the idle timeout or in a planned stop.

Cause: the socket was closed with the request unread, or the request arrived after the close; both make the kernel send a reset.

Evidence: test_a_request_that_crosses_the_close_is_not_reset failed before (ConnectionResetError) and passes.

--- a/packages/router/chervilwall_router/edge/caller_connection.py
+++ b/packages/router/chervilwall_router/edge/caller_connection.py
@@ -273,7 +273,7 @@
         if not timed_out or self._may_have_arrived(since):
             return
         if request is None:
-            self.disconnect(CloseReason.IDLE, abort=False)
+            self._close_idle(CloseReason.IDLE)
             return
         self._request = None
         problem = request.timeout_problem()
@@ -295,7 +295,17 @@
         assert self._transport is not None
         sock = self._transport.get_extra_info("socket")
         if not self.has_unsent_data() and not unread_bytes(sock):
-            self.disconnect(CloseReason.STOPPED, abort=False)
+            self._close_idle(CloseReason.STOPPED)
+
+    def _close_idle(self, reason: CloseReason) -> None:
+        """Closes a connection without a request.
+
+        A request that crosses the close is discarded, and does not reset the
+        connection.
+        """
+        self._record_close(reason)
+        self._linger_s = TIMEOUT_LINGER_S
+        self._close_without_reset()
 
     def _may_have_arrived(self, since: float) -> bool:
         """Returns whether bytes that arrived in time may still be unread.
--- a/packages/router/tests/test_edge_ingress.py
+++ b/packages/router/tests/test_edge_ingress.py
@@ -299,3 +299,13 @@
         await asyncio.wait_for(
             self.shutdown.close_connections(), 0.6 * self.GRACE_S
         )
+
+    async def test_a_request_that_crosses_the_close_is_not_reset(self):
+        caller = self.connect()
+        caller.send(request(1))
+        await self.receive(caller)
+        # It arrives after the check for unread bytes.
+        self.ingress.close_idle()
+        caller.send(request(2))
+        self.assertEqual(await self.receive(caller), b"")
+        self.assertEqual(self.handler.received, [])
