Pass on a target's failure if its retry gets no answer

Change: the answer is kept while another target is tried, and passed on if the request would otherwise end with a failure of the router. Answers that are unsigned, or would promise that nothing was run, are not kept.

--- a/packages/router/chervilwall_router/edge/relay.py
+++ b/packages/router/chervilwall_router/edge/relay.py
@@ -60,6 +60,11 @@
         """Always False, as no part of a response is sent before this one."""
         return False
 
+    @property
+    def buffered(self) -> "BufferedRelay":
+        """This relay; it has no events."""
+        return self
+
     @property
     def may_be_replaced(self) -> bool:
         """Whether another response may still take the place of this one."""
@@ -195,9 +200,9 @@
         return self._buffered_relay is not None and self._follows_events
 
     @property
-    def is_buffering(self) -> bool:
-        """Whether the current response is not relayed as events."""
-        return self._buffered_relay is not None
+    def buffered(self) -> BufferedRelay | None:
+        """Holds the current response if that is not relayed as events."""
+        return self._buffered_relay
 
     @property
     def may_be_replaced(self) -> bool:
--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from typing import NamedTuple
 
 from chervilwall import cell_messages, events
 from chervilwall.errors import RequestRefusedError
@@ -36,6 +37,7 @@
     to_ms,
 )
 from chervilwall_router.edge.request_types import (
+    NOT_RUN_STATUSES,
     AdmittedRequest,
     Attempt,
     AttemptResult,
@@ -59,6 +61,18 @@
 CAUSE_FAILED = "failed"
 
 
+class _FailureAnswer(NamedTuple):
+    """Complete answer of a target that failed, kept while another is tried.
+
+    Args:
+        attempt (Attempt): Attempt that got it.
+        relay (BufferedRelay): Holds it.
+    """
+
+    attempt: Attempt
+    relay: BufferedRelay
+
+
 class RequestRun:
     """Serve one admitted request, in one or more attempts.
 
@@ -92,6 +106,7 @@
         self._first_data_at = 0.0
         self._grant: PlacedRequest | None = None
         self._relay: BufferedRelay | StreamRelay | None = None
+        self._failure: _FailureAnswer | None = None
         self._stream = _make_stream(admitted, parts.streams)
         self._attempts = AttemptRunner(parts, admitted, self)
 
@@ -211,7 +226,7 @@
         grant = self._grant
         assert grant is not None
         relay = self._relay
-        has_event = isinstance(relay, StreamRelay) and not relay.is_buffering
+        has_event = isinstance(relay, StreamRelay) and relay.buffered is None
         grant.record_first_token(now, has_event=has_event)
         if has_event and self._stream is not None:
             self._parts.streams.record_relayed(
@@ -323,6 +338,7 @@
             and self._may_retry()
             and self._spend_retry(CAUSE_FAILED)
         ):
+            self._keep_failure(attempt, relay)
             return False
         if relay.is_discarded:
             self._fail(answer, attempt, 502, "broken_answer")
@@ -340,6 +356,19 @@
         self._record_end(attempt, OUTCOME_ANSWERED, head.status, answer.framing)
         return True
 
+    def _keep_failure(
+        self, attempt: Attempt, relay: BufferedRelay | StreamRelay
+    ) -> None:
+        """Keeps the answer of a target that failed, if it may be passed on.
+
+        It may not if it would promise that the request has not run.
+        """
+        head, buffered = attempt.head, relay.buffered
+        if head is None or buffered is None:
+            return
+        if head.signed and head.status not in NOT_RUN_STATUSES:
+            self._failure = _FailureAnswer(attempt, buffered)
+
     def _quarantine_status(self) -> QuarantineStatus:
         return self._parts.crashes.status(self._admitted.fingerprints)
 
@@ -483,6 +512,9 @@
     def _fail(
         self, answer: CallerResponse, attempt: Attempt, status: int, reason: str
     ) -> None:
+        if self._failure is not None and not answer.started:
+            self._pass_on_failure(self._failure, answer)
+            return
         self._record_end(attempt, reason, status, answer.framing)
         if answer.started:
             answer.abort(CloseReason.RESPONSE_FAILED)
@@ -490,6 +522,17 @@
         detail = "The target gave no whole answer; the request may have run."
         answer.refuse(Problem(status, reason, detail, EXECUTED_UNKNOWN))
 
+    def _pass_on_failure(
+        self, failure: _FailureAnswer, answer: CallerResponse
+    ) -> None:
+        """Sends the answer of a target that failed, as no other one came."""
+        head = failure.attempt.head
+        assert head is not None
+        failure.relay.finish()
+        self._record_end(
+            failure.attempt, OUTCOME_ANSWERED, head.status, answer.framing
+        )
+
     def _record_end(
         self,
         attempt: Attempt,
--- a/packages/standins/tests/test_edge_answers.py
+++ b/packages/standins/tests/test_edge_answers.py
@@ -98,6 +98,29 @@
                 self.assertIn(response.status, (500, 502))
                 self.assertEqual(self.count_executions(request_id), 1)
 
+    async def test_a_failure_is_passed_on_if_its_retry_gets_no_answer(self):
+        faults = {
+            "/read/x": (t.RESET, t.TRUNCATED, t.UNSIGNED, t.OVERLOADED),
+            "/draft/x": (t.RESET, t.OVERLOADED),
+        }
+        self.set_mode(t.ERROR, [self.plain[0], self.models[0]])
+        for path, modes in faults.items():
+            for mode in modes:
+                with self.subTest(path=path, mode=mode):
+                    self.set_mode(mode, [self.plain[1], self.models[1]])
+                    response = await self.fleet.call(path, token_usage="100,30")
+                    self.assertEqual(response.status, 500)
+                    self.assertIn("Response-Signature", response.headers)
+
+    async def test_a_failure_is_passed_on_if_no_other_target_is_left(self):
+        await self.fleet.remove_target(self.plain[1])
+        await self.fleet.remove_target(self.models[1])
+        self.set_mode(t.ERROR, [self.plain[0], self.models[0]])
+        for path in ("/read/x", "/draft/x"):
+            response = await self.fleet.call(path, token_usage="100,30")
+            self.assertEqual(response.status, 500)
+            self.assertIn("Response-Signature", response.headers)
+
     async def test_an_unsigned_429_promises_nothing(self):
         self.set_mode(t.UNSIGNED_BUSY)
         response = await self.fleet.call("/book/x")
