Notice that the response to a watch of the targets was lost

Targets got requests up to 27 s after they were removed or drained (DRAIN): the store is silent for a moment, and the response to the waiting watch never comes. The same fault as that of the watch of the configuration.

Cause: silence was taken for no news. The targets are now read every 2 s too, as stale as the store likes, while their watch waits. An object that is missing from a list that is newer than what is known counts as a change. If a check failed before, the store was away, and what is missing may have lapsed.

Evidence: test_a_watch_whose_response_is_lost_begins_again failed for a removal, test_what_an_unnoticed_outage_removed_may_have_lapsed failed without its part; both pass. test_an_older_list_shows_no_removal guards the limit. Cost: a tenth of a call each 2 s for each router that follows the store.

--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -81,8 +81,9 @@
 STREAM_RETENTION_FACTOR = 2.0
 # Time for a started router to receive the first reports of its peers.
 SETTLE_S = 1.0
-# Interval of reads that show whether a change of the configuration was missed.
-CONFIG_CHECK_INTERVAL_S = 2.0
+# Interval of reads that show whether a change of the configuration or of the
+# targets was missed.
+CHECK_INTERVAL_S = 2.0
 
 
 class EdgeRouter:
@@ -201,9 +202,13 @@
             self._make_watch(
                 decoder.config_kind,
                 self.config,
-                check_interval_s=CONFIG_CHECK_INTERVAL_S,
+                check_interval_s=CHECK_INTERVAL_S,
+            ),
+            self._make_watch(
+                decoder.target_kind,
+                self.targets,
+                check_interval_s=CHECK_INTERVAL_S,
             ),
-            self._make_watch(decoder.target_kind, self.targets),
         ]
         self._crash_record_watch = self._make_watch(
             CRASH_KIND, self.stored_crashes
--- a/packages/router/chervilwall_router/edge/store_state.py
+++ b/packages/router/chervilwall_router/edge/store_state.py
@@ -62,6 +62,10 @@
         """Version of the current configuration, 0 without one."""
         return self.table.version if self.table else 0
 
+    def names(self) -> frozenset[str]:
+        """Returns no names: a configuration is replaced, not removed."""
+        return frozenset()
+
     def apply_list(
         self, listing: ObjectList, *, lapse_grace_until: float
     ) -> None:
@@ -236,6 +240,10 @@
         known = (x for x in self._values.items() if x[0] not in lapsed)
         return (*known, *self._withheld.items())
 
+    def names(self) -> frozenset[str]:
+        """Returns the names of the registrations that have not lapsed."""
+        return frozenset(name for name, _ in self.entries())
+
     def lapsed(self) -> tuple[str, ...]:
         """Returns the ids of targets that are kept as lapsed."""
         return tuple(self._registry.lapsed())
--- a/packages/router/chervilwall_router/edge/store_watch.py
+++ b/packages/router/chervilwall_router/edge/store_watch.py
@@ -57,6 +57,10 @@
         """
         ...
 
+    def names(self) -> frozenset[str]:
+        """Returns the names of the objects that the store is taken to hold."""
+        ...
+
     def apply_list(
         self, listing: ObjectList, *, lapse_grace_until: float
     ) -> None:
@@ -130,6 +134,8 @@
         self._failures = 0
         # Whether the last watch was cut off and no call was answered since.
         self._is_cut = False
+        # Whether a check of the current watch failed.
+        self._has_failed_check = False
         self._recovered_at = -math.inf
 
     def __repr__(self) -> str:
@@ -225,8 +231,10 @@
     ) -> ObjectList | None:
         """Returns the changes, or None if the watch has to begin again.
 
-        It was restarted meanwhile, or a response to it was lost.
+        It was restarted meanwhile, or a response to it was lost. What is
+        missing then may have lapsed in an outage that only the checks noticed.
         """
+        self._has_failed_check = False
         call = self._store.watch_objects(self.kind, since.number, wait_s)
         self._call = asyncio.get_running_loop().create_task(call)
         task = self._call
@@ -241,6 +249,8 @@
                     events.log_event(
                         LOG, events.WATCH_LOST, kind=self.kind, revision=since
                     )
+                    if self._has_failed_check:
+                        self._recovered_at = self._clock()
                     return None
         finally:
             task.cancel()
@@ -253,9 +263,14 @@
             listing = await self._store.list_objects(self.kind, stale=True)
         except PlatformError as exc:
             LOG.debug("the check of a watch failed: %s", exc)
+            self._has_failed_check = True
             return False
         known = max(since, self._handler.revision)
-        return any(item.position > known for item in listing.objects)
+        if any(item.position > known for item in listing.objects):
+            return True
+        listed = {item.name for item in listing.objects}
+        has_removed = not self._handler.names() <= listed
+        return has_removed and listing.position > known
 
     async def _spread_restarts(self) -> None:
         """Waits, so that all routers do not read at the same moment."""
--- a/packages/router/chervilwall_router/edge/stored_crashes.py
+++ b/packages/router/chervilwall_router/edge/stored_crashes.py
@@ -159,6 +159,10 @@
     def __repr__(self) -> str:
         return f"StoredCrashes(records={len(self._records)})"
 
+    def names(self) -> frozenset[str]:
+        """Returns no names, as waiting watches of records are not checked."""
+        return frozenset()
+
     def apply_list(
         self, listing: ObjectList, *, lapse_grace_until: float
     ) -> None:
--- a/packages/router/tests/test_edge_store_watch.py
+++ b/packages/router/tests/test_edge_store_watch.py
@@ -54,11 +54,19 @@
 
 
 class _SilentStore(_ScriptedStore):
-    """Object store that answers lists and loses the responses to watches."""
+    """Object store that answers lists and loses the responses to watches.
+
+    Attributes:
+        next_watch (ObjectList | None): Answer to the second watch.
+    """
+
+    next_watch = None
 
     async def watch_objects(self, kind, since, wait_s):
         self.since.append(since)
-        await asyncio.Event().wait()
+        if len(self.since) != 2 or self.next_watch is None:
+            await asyncio.Event().wait()
+        return self.next_watch
 
 
 class StoreWatchTest(unittest.IsolatedAsyncioTestCase):
@@ -72,6 +80,9 @@
         self.revision = StoreRevision()
         self.enabled = True
 
+    def names(self):
+        return frozenset(("t0",))
+
     def apply_list(self, listing, *, lapse_grace_until):
         self.seen.append(("list", listing.revision, lapse_grace_until))
 
@@ -157,26 +168,61 @@
             )
 
     async def test_a_watch_whose_response_is_lost_begins_again(self):
+        known = StoredObject("t0", 5, b"{}")
         changed = StoredObject("main", 6, b"{}")
+        # A change and a removal, each after a list that shows none.
+        for missed in ((known, changed), ()):
+            store = _SilentStore(
+                ObjectList(5, (known,)),
+                ObjectList(5, (known,)),
+                ObjectList(6, missed),
+            )
+            watch = self.make_checked_watch(store)
+            task = asyncio.create_task(watch.run())
+            self.addCleanup(task.cancel)
+            async with asyncio.timeout(2.0):
+                while len(store.since) < 2:
+                    await asyncio.sleep(0.01)
+            self.assertEqual(store.since, [5, 5])
+            self.assertFalse(watch.unavailable)
+
+    async def test_what_an_unnoticed_outage_removed_may_have_lapsed(self):
+        store = _SilentStore(
+            ObjectList(5, (StoredObject("t0", 5, b"{}"),)),
+            PlatformUnavailableError("silent"),
+            ObjectList(6, ()),
+        )
+        store.next_watch = ObjectList(6, (StoredObject("t0", 6, b"", True),))
+        task = asyncio.create_task(self.make_checked_watch(store).run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(2.0):
+            while len(self.seen) < 2:
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.seen[1], ("changes", 6, self.now + LAPSE_GRACE_S))
+
+    async def test_an_older_list_shows_no_removal(self):
         store = _SilentStore(
-            ObjectList(5, ()), ObjectList(5, ()), ObjectList(6, (changed,))
+            ObjectList(5, (StoredObject("t0", 5, b"{}"),)),
+            ObjectList(4, ()),
+            ObjectList(5, ()),
         )
-        watch = StoreWatch(
+        task = asyncio.create_task(self.make_checked_watch(store).run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(2.0):
+            while len(store.listed_at) < 4:
+                await asyncio.sleep(0.01)
+        self.assertEqual(store.since, [5])
+
+    def make_checked_watch(self, store):
+        return StoreWatch(
             store,
-            "config",
+            "servers",
             self,
             wait_s=25.0,
             clock=lambda: self.now,
             rng=random.Random(1),
             check_interval_s=0.1,
         )
-        task = asyncio.create_task(watch.run())
-        self.addCleanup(task.cancel)
-        async with asyncio.timeout(2.0):
-            while len(store.since) < 2:
-                await asyncio.sleep(0.01)
-        self.assertEqual(store.since, [5, 5])
-        self.assertFalse(watch.unavailable)
 
     async def test_the_doubt_ends_a_while_after_the_stores_return(self):
         outage = PlatformUnavailableError("away")
