Send what a busy test host refuses again before targets crash

Cause, reproduced beside 16 busy processes (load 26), once in 21 runs: two of its 30 requests are refused with host_behind, as routers, targets and callers share one event loop that falls behind, so 30 never reach targets. Ruled out: requests that wait or are lost; the other 28 reached targets.

Change: a request that is refused so is sent again. All 30 must still reach targets within 5 s; all bounds are the same.

--- a/packages/standins/tests/test_edge_crashing_part.py
+++ b/packages/standins/tests/test_edge_crashing_part.py
@@ -222,12 +222,20 @@
         await asyncio.gather(*tasks)
         self.assertNotIn(503, served)
 
+    async def send_despite_load(self, part):
+        """Sends a request again if its router sheds load of this machine."""
+        while True:
+            response = await self.send("/chat/x", "first", part)
+            if b"host_behind" not in response.body:
+                return response
+            await asyncio.sleep(SEND_INTERVAL_S)
+
     async def test_a_popular_part_is_served_after_all_targets_crashed(self):
         await self.start()
         for target in self.targets:
             target.mode = t.HANG
         waiting = [
-            asyncio.create_task(self.send("/chat/x", "first", f"s{i}"))
+            asyncio.create_task(self.send_despite_load(f"s{i}"))
             for i in range(30)
         ]
         await self.fleet.wait_until(
