Do not count vain searches for a replacement as unserved requests

Cause, by reading: a request whose target is silent asks for another one each second. Each search that was refused counted as a late request that was not started; below 0.3 of these being started, the queue refuses all late requests at once, which have no target at all. It also marked the part of the prompt as unserved, so that the next request of that session counted as a retry that is late.

Change: searches state that the request runs already, and are not counted.

Evidence: test_vain_searches_for_replacements_end_no_waits failed without the change.

--- a/packages/core/chervilwall/edge_messages.py
+++ b/packages/core/chervilwall/edge_messages.py
@@ -187,6 +187,8 @@
             same digest.
         stream (StreamDemand | None): The resumable stream that is requested,
             None for any other request.
+        is_replacement (bool): Whether the request runs on a target that is
+            silent, and goes on there if it is refused.
     """
 
     number: int
@@ -205,6 +207,7 @@
     size_class: int
     fingerprint: bytes = b""
     stream: StreamDemand | None = None
+    is_replacement: bool = False
 
 
 class PlacementQueued(NamedTuple):
--- a/packages/router/chervilwall_router/edge/dispatcher.py
+++ b/packages/router/chervilwall_router/edge/dispatcher.py
@@ -184,7 +184,7 @@
                 return grant
         reason = self._refusal_reason(queue, ticket, request, now)
         if reason:
-            queue.record_outcome(ticket, now, False)
+            self._record_unserved(queue, ticket, request, now)
             raise self._build_refusal(queue, ticket, reason, now)
         service = request.demand.service
         targets = self._parts.registry.serving_targets(service)
@@ -263,11 +263,27 @@
             queue, ticket, self._team_shares(now), now
         )
 
+    def _record_unserved(
+        self,
+        queue: WaitQueue,
+        ticket: Ticket,
+        request: GrantRequest,
+        now: float,
+    ) -> None:
+        """Records that a request is refused.
+
+        One that runs already loses nothing. If it counted, many silent targets
+        would make the queue refuse other requests that may still wait.
+        """
+        if request.is_replacement:
+            return
+        own_part = ticket.demand.own_part
+        self._unserved.record(ticket.team, own_part, ticket.first_sent_at)
+        queue.record_outcome(ticket, now, False)
+
     def _build_refusal(
         self, queue: WaitQueue, ticket: Ticket, reason: str, now: float
     ) -> RequestRefusedError:
-        own_part = ticket.demand.own_part
-        self._unserved.record(ticket.team, own_part, ticket.first_sent_at)
         wait_s = self._expected_wait_s(queue, ticket, now)
         retry_s = queue.retry_after_s(wait_s)
         service = ticket.demand.service
@@ -318,7 +334,8 @@
             parts.prefixes.record(target_id, demand.parts, now)
             parts.shares.record_usage(request.team, request.tokens, now)
         queue.record_started_work(ticket.work_s, now)
-        queue.record_outcome(ticket, now, True)
+        if not request.is_replacement:
+            queue.record_outcome(ticket, now, True)
         on_release = None
         if status.is_suspect:
             self._isolation.begin(target_id)
@@ -540,7 +557,7 @@
         waiter = self._waiters.get(ticket.number)
         if waiter is None or waiter.future.done():
             return
+        self._record_unserved(queue, ticket, waiter.request, now)
         refusal = self._build_refusal(queue, ticket, "waited in vain", now)
-        queue.record_outcome(ticket, now, False)
         waiter.future.set_exception(refusal)
         queue.discard(ticket.number)
--- a/packages/router/chervilwall_router/edge/grants.py
+++ b/packages/router/chervilwall_router/edge/grants.py
@@ -33,6 +33,8 @@
             retried. Defaults to b"".
         stream (StreamDemand | None): The resumable stream that is requested,
             None for any other request. Defaults to None.
+        is_replacement (bool): Whether the request runs on a target that is
+            silent, and goes on there without a grant. Defaults to False.
     """
 
     demand: Demand
@@ -47,6 +49,7 @@
     size_class: int = 0
     fingerprint: bytes = b""
     stream: StreamDemand | None = None
+    is_replacement: bool = False
 
     @property
     def is_bound_to_version(self) -> bool:
--- a/packages/router/chervilwall_router/edge/peer_grants.py
+++ b/packages/router/chervilwall_router/edge/peer_grants.py
@@ -266,6 +266,7 @@
             size_class=item.size_class,
             fingerprint=item.fingerprint,
             stream=item.stream,
+            is_replacement=item.is_replacement,
         )
 
     def _end_request(self, key: _Key, outcome: str) -> None:
--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -233,7 +233,9 @@
                 self._stream, grant.choice.target, now
             )
 
-    async def _acquire_target(self) -> PlacedRequest:
+    async def _acquire_target(
+        self, *, is_replacement: bool = False
+    ) -> PlacedRequest:
         req, route = self._admitted.req, self._admitted.route
         demand = Demand(
             service=self._admitted.service,
@@ -256,6 +258,7 @@
             size_class=self._statistics.size_class(req, route),
             fingerprint=self._admitted.fingerprints[0],
             stream=self._stream,
+            is_replacement=is_replacement,
         )
         left_s = self._admitted.deadline_at - self._parts.clock()
         try:
@@ -414,7 +417,7 @@
         grant, relay = self._grant, self._relay
         assert grant is not None and relay is not None
         self._bind_version(grant, relay)
-        return await self._acquire_target()
+        return await self._acquire_target(is_replacement=True)
 
     def spend_replacement(self) -> bool:
         """Spends a retry of the budget; returns whether that allowed it."""
--- a/packages/router/chervilwall_router/edge/scheduling.py
+++ b/packages/router/chervilwall_router/edge/scheduling.py
@@ -442,6 +442,7 @@
             size_class=request.size_class,
             fingerprint=request.fingerprint,
             stream=request.stream,
+            is_replacement=request.is_replacement,
         )
 
     def _accept_grant(
--- a/packages/router/tests/test_edge_dispatcher.py
+++ b/packages/router/tests/test_edge_dispatcher.py
@@ -166,6 +166,21 @@
         self.clock.now += 0.2
         await waiting
 
+    async def test_vain_searches_for_replacements_end_no_waits(self):
+        # Requests of the only target, which is silent, ask for another one.
+        dispatcher, _ = make_dispatcher(self.clock, capacity=1e9)
+        for number in range(60):
+            search = make_request(self.clock, "team", number)._replace(
+                due_at=self.clock.now - 1.0,
+                excluded=frozenset(("i-1",)),
+                is_first_attempt=False,
+                is_replacement=True,
+            )
+            with self.assertRaises(RequestRefusedError):
+                await dispatcher.acquire(search)
+        queue = dispatcher._queue_of("svc")
+        self.assertTrue(queue.starts_late_requests())
+
     async def test_a_request_that_comes_again_is_due_as_at_first(self):
         dispatcher, parts = make_dispatcher(self.clock, capacity=0.0, targets=0)
         with self.assertRaises(RequestRefusedError):
