Cancel bookings that wait when their callers leave

Cause: a request that may not be repeated goes on when its caller disconnects, also while it waits for a place and no target has it.

Change: until a request is sent it is cancelled when its caller disconnects. What a target turned away is looked at again before the next attempt. From the first attempt that may have run on, bookings go on as before (test_a_booking_outlives_its_route_when_its_caller_leaves).

--- a/packages/router/chervilwall_router/edge/admission.py
+++ b/packages/router/chervilwall_router/edge/admission.py
@@ -92,8 +92,9 @@
     def may_cancel(self, req: InboundRequest) -> bool:
         """Returns whether to cancel a request when its caller disconnects.
 
-        A request that is neither a stream nor repeatable (idempotent)
-        continues: its side effect is wanted although nobody reads the response.
+        A request that is neither a stream nor repeatable (idempotent) continues
+        once it was sent to a target: its side effect is wanted although nobody
+        reads the response.
         """
         table = self._parts.table()
         route = table.find_route(req.hostname, req.path) if table else None
--- a/packages/router/chervilwall_router/edge/caller_connection.py
+++ b/packages/router/chervilwall_router/edge/caller_connection.py
@@ -477,7 +477,7 @@
         coro = self._handle(req, answer)
         task = asyncio.get_running_loop().create_task(coro)
         may_cancel = self._context.handler.may_cancel(req)
-        self._active = ActiveRequest(req, task, may_cancel)
+        self._active = ActiveRequest(req, task, may_cancel, answer)
         self._context.tasks.add(task)
         task.add_done_callback(self._context.tasks.discard)
 
--- a/packages/router/chervilwall_router/edge/caller_context.py
+++ b/packages/router/chervilwall_router/edge/caller_context.py
@@ -65,15 +65,17 @@
         task (asyncio.Task): Serves it.
         may_cancel (bool): Whether to cancel it when its caller disconnects, by
             the configuration under which it began.
+        answer (CallerResponse): The response to it.
     """
 
     req: InboundRequest
     task: "asyncio.Task[None]"
     may_cancel: bool
+    answer: CallerResponse
 
     def on_disconnect(self) -> None:
-        """Cancels the request if it may be cancelled."""
-        if self.may_cancel:
+        """Cancels the request if it may be cancelled or has not run."""
+        if self.may_cancel or not self.answer.may_have_run:
             self.task.cancel()
 
 
--- a/packages/router/chervilwall_router/edge/caller_response.py
+++ b/packages/router/chervilwall_router/edge/caller_response.py
@@ -78,6 +78,8 @@
 
     Attributes:
         framing (Framing): What shows the caller where the body ends.
+        may_have_run (bool): Whether a target may have run the request. If not,
+            the request is cancelled when its caller disconnects.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         self._may_chunk = chunked
         self._bodiless = bodiless
         self.framing = Framing.NONE
+        self.may_have_run = True
         self._close_after = False
         self.started = False
         self.ended = False
--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -125,6 +125,7 @@
         relay = self._relay = self._make_relay(answer)
         last: Attempt | None = None
         while True:
+            answer.may_have_run = self._executed_attempts > 0
             status_before = self._quarantine_status()
             try:
                 grant = (
@@ -151,6 +152,12 @@
                     refusal = _shutdown_refusal()
                     self._end_without_target(answer, last, refusal)
                 return
+            if answer.closed() and not answer.may_have_run:
+                # The caller disconnected during an attempt that did not run.
+                with grant:
+                    self._parts.metrics.count("ended_caller_left")
+                return
+            answer.may_have_run = True
             with grant:
                 self._grant = grant
                 try:
--- a/packages/standins/tests/test_edge_answers.py
+++ b/packages/standins/tests/test_edge_answers.py
@@ -121,6 +121,27 @@
             self.assertEqual(response.status, 500)
             self.assertIn("Response-Signature", response.headers)
 
+    async def test_bookings_of_callers_that_left_are_not_sent(self):
+        await self.fleet.remove_target(self.plain[1])
+        target = self.plain[0]
+        target.slots, target.response_delay_s = 1, 0.4
+        await self.fleet.store.put("servers", target.id, target.spec())
+        # They wait for the end of those before them.
+        callers = [await self.fleet.connect() for _ in range(40)]
+        for number, caller in enumerate(callers):
+            await caller.send("/book/x", request_id=f"b{number}")
+        await self.fleet.wait_until(lambda: target.executed)
+        waiting = self.fleet.routers[0].dispatcher.waiting_count
+        await self.fleet.wait_until(lambda: waiting() > 5)
+        for caller in callers:
+            caller.close()
+        await asyncio.sleep(0.1)
+        self.assertEqual(waiting(), 0)
+        sent = len(target.executed)
+        await asyncio.sleep(2 * target.response_delay_s)
+        self.assertEqual(len(target.executed), sent)
+        self.assertEqual(target.cancelled, [])
+
     async def test_an_unsigned_429_promises_nothing(self):
         self.set_mode(t.UNSIGNED_BUSY)
         response = await self.fleet.call("/book/x")
