--- a/packages/router/tests/test_edge_flow.py
+++ b/packages/router/tests/test_edge_flow.py
@@ -96,6 +96,7 @@
             prompt_parts=(PromptPart("top", 50), PromptPart(str(number), 50)),
         )  # fmt: skip
         answer = mock.MagicMock(started=False)
+        answer.closed.return_value = False
         await self.flow.handle(req, answer)
         return answer.refuse.call_args.args[0]
 
