Let one late booking cross the close of its idle connection

Traced, twice in 28 runs beside 10 busy processes: it is the request that is sent 0.52 s after the stop began, as the router closes the connections that are idle at 0.5 s, and no target has run it (assert_none_cut checks that).

Change: at most one request, as one is sent every 0.1 s, may have no answer; all others are refused as before, and what has no answer must not have run.

--- a/packages/standins/tests/test_edge_late_requests.py
+++ b/packages/standins/tests/test_edge_late_requests.py
@@ -129,8 +129,12 @@
             "/untimed/x", timeout_remaining="8000"
         )
         self.assert_none_cut(requests)
-        # They could last longer than the router does.
-        self.assertEqual({x.status for x in requests}, {503})
+        # They could last longer than the router does. The one that is sent as
+        # the router closes its idle connections may cross that close.
+        crossing = [x for x in requests if not x.status]
+        self.assertLessEqual(len(crossing), 1)
+        answered = {x.status for x in requests if x.status}
+        self.assertEqual(answered, {503})
 
     async def test_streams(self):
         for path in ("/chat/x", "/draft/x"):
