--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -1,10 +1,10 @@
 """A single attempt to run a request on a target."""
 
 import asyncio
-from collections.abc import Callable
+from typing import Protocol
 
 from chervilwall import cell_messages
-from chervilwall.errors import DialError
+from chervilwall.errors import DialError, RequestRefusedError
 from chervilwall.http_messages import ResponseHead
 from chervilwall.registry import RegisteredTarget
 
@@ -25,7 +25,8 @@
 # arrives before the caller's limit.
 RETURN_MARGIN_S = 0.01
 # An attempt that may be retried is abandoned after too long a silence of its
-# target. The limit is the largest of MIN_SILENCE_S and the multiples below.
+# target, once another target has room. The limit is the largest of
+# MIN_SILENCE_S and the multiples below.
 # For a stream, silence is the time since the last event, or since the start of
 # the attempt before the first event. For any other response, it is the time
 # since the start of the attempt.
@@ -38,32 +39,59 @@
 # Multiple of the predicted time to the first token. Without it, an attempt with
 # a long prompt would be abandoned while the target reads the prompt.
 SILENCE_PREDICTION_FACTOR = 4.0
+# Interval of checks for an event of a silent target while another one is asked
+# for.
+PROGRESS_INTERVAL_S = 0.05
 # Results after which the attempt is no evidence that the target crashed.
 _NO_CRASH_EVIDENCE = frozenset(
     (AttemptResult.ANSWERED, AttemptResult.NOT_EXECUTED, AttemptResult.NOT_SENT)
 )
 
 
+class Replacements(Protocol):
+    """Find another target for a request whose target is silent."""
+
+    def may_replace(self) -> bool:
+        """Returns whether another target may take over the request now."""
+        ...
+
+    async def acquire_replacement(self) -> PlacedRequest:
+        """Returns a grant of another target.
+
+        Raises:
+            RequestRefusedError: No other target has room.
+        """
+        ...
+
+    def spend_replacement(self) -> bool:
+        """Spends a retry of the budget; returns whether that allowed it."""
+        ...
+
+
 class AttemptRunner:
     """Send a request to a target and supervise its answer.
 
     Args:
         parts (RequestContext): Dependencies.
         admitted (AdmittedRequest): Request to send.
-        may_retry (Callable): Returns whether the request may be retried on
-            another target.
+        replacements (Replacements): Finds a target in place of a silent one.
+
+    Attributes:
+        replacement (PlacedRequest | None): Grant of the target that replaces
+            that of the last attempt, if its result is SILENT.
     """
 
     def __init__(
         self,
         parts: RequestContext,
         admitted: AdmittedRequest,
-        may_retry: Callable[[], bool],
+        replacements: Replacements,
     ) -> None:
         self._parts = parts
         self._admitted = admitted
-        self._may_retry = may_retry
+        self._replacements = replacements
         self._grant: PlacedRequest | None = None
+        self.replacement: PlacedRequest | None = None
 
     def __repr__(self) -> str:
         return f"AttemptRunner(request={self._admitted.req.id!r})"
@@ -82,6 +110,7 @@
             The attempt with its result.
         """
         self._grant = grant
+        self.replacement = None
         target = grant.choice.target
         try:
             conn = await self._parts.connections.acquire(target)
@@ -116,7 +145,7 @@
             # Wait for the verdict before a retry: a crash may quarantine the
             # request, which rules out a retry. Otherwise nothing depends on
             # the verdict.
-            if self._may_retry():
+            if self._replacements.may_replace():
                 await examined
         attempt = Attempt(
             result,
@@ -159,8 +188,8 @@
                 return self._classify(exchange, relay)
         finally:
             work.cancel()
-        out_of_time = clock() >= admitted.deadline_at - RETURN_MARGIN_S
-        return AttemptResult.TIMED_OUT if out_of_time else AttemptResult.SILENT
+        is_replaced = self.replacement is not None
+        return AttemptResult.SILENT if is_replaced else AttemptResult.TIMED_OUT
 
     async def _wait_for_end(
         self,
@@ -170,7 +199,8 @@
         """Waits until the exchange ends or is abandoned.
 
         It is abandoned after the deadline of the request or, if the request
-        may be retried, after too long a silence of the target.
+        may be retried, after too long a silence of the target, as soon as
+        another target has room.
 
         Returns:
             Whether the exchange has ended.
@@ -183,20 +213,63 @@
             event_count = getattr(relay, "events", 0)
             if event_count != last_events:
                 last_events, last_progress_at = event_count, now
-            give_up_at = admitted.deadline_at
-            if self._may_retry():
-                give_up_at = min(
-                    give_up_at,
-                    last_progress_at + self._max_silence_s(event_count > 0),
-                )
-            if now >= give_up_at:
+            if now >= admitted.deadline_at:
                 return False
             # Whether the request may be retried can change meanwhile.
-            pause_s = min(give_up_at - now, MIN_SILENCE_S)
+            pause_s = min(admitted.deadline_at - now, MIN_SILENCE_S)
+            if self._replacements.may_replace():
+                max_silence_s = self._max_silence_s(event_count > 0)
+                left_s = last_progress_at + max_silence_s - now
+                if left_s > 0:
+                    pause_s = min(pause_s, left_s)
+                elif await self._find_replacement(work, relay):
+                    return False
             done, _ = await asyncio.wait((work,), timeout=pause_s)
             if done:
                 return True
 
+    async def _find_replacement(
+        self,
+        work: "asyncio.Future[None]",
+        relay: BufferedRelay | StreamRelay,
+    ) -> bool:
+        """Asks for another target until the current one goes on.
+
+        Returns:
+            Whether there is a replacement, for which a retry was spent.
+        """
+        event_count = getattr(relay, "events", 0)
+
+        def is_silent() -> bool:
+            has_event = getattr(relay, "events", 0) != event_count
+            return not (work.done() or has_event)
+
+        asking = asyncio.ensure_future(self._replacements.acquire_replacement())
+        try:
+            while is_silent() and not asking.done():
+                await asyncio.wait(
+                    (work, asking),
+                    timeout=PROGRESS_INTERVAL_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+            if is_silent():
+                self.replacement = self._take_replacement(asking)
+        finally:
+            if self.replacement is None:
+                asking.cancel()
+                asking.add_done_callback(_release_grant)
+        return self.replacement is not None
+
+    def _take_replacement(
+        self, asking: "asyncio.Future[PlacedRequest]"
+    ) -> PlacedRequest | None:
+        """Returns a grant that was asked for, if a retry may be spent on it."""
+        try:
+            grant = asking.result()
+        except RequestRefusedError:
+            return None
+        return grant if self._replacements.spend_replacement() else None
+
     def _max_silence_s(self, has_begun: bool) -> float:
         route = self._admitted.route
         if has_begun and route.max_gap_s:
@@ -249,3 +322,10 @@
                 limit, self._parts.known_router_count()
             ),
         )
+
+
+def _release_grant(asking: "asyncio.Future[PlacedRequest]") -> None:
+    """Ends a grant that was asked for and is not used."""
+    if not asking.cancelled() and asking.exception() is None:
+        with asking.result():
+            pass
--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -88,7 +88,7 @@
         self._grant: PlacedRequest | None = None
         self._relay: BufferedRelay | StreamRelay | None = None
         self._stream = _make_stream(admitted, parts.streams)
-        self._attempts = AttemptRunner(parts, admitted, self._may_move)
+        self._attempts = AttemptRunner(parts, admitted, self)
 
     def __repr__(self) -> str:
         return f"RequestRun(request={self._admitted.req.id!r})"
@@ -107,7 +107,9 @@
         while True:
             status_before = self._quarantine_status()
             try:
-                grant = await self._acquire_target()
+                grant = (
+                    self._attempts.replacement or await self._acquire_target()
+                )
             except RequestRefusedError as exc:
                 self._end_without_target(answer, last, exc)
                 return
@@ -276,6 +278,8 @@
             elif not will_retry:
                 self._fail(answer, attempt, 502, "busy")
             return not will_retry
+        if attempt.result is AttemptResult.SILENT:
+            return False
         if self._may_retry() and self._spend_retry(attempt.result.value):
             return False
         self._fail(answer, attempt, 502, "broken_answer")
@@ -333,17 +337,24 @@
         retry_s = self._quarantine_status().retry_after_s(self._parts.clock())
         return RequestRefusedError(REASON_CRASHES, retry_s, step="send")
 
-    def _may_retry(self) -> bool:
+    def _may_retry(self, *, in_progress: int = 0) -> bool:
+        """Returns whether the request may be sent once more.
+
+        Args:
+            in_progress (int): Number of attempts that have not ended. Defaults
+                to 0.
+        """
         route, relay = self._admitted.route, self._relay
         if self._quarantine_status().is_quarantined:
             return False
         if relay is not None and not relay.may_be_replaced:
             return False
-        return route.repeatable and self._executed_attempts < route.max_attempts
+        attempts = self._executed_attempts + in_progress
+        return route.repeatable and attempts < route.max_attempts
 
-    def _may_move(self) -> bool:
+    def may_replace(self) -> bool:
         """Returns whether another target may take over the request now."""
-        if not (self._may_retry() and self._has_budget()):
+        if not (self._may_retry(in_progress=1) and self._has_budget()):
             return False
         version, relay = None, self._relay
         if self._stream is not None:
@@ -355,6 +366,21 @@
             self._admitted.service, self._tried, version
         )
 
+    async def acquire_replacement(self) -> PlacedRequest:
+        """Returns a grant of another target.
+
+        Raises:
+            RequestRefusedError: No other target has room.
+        """
+        grant, relay = self._grant, self._relay
+        assert grant is not None and relay is not None
+        self._bind_version(grant, relay)
+        return await self._acquire_target()
+
+    def spend_replacement(self) -> bool:
+        """Spends a retry of the budget; returns whether that allowed it."""
+        return self._spend_retry(AttemptResult.SILENT.value)
+
     def _has_budget(self) -> bool:
         parts = self._parts
         routers = parts.known_router_count()
