--- a/packages/core/chervilwall/service_versions.py
+++ b/packages/core/chervilwall/service_versions.py
@@ -63,6 +63,8 @@
         # resumed. The timeouts in force later do not bind them.
         self.left_until: dict[str, float] = {}
         self.agreed: AgreedVersions | None = None
+        # Agreed versions that a peer stated last.
+        self.stated: frozenset[str] = frozenset()
         self.predecessor: Predecessor | None = None
         # Whether a router was lost since. It may have begun streams that are
         # not recorded.
@@ -170,15 +172,17 @@
     ) -> None:
         """Records the agreed versions that a peer states.
 
-        They are ignored if this router has read the versions itself, as the
-        peer may have read them earlier.
+        They do not replace what this router has read itself, as the peer may
+        have read them earlier. But streams may begin at them.
 
         Args:
             name (str): The service.
             versions (Iterable): The versions.
             now (float): Monotonic time.
         """
-        known = self._service(name, now).agreed
+        service = self._service(name, now)
+        service.stated = frozenset(versions)
+        known = service.agreed
         if known is None or known.revision is None:
             self.learn(name, AgreedVersions(frozenset(versions)), now)
 
@@ -224,7 +228,9 @@
     def blocked(self, name: str, now: float) -> frozenset[str]:
         """Returns the registered versions at which no stream may begin yet."""
         service = self._service(name, now)
-        agreed = service.agreed.versions if service.agreed else frozenset()
+        agreed = service.stated
+        if service.agreed is not None:
+            agreed |= service.agreed.versions
         if agreed & service.serving:
             return service.registered - agreed
         return frozenset(
--- a/packages/core/tests/test_stream_versions.py
+++ b/packages/core/tests/test_stream_versions.py
@@ -284,6 +284,13 @@
         versions = self.services.agreed("svc").versions
         self.assertEqual(versions, {OLD, NEW})
 
+    def test_streams_begin_at_versions_that_a_peer_has_agreed_since(self):
+        targets = self.register(OLD, NEW)
+        self.agree(OLD)
+        self.now += 1.1 * AGREE_TIMEOUT_S
+        self.services.learn_from_peer("svc", [OLD, NEW], self.now)
+        self.assertEqual(self.excluded(targets), frozenset())
+
     def test_a_peer_states_the_versions_while_the_store_is_away(self):
         targets = self.register(OLD, NEW)
         self.services.learn_from_peer("svc", [OLD, NEW], self.now)
