Log what a caller had of a body when an attempt was given up

Callers of a route that may be repeated got bodies joined from two answers, and no line said what they had got when another target was asked. E600 and E605 now have sent_bytes, and silent_bytes: what the caller had when another target was last asked for in place of a silent one.

--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -91,6 +91,7 @@
         self._admitted = admitted
         self._replacements = replacements
         self._grant: PlacedRequest | None = None
+        self._silent_bytes = 0
         self.replacement: PlacedRequest | None = None
 
     def __repr__(self) -> str:
@@ -110,6 +111,7 @@
             The attempt with its result.
         """
         self._grant = grant
+        self._silent_bytes = 0
         self.replacement = None
         target = grant.choice.target
         try:
@@ -156,6 +158,8 @@
             relay.partial_bytes,
             relay.last_event_id,
             tuple(exchange.skipped),
+            relay.sent_bytes,
+            self._silent_bytes,
         )
         if outcome_of(attempt) == cell_messages.OUTCOME_COMPLETED:
             crashes.record_success(fingerprints)
@@ -243,6 +247,7 @@
         """
         assert self._grant is not None
         self._grant.record_silence()
+        self._silent_bytes = relay.sent_bytes
         event_count = getattr(relay, "events", 0)
 
         def is_silent() -> bool:
--- a/packages/router/chervilwall_router/edge/caller_response.py
+++ b/packages/router/chervilwall_router/edge/caller_response.py
@@ -78,6 +78,7 @@
 
     Attributes:
         framing (Framing): What shows the caller where the body ends.
+        sent_bytes (int): Bytes of the body that were written.
         may_have_run (bool): Whether a target may have run the request. If not,
             the request is cancelled when its caller disconnects.
     """
@@ -95,6 +96,7 @@
         self._may_chunk = chunked
         self._bodiless = bodiless
         self.framing = Framing.NONE
+        self.sent_bytes = 0
         self.may_have_run = True
         self._close_after = False
         self.started = False
@@ -162,6 +164,7 @@
     def _frame(self, chunk: bytes) -> bytes:
         if not chunk or self._bodiless:
             return b""
+        self.sent_bytes += len(chunk)
         if self.framing is Framing.CHUNKED:
             return b"%x\r\n%b\r\n" % (len(chunk), chunk)
         return chunk
--- a/packages/router/chervilwall_router/edge/relay.py
+++ b/packages/router/chervilwall_router/edge/relay.py
@@ -45,6 +45,11 @@
     def __repr__(self) -> str:
         return f"BufferedRelay(size={self._body_bytes})"
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of the body that the caller was sent."""
+        return self._answer.sent_bytes
+
     @property
     def partial_bytes(self) -> int:
         """Always 0, as the body is not divided into events."""
@@ -172,6 +177,11 @@
     def __repr__(self) -> str:
         return f"StreamRelay(last_event_id={self.last_event_id})"
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes that the caller was sent, in this attempt or before."""
+        return self._answer.sent_bytes
+
     @property
     def partial_bytes(self) -> int:
         """Bytes received after the last complete event."""
--- a/packages/router/chervilwall_router/edge/request_log.py
+++ b/packages/router/chervilwall_router/edge/request_log.py
@@ -168,6 +168,8 @@
     ending: str
     partial_bytes: int
     skipped: str
+    sent_bytes: int
+    silent_bytes: int
 
 
 def _describe_ending(attempt: Attempt) -> _EndingFields:
@@ -177,4 +179,6 @@
         skipped=",".join(
             f"{s.status} {s.reason.value}" for s in attempt.skipped
         ),
+        sent_bytes=attempt.sent_bytes,
+        silent_bytes=attempt.silent_bytes,
     )
--- a/packages/router/chervilwall_router/edge/request_types.py
+++ b/packages/router/chervilwall_router/edge/request_types.py
@@ -72,6 +72,10 @@
             in this attempt or before, or 0. Defaults to 0.
         skipped (tuple[SkippedResponse, ...]): Responses that did not belong to
             the attempt. Defaults to none.
+        sent_bytes (int): Bytes of the body that the caller had at its end.
+            Defaults to 0.
+        silent_bytes (int): Those that the caller had when another target was
+            last asked for in place of this one. Defaults to 0.
     """
 
     result: AttemptResult
@@ -82,6 +86,8 @@
     partial_bytes: int = 0
     last_event_id: int = 0
     skipped: tuple[SkippedResponse, ...] = ()
+    sent_bytes: int = 0
+    silent_bytes: int = 0
 
 
 class AdmittedRequest(NamedTuple):
--- a/packages/standins/chervilwall_standins/users/target.py
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -120,6 +120,18 @@
     repeats: bool = False
 
 
+class BodyPart(NamedTuple):
+    """Part of a body that is sent after a pause.
+
+    Args:
+        size (int): Number of bytes.
+        pause_s (float): Pause before it, in seconds. Defaults to 0.
+    """
+
+    size: int
+    pause_s: float = 0.0
+
+
 class ReceivedRequest(NamedTuple):
     """A request that arrived at a target.
 
@@ -219,6 +231,9 @@
         # connection, as `_head` takes it.
         self.resumption_body = b""
         self.resumption_length: int | None = -1
+        # Parts of a chunked body that is no event stream; the target sends no
+        # end of it. Empty for none.
+        self.body_parts: tuple[BodyPart, ...] = ()
         # Bytes of the head of a response after which the connection ends, None
         # for whole responses; whether it is reset then.
         self.head_bytes: int | None = None
@@ -467,6 +482,9 @@
                 body = _chunk(body) + b"0\r\n\r\n"
             writer.write(_head(200, identity | EVENT_STREAM, length) + body)
             return False
+        if self.body_parts:
+            await self._send_parts(reader, writer, identity)
+            return False
         if self.unframed is not None:
             await self._send_unframed(self.unframed, request, writer, identity)
             return False
@@ -509,6 +527,20 @@
             await asyncio.sleep(RESET_DELAY_S)
             writer.transport.abort()
 
+    async def _send_parts(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        identity: dict[str, str],
+    ) -> None:
+        """Sends the parts of a body, and then nothing until the router left."""
+        identity["Content-Type"] = "application/json"
+        writer.write(_head(self.large_status, identity, -1))
+        for part in self.body_parts:
+            await asyncio.sleep(part.pause_s)
+            writer.write(_chunk(b"x" * part.size))
+        await reader.read(1)
+
     async def _send_unframed(
         self,
         end: UnframedEnd,
