--- a/packages/standins/tests/test_edge_joined_bodies.py
+++ b/packages/standins/tests/test_edge_joined_bodies.py
@@ -54,6 +54,12 @@
         self.assertFalse(response.is_complete)
         self.assertEqual(response.body, b"x" * sent)
 
+    async def test_a_body_that_begins_while_a_target_is_asked_for_is_not_joined(
+        self,
+    ):
+        await self.start()
+        await self.check()
+
     async def test_a_large_body_on_a_streaming_route_is_not_joined(self):
         await self.start(kind="streaming", resumable=True)
         await self.check()
