End the search for a replacement once a part of the body was sent

Callers of a route that may be repeated got one body of two answers, in chunks and complete: the search for another target in place of a silent one was decided while the silent one's body fit the buffer. It went on past 1 MiB during the search, so that its first part was sent, and only events and the retry budget were looked at when the grant came.

Whether the answer may be replaced is now asked at each step of the search and again when the grant is there; nothing is awaited between that and the retry. The same covers a request that is quarantined, and a service without another target of the stream's version, meanwhile.

--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -240,7 +240,10 @@
         work: "asyncio.Future[None]",
         relay: BufferedRelay | StreamRelay,
     ) -> bool:
-        """Asks for another target until the current one goes on.
+        """Asks for another target while the current one may be replaced.
+
+        The search ends once the current target goes on, or once its answer
+        can no longer be replaced, such as after a part of it was sent.
 
         Returns:
             Whether there is a replacement, for which a retry was spent.
@@ -250,19 +253,21 @@
         self._silent_bytes = relay.sent_bytes
         event_count = getattr(relay, "events", 0)
 
-        def is_silent() -> bool:
+        def is_replaceable() -> bool:
             has_event = getattr(relay, "events", 0) != event_count
-            return not (work.done() or has_event)
+            if work.done() or has_event:
+                return False
+            return self._replacements.may_replace()
 
         asking = asyncio.ensure_future(self._replacements.acquire_replacement())
         try:
-            while is_silent() and not asking.done():
+            while is_replaceable() and not asking.done():
                 await asyncio.wait(
                     (work, asking),
                     timeout=PROGRESS_INTERVAL_S,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
-            if is_silent():
+            if is_replaceable():
                 self.replacement = self._take_replacement(asking)
         finally:
             if self.replacement is None:
