Break off a body without framing that ends inside another head

Callers got the beginning of a second answer as a part of their body where the first one had neither length nor chunks: the second was cut inside its head, so the id that the detector waited for never came, and the end of the connection counted as the end of the body. Where the target names no id, a whole second answer was taken for a part of the body as well.

The bytes behind a status line are now read as a head, line by line. A whole head that names a request of the connection, or that names none and is signed or says that a request was not run, ends the body as broken; so does a head that the end of the connection cuts off. A body may still quote responses. At most 1,024 status lines of a body are examined.

Not told from text: a copy that is cut within its first four bytes, "HTTP".

--- a/packages/router/chervilwall_router/edge/_repeated_head.py
+++ b/packages/router/chervilwall_router/edge/_repeated_head.py
@@ -3,9 +3,27 @@
 import re
 from collections.abc import Collection
 
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}")
-_STATUS_LINE_BYTES = len(b"HTTP/1.1 200")
+from chervilwall.protocol import WireFormat
+
+from chervilwall_router.edge._head import decode_headers
+
 MAX_HEAD_BYTES = 65_536
+# Status lines that are examined in one body: each costs more than its bytes.
+MAX_STATUS_LINES = 1024
+# Longest reason phrase of a status line that is recognized.
+MAX_REASON_BYTES = 64
+_MAX_STATUS_LINE_BYTES = len(b"HTTP/1.1 200 \r\n") + MAX_REASON_BYTES
+_REASON = rb"[^\r\n]{0,%d}" % MAX_REASON_BYTES
+_NAME = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+# Not bound to the beginning of a line: the bytes before belong to the body.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})(?: " + _REASON + rb")?\r?\n")
+_CUT_STATUS_LINE = re.compile(
+    rb"HTTP/(?:1(?:\.(?:[01](?: (?:\d{0,2}|\d{3}(?: "
+    + _REASON
+    + rb")?\r?))?)?)?)?\Z"
+)
+_HEADER_LINE = re.compile(rb"(" + _NAME + rb"):([^\r\n]*)\r?\n")
+_CUT_HEADER_LINE = re.compile(rb"(?:" + _NAME + rb"(?::[^\r\n]*)?)?\r?")
 
 
 class RepeatedHeadDetector:
@@ -13,31 +31,83 @@
 
     A body without length or chunks has no end but that of its connection, so
     nothing else tells a response that a target sends next from the body. A
-    status line alone may be text; an id of a request is in no body by chance.
+    body may also quote a response. A head is taken for one that a target sent
+    if it names a request of the connection, or if it names none and is signed
+    or states that a request was not run. One that is cut off by the end of the
+    body may have named anything.
 
     Args:
         request_ids (Collection): Ids of the requests that the connection has
             carried.
+        wire (WireFormat): Decodes the heads of responses.
     """
 
-    def __init__(self, request_ids: Collection[str]) -> None:
-        self._ids = [i.encode("latin1", "replace") for i in request_ids if i]
-        self._tail = b""
+    def __init__(self, request_ids: Collection[str], wire: WireFormat) -> None:
+        self._ids = frozenset(i for i in request_ids if i)
+        self._wire = wire
+        # Bytes that are not yet known to be a status line or a header.
+        self._rest = b""
+        # Status and headers of the head that is being read; 0 for no head.
+        self._status = 0
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._head_bytes = 0
+        self._status_lines = 0
 
     def __repr__(self) -> str:
         return f"RepeatedHeadDetector(ids={len(self._ids)})"
 
     def feed(self, chunk: bytes) -> bool:
-        """Adds bytes of the body; returns whether they hold a head."""
-        data = self._tail + chunk
-        found = _STATUS_LINE.search(data)
-        if found is None:
-            self._tail = data[1 - _STATUS_LINE_BYTES :]
+        """Adds bytes of the body; returns whether a target's head is whole."""
+        data, start = self._rest + chunk, 0
+        while True:
+            if not self._status:
+                if self._status_lines == MAX_STATUS_LINES:
+                    self._rest = b""
+                    return False
+                found = _STATUS_LINE.search(data, start)
+                if found is None:
+                    tail = len(data) - _MAX_STATUS_LINE_BYTES
+                    self._rest = data[max(start, tail) :]
+                    return False
+                start = found.end()
+                self._status_lines += 1
+                self._status, self._head_bytes = int(found[1]), 0
+                self._headers = []
+            end = data.find(b"\n", start) + 1
+            if end == 0:
+                self._rest = data[start:]
+                if self._head_bytes + len(self._rest) <= MAX_HEAD_BYTES:
+                    return False
+                self._status = 0
+            elif self._add_line(data[start:end]):
+                return True
+            elif self._status:
+                start = end
+
+    def ends_inside_head(self) -> bool:
+        """Returns whether the bytes end inside the head of a response."""
+        if self._status:
+            return _CUT_HEADER_LINE.fullmatch(self._rest) is not None
+        return _CUT_STATUS_LINE.search(self._rest) is not None
+
+    def _add_line(self, line: bytes) -> bool:
+        """Adds a line to the head; returns whether a target's head is whole.
+
+        Sets `_status` to 0 if the line, or the head, is not that of a response.
+        """
+        self._head_bytes += len(line)
+        header = _HEADER_LINE.fullmatch(line)
+        if header is not None and self._head_bytes <= MAX_HEAD_BYTES:
+            self._headers.append((header[1], header[2].strip()))
             return False
-        if any(data.find(i, found.end()) >= 0 for i in self._ids):
-            return True
-        # The id may be in the next read.
-        is_short = len(data) - found.start() <= MAX_HEAD_BYTES
-        start = found.start() if is_short else 1 - _STATUS_LINE_BYTES
-        self._tail = data[start:]
-        return False
+        is_of_target = line in (b"\n", b"\r\n") and self._is_of_target()
+        self._status = 0
+        return is_of_target
+
+    def _is_of_target(self) -> bool:
+        head = self._wire.decode_response_head(
+            self._status, decode_headers(self._headers)
+        )
+        if head.request_id:
+            return head.request_id in self._ids
+        return head.signed or head.not_executed
--- a/packages/router/chervilwall_router/edge/exchange.py
+++ b/packages/router/chervilwall_router/edge/exchange.py
@@ -226,7 +226,8 @@
         """Ends the exchange after the connection closed.
 
         A response that is neither chunked nor has a length ends with the
-        connection, so it is complete if the target closed that cleanly.
+        connection, so it is complete if the target closed that cleanly and
+        had not begun another one.
         """
         self.reusable = False
         if not self._is_done():
@@ -239,7 +240,10 @@
             and not self._is_done()
             and not self._in_head
         ):
-            self.is_complete = True
+            if self._repeats is not None and self._repeats.ends_inside_head():
+                reason = "the body ends inside the head of a response"
+            else:
+                self.is_complete = True
         self._finish(reason)
 
     # Callbacks of the parser.
@@ -278,7 +282,9 @@
         self._on_head(head)
         self.head = head
         if not head.is_delimited:
-            self._repeats = RepeatedHeadDetector(self._conn.request_ids)
+            self._repeats = RepeatedHeadDetector(
+                self._conn.request_ids, self._wire
+            )
         self._receiver.receive_head(head)
         if self._is_head_request:
             self.is_complete = True
--- a/packages/router/tests/test_edge_exchange.py
+++ b/packages/router/tests/test_edge_exchange.py
@@ -79,6 +79,50 @@
         await self.done
         self.assertTrue(self.exchange.is_complete)
 
+    async def receive_unframed(self, body, *, size=1000):
+        """Receives a body without framing; returns whether it is complete."""
+        await self.asyncSetUp()
+        data = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\n\r\n" + body
+        for at in range(0, len(data), size):
+            if not self.done.done():
+                self.exchange.receive(data[at : at + size])
+        self.exchange.on_connection_lost("closed", clean=True)
+        await self.done
+        return self.exchange.is_complete
+
+    async def test_a_copy_that_is_cut_in_its_head_does_not_end_a_body(self):
+        with_id = b"Attempt-Id: r1\r\nResponse-Signature: s\r\n\r\n"
+        without_id = b"X-Any: 1\r\nResponse-Signature: s\r\n\r\n"
+        for headers in (with_id, without_id):
+            head = b"HTTP/1.1 200 OK\r\n" + headers
+            # Fewer bytes may be the end of any text.
+            for length in range(len(b"HTTP/"), len(head) + 1):
+                for size in (1, 1000):
+                    body = b"body" + head[:length]
+                    with self.subTest(body=body, size=size):
+                        self.assertFalse(
+                            await self.receive_unframed(body, size=size)
+                        )
+
+    async def test_a_refusal_without_id_behind_a_body_does_not_end_it(self):
+        self.assertFalse(await self.receive_unframed(b"body" + REFUSAL))
+
+    async def test_a_body_without_framing_may_hold_parts_of_heads(self):
+        for body in (
+            b"H",
+            b"curl -> HTTP/1.1 200 OK\nno header\n",
+            b"HTTP/1.1 200 OK\r\nX-Any: 1\r\n\r\n",
+            b"HTTP/1.1 20x",
+            b"HTTP/1.1 200 OK\r\nX-Any: 1\r\n\r\nbody\r\n",
+            b"HTTP/1.1 200 " + b"x" * 100,
+            b"HTTP/1.1 200 OK\r\nX: " + b"x" * 70_000,
+        ):
+            for size in (1, 1000):
+                with self.subTest(body=body[:80], size=size):
+                    self.assertTrue(
+                        await self.receive_unframed(body, size=size)
+                    )
+
     async def test_bytes_after_an_answer_end_the_connection(self):
         self.exchange.receive(ANSWER)
         self.exchange.receive(b"x")
--- a/packages/standins/chervilwall_standins/users/target.py
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -111,6 +111,8 @@
         resets (bool): Whether the connection is reset. Defaults to False.
         repeats (bool): Whether the response is sent twice before the end.
             Defaults to False.
+        repeated_bytes (int): Bytes of a copy of the head that follow a body
+            that is no stream. Defaults to 0.
     """
 
     is_whole: bool = False
@@ -118,6 +120,7 @@
     crashes: bool = False
     resets: bool = False
     repeats: bool = False
+    repeated_bytes: int = 0
 
 
 class BodyPart(NamedTuple):
@@ -566,6 +569,8 @@
             body = f"{self.id}:{request.id}".encode()
             writer.write(_head(200, identity, None))
             writer.write(body if end.is_whole else body[:-3])
+            copy = _head(200, identity, None)
+            writer.write(copy[: end.repeated_bytes])
         await writer.drain()
         if end.resets:
             linger = struct.pack("ii", 1, 0)
--- a/packages/standins/tests/test_edge_broken_off.py
+++ b/packages/standins/tests/test_edge_broken_off.py
@@ -243,6 +243,11 @@
         response = await self.fleet.call("/book/x")
         self.assertEqual(response.status, 502)
 
+    async def test_a_copy_that_is_cut_in_its_head_does_not_end_a_body(self):
+        self.set_ends(UnframedEnd(is_whole=True, repeated_bytes=40))
+        response = await self.call_until_first("/read/x")
+        self.assertRegex(response.body, rb"^p1:r\d$")
+
     async def test_an_endless_body_is_not_joined_with_another_answer(self):
         # It is sent for longer than a target may be silent, so that the other
         # one would be asked if that was still possible.
