Do not eject a target because a request ran out of time

A request whose time limit passed while a connection was opened counted as not sent, like one whose target refuses the connection: the sound target was ejected for two seconds or more, and other callers waited or were refused. Found while looking for decisions that outlive their ground.

The attempt is now withdrawn: not sent, nothing is said about the target, and a trial or a paced place is given back as before.

--- a/packages/core/chervilwall/cell_messages.py
+++ b/packages/core/chervilwall/cell_messages.py
@@ -29,10 +29,15 @@
 OUTCOME_ERROR = "error"
 # Not sent to the target, in most cases as no connection could be opened.
 OUTCOME_NOT_SENT = "not_sent"
+# Not sent although the target could be reached: the reason to send it there was
+# gone. Reported by edge routers only.
+OUTCOME_WITHDRAWN = "withdrawn"
 # The target did not answer within a time limit. May have run.
 OUTCOME_TIMEOUT = "timeout"
 # Outcomes of requests that no target started to run.
-OUTCOMES_NOT_RUN = frozenset((OUTCOME_REFUSED, OUTCOME_NOT_SENT))
+OUTCOMES_NOT_RUN = frozenset(
+    (OUTCOME_REFUSED, OUTCOME_NOT_SENT, OUTCOME_WITHDRAWN)
+)
 # Value of `Done.cost` when the actual cost is unknown: the team stays charged
 # with the estimate.
 COST_UNKNOWN = -1.0
--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -44,7 +44,12 @@
 PROGRESS_INTERVAL_S = 0.05
 # Results after which the attempt is no evidence that the target crashed.
 _NO_CRASH_EVIDENCE = frozenset(
-    (AttemptResult.ANSWERED, AttemptResult.NOT_EXECUTED, AttemptResult.NOT_SENT)
+    (
+        AttemptResult.ANSWERED,
+        AttemptResult.NOT_EXECUTED,
+        AttemptResult.NOT_SENT,
+        AttemptResult.WITHDRAWN,
+    )
 )
 
 
@@ -175,7 +180,10 @@
         clock = self._parts.clock
         remaining_s = admitted.deadline_at - clock()
         if remaining_s <= RETURN_MARGIN_S:
-            return AttemptResult.NOT_SENT
+            exchange.reason = (
+                "the time limit passed before the request was sent"
+            )
+            return AttemptResult.WITHDRAWN
         last_event_id = (
             relay.last_event_id if isinstance(relay, StreamRelay) else 0
         )
--- a/packages/router/chervilwall_router/edge/dispatcher.py
+++ b/packages/router/chervilwall_router/edge/dispatcher.py
@@ -436,7 +436,10 @@
             outcome (str): One of the OUTCOME_ constants of cell_messages.
         """
         now = self._clock()
-        if outcome == cell_messages.OUTCOME_NOT_SENT:
+        if outcome in (
+            cell_messages.OUTCOME_NOT_SENT,
+            cell_messages.OUTCOME_WITHDRAWN,
+        ):
             self._parts.pacer.record_not_sent(grant.choice.target, now)
         if outcome == cell_messages.OUTCOME_COMPLETED:
             self._parts.crashes.record_parts_answered(
--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -56,6 +56,7 @@
 MAX_NOT_EXECUTED_RETRIES = 2
 # Retry-After of requests that a graceful shutdown refuses.
 LEAVING_RETRY_S = 0.1
+_NOT_SENT_RESULTS = (AttemptResult.NOT_SENT, AttemptResult.WITHDRAWN)
 OUTCOME_ANSWERED = "answered"
 # Cause of a retry after an answer that says that its target failed.
 CAUSE_FAILED = "failed"
@@ -300,7 +301,7 @@
         if attempt.result is AttemptResult.TIMED_OUT:
             self._fail(answer, attempt, 504, "timeout")
             return True
-        if attempt.result is AttemptResult.NOT_SENT:
+        if attempt.result in _NOT_SENT_RESULTS:
             return self._handle_not_sent(attempt, answer)
         if attempt.result is AttemptResult.NOT_EXECUTED:
             self._not_executed += 1
@@ -458,9 +459,9 @@
         return allowed
 
     def _record_attempt(self, attempt: Attempt) -> None:
-        if attempt.result not in (
-            AttemptResult.NOT_SENT,
-            AttemptResult.NOT_EXECUTED,
+        if (
+            attempt.result not in _NOT_SENT_RESULTS
+            and attempt.result is not AttemptResult.NOT_EXECUTED
         ):
             self._executed_attempts += 1
         if outcome_of(attempt) != cell_messages.OUTCOME_COMPLETED:
--- a/packages/router/chervilwall_router/edge/request_types.py
+++ b/packages/router/chervilwall_router/edge/request_types.py
@@ -35,6 +35,9 @@
     """
 
     NOT_SENT = "not sent"
+    # Not sent although the target accepted a connection: a reason to send the
+    # request there was gone by then.
+    WITHDRAWN = "withdrawn"
     NOT_EXECUTED = "not executed"
     ANSWERED = "answered"
     # The response was cut off, is invalid, or must not be relayed; or the
@@ -48,6 +51,7 @@
 
 _OUTCOMES = {
     AttemptResult.NOT_SENT: cell_messages.OUTCOME_NOT_SENT,
+    AttemptResult.WITHDRAWN: cell_messages.OUTCOME_WITHDRAWN,
     AttemptResult.NOT_EXECUTED: cell_messages.OUTCOME_REFUSED,
     AttemptResult.BROKEN: cell_messages.OUTCOME_BROKEN,
     AttemptResult.SILENT: cell_messages.OUTCOME_TIMEOUT,
--- a/packages/router/tests/test_edge_flow.py
+++ b/packages/router/tests/test_edge_flow.py
@@ -7,12 +7,14 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from chervilwall.cell_messages import OUTCOME_WITHDRAWN
 from chervilwall.crash_ledger import CrashLedger
 from chervilwall.errors import DialError, RequestRefusedError
 from chervilwall.host_load import HostLoad
 from chervilwall.http_messages import InboundRequest
 from chervilwall.placement import Choice
 from chervilwall.prefix import PromptPart
+from chervilwall.quarantine_status import NO_CRASHES
 from chervilwall.registry import RegisteredTarget
 from chervilwall.routing import Route, RouteKind, RoutingTable, WeightedService
 from chervilwall.stream_versions import StreamVersions
@@ -41,7 +43,10 @@
 
 
 class _GrantingScheduling:
-    """Grant the same target to every request."""
+    """Grant the same target to every request and record the outcomes."""
+
+    def __init__(self):
+        self.outcomes = []
 
     async def acquire(self, request):
         target = RegisteredTarget("t", "s", "127.0.0.1:9", "z", 8)
@@ -51,7 +56,7 @@
             request.arrived_at,
             mock.Mock(),
             mock.Mock(),
-            mock.Mock(),
+            self.outcomes.append,
         )
 
 
@@ -66,6 +71,17 @@
         raise DialError("timed out", step="connect", peer=target.address)
 
 
+class _SlowConnections:
+    """Connect after the time limit of every request."""
+
+    def __init__(self, limit_s):
+        self._limit_s = limit_s
+
+    async def acquire(self, target):
+        await asyncio.sleep(self._limit_s)
+        return mock.MagicMock()
+
+
 class RequestFlowTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.scheduling = _RefusingScheduling()
@@ -133,6 +149,16 @@
         self.assertEqual((problem.status, problem.reason), (503, "timeout"))
         self.assertEqual(problem.executed, EXECUTED_NO)
 
+    async def test_a_time_limit_that_ends_before_a_send_ejects_no_target(self):
+        parts = self.flow._parts
+        scheduling = parts.scheduling = _GrantingScheduling()
+        parts.connections = _SlowConnections(0.05)
+        parts.crashes = mock.MagicMock()
+        parts.crashes.status.return_value = NO_CRASHES
+        problem = await self.arrive(remaining_s=0.05)
+        self.assertEqual((problem.status, problem.reason), (503, "timeout"))
+        self.assertEqual(scheduling.outcomes, [OUTCOME_WITHDRAWN])
+
 
 class _FullTargets:
     """Refuse replacements at the end of a wait."""
