Send no request to a target that drained while it was dialled

A request was placed, a connection was opened for up to half a second, and the request was sent although meanwhile the target had begun to drain, was removed or had asked for a pause, or the request had crashed another target. Found by reading each await between a decision and what it decides: the class of the joined bodies. No caller reported it.

What spoke for the target and the request is asked again once the connection is open; if it is gone, the attempt is withdrawn and the request placed anew.

--- a/packages/core/chervilwall/quarantine_status.py
+++ b/packages/core/chervilwall/quarantine_status.py
@@ -37,6 +37,17 @@
         """Returns whether the request must not run now."""
         return self.is_quarantined and now < self.trial_at
 
+    def has_worsened_since(self, before: "QuarantineStatus") -> bool:
+        """Returns whether it was quarantined, or crashed a target, since.
+
+        Args:
+            before (QuarantineStatus): Earlier status of the same request.
+        """
+        if not self.is_quarantined:
+            return False
+        is_new = not before.is_quarantined
+        return is_new or len(self.crashes) > len(before.crashes)
+
     def retry_after_s(self, now: float) -> float:
         """Returns the seconds after which a caller should retry."""
         return min(
--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -6,6 +6,7 @@
 from chervilwall import cell_messages
 from chervilwall.errors import DialError, RequestRefusedError
 from chervilwall.http_messages import ResponseHead
+from chervilwall.quarantine_status import QuarantineStatus
 from chervilwall.registry import RegisteredTarget
 
 from chervilwall_router.edge.connections import max_idle_connections
@@ -119,13 +120,18 @@
         self._silent_bytes = 0
         self.replacement = None
         target = grant.choice.target
+        crashes, fingerprints = self._parts.crashes, self._admitted.fingerprints
+        status = crashes.status(fingerprints)
         try:
             conn = await self._parts.connections.acquire(target)
         except DialError as exc:
             if exc.refused:
-                self._parts.crashes.record_connection_refused(target)
+                crashes.record_connection_refused(target)
             return Attempt(AttemptResult.NOT_SENT, target, reason=exc.reason)
-        crashes, fingerprints = self._parts.crashes, self._admitted.fingerprints
+        reason = self._withdrawal_reason(target, status)
+        if reason:
+            conn.close()
+            return Attempt(AttemptResult.WITHDRAWN, target, reason=reason)
         request_id = self._admitted.req.id
         with crashes.attempt(target, request_id, fingerprints) as watched:
 
@@ -170,6 +176,25 @@
             crashes.record_success(fingerprints)
         return attempt
 
+    def _withdrawal_reason(
+        self, target: RegisteredTarget, status: QuarantineStatus
+    ) -> str:
+        """Returns why a request must not be sent any more, "" if it may.
+
+        Opening a connection takes time, in which what spoke for the target or
+        the request may have changed.
+
+        Args:
+            target (RegisteredTarget): Target that it was about to be sent to.
+            status (QuarantineStatus): Status of the request before.
+        """
+        if not self._parts.scheduling.takes_requests(target):
+            return "the target stopped taking requests"
+        now = self._parts.crashes.status(self._admitted.fingerprints)
+        if now.has_worsened_since(status):
+            return "a target crashed under the request"
+        return ""
+
     async def _exchange(
         self,
         exchange: Exchange,
--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -140,7 +140,7 @@
                     self._end_without_target(answer, last, _shutdown_refusal())
                 raise
             status = self._quarantine_status()
-            if _has_worsened(status_before, status):
+            if status.has_worsened_since(status_before):
                 # The scheduler granted the target before it learned of the
                 # latest crash.
                 with grant:
@@ -613,13 +613,6 @@
     )
 
 
-def _has_worsened(before: QuarantineStatus, now: QuarantineStatus) -> bool:
-    """Returns whether a request was quarantined, or crashed a target, since."""
-    if not now.is_quarantined:
-        return False
-    return not before.is_quarantined or len(now.crashes) > len(before.crashes)
-
-
 def _make_stream(
     admitted: AdmittedRequest, streams: StreamVersions
 ) -> StreamDemand | None:
--- a/packages/router/chervilwall_router/edge/scheduling.py
+++ b/packages/router/chervilwall_router/edge/scheduling.py
@@ -260,6 +260,17 @@
             )
         return request._replace(excluded=request.excluded | paused)
 
+    def takes_requests(self, target: RegisteredTarget) -> bool:
+        """Returns whether a target that was granted may still be used.
+
+        Args:
+            target (RegisteredTarget): Target as it was registered then.
+        """
+        known = self._parts.registry.get(target.id)
+        if known is None or known.draining or known.start != target.start:
+            return False
+        return target.id not in self._parts.pauses.paused(self._parts.clock())
+
     def _usable_target(
         self, target_id: str, request: GrantRequest, version: str
     ) -> RegisteredTarget:
--- a/packages/router/tests/test_edge_flow.py
+++ b/packages/router/tests/test_edge_flow.py
@@ -48,6 +48,9 @@
     def __init__(self):
         self.outcomes = []
 
+    def takes_requests(self, target):
+        return True
+
     async def acquire(self, request):
         target = RegisteredTarget("t", "s", "127.0.0.1:9", "z", 8)
         return PlacedRequest(
