Ask once whether a silent target may be replaced

A request could end with a 500 of the router while its target was about to answer: the search for a replacement asked twice in a row whether it may go on, and the retry budget may be earned between the two. The search then ended, and its grant that had not come was read.

Each step asks once, and takes the grant only if it has come.

test_a_budget_that_is_earned_again_fails_no_search: InvalidStateError before, passed after; test_edge_flow and test_edge_joined_bodies passed.

--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -294,14 +294,15 @@
 
         asking = asyncio.ensure_future(self._replacements.acquire_replacement())
         try:
-            while is_replaceable() and not asking.done():
+            while is_replaceable():
+                if asking.done():
+                    self.replacement = self._take_replacement(asking)
+                    break
                 await asyncio.wait(
                     (work, asking),
                     timeout=PROGRESS_INTERVAL_S,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
-            if is_replaceable():
-                self.replacement = self._take_replacement(asking)
         finally:
             if self.replacement is None:
                 asking.cancel()
--- a/packages/router/tests/test_edge_flow.py
+++ b/packages/router/tests/test_edge_flow.py
@@ -178,6 +178,21 @@
 
 
 class SilentTargetTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_budget_that_is_earned_again_fails_no_search(self):
+        # Each check of the budget may differ from the one before.
+        replacements = _FullTargets(time.monotonic() + 60.0)
+        answers = iter((True, False, True))
+        replacements.may_replace = lambda: next(answers, False)
+        runner = AttemptRunner(
+            SimpleNamespace(clock=time.monotonic),
+            SimpleNamespace(deadline_at=time.monotonic() + 5.0, route=ROUTE),
+            replacements,
+        )
+        runner._grant = mock.MagicMock()
+        work = asyncio.get_running_loop().create_future()
+        relay = mock.Mock(events=0, sent_bytes=0)
+        self.assertFalse(await runner._find_replacement(work, relay))
+
     async def test_the_search_for_another_target_ends_in_time(self):
         now = time.monotonic()
         deadline_at = now + MIN_SILENCE_S + 0.4
