Withdraw a request whose caller left, or whose router stops, in a dial

The attempt is withdrawn for the first two; a later start at the same address and of the same version is used. Whether a request is begun too late is asked as long as no target has run it, not only before its first attempt.

--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -73,6 +73,10 @@
         """Spends a retry of the budget; returns whether that allowed it."""
         ...
 
+    def end_reason(self) -> str:
+        """Returns why the request must not be begun any more, "" if it may."""
+        ...
+
 
 class AttemptRunner:
     """Send a request to a target and supervise its answer.
@@ -193,7 +197,7 @@
         now = self._parts.crashes.status(self._admitted.fingerprints)
         if now.has_worsened_since(status):
             return "a target crashed under the request"
-        return ""
+        return self._replacements.end_reason()
 
     async def _exchange(
         self,
--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -108,6 +108,7 @@
         self._grant: PlacedRequest | None = None
         self._relay: BufferedRelay | StreamRelay | None = None
         self._failure: _FailureAnswer | None = None
+        self._answer: CallerResponse | None = None
         self._stream = _make_stream(admitted, parts.streams)
         self._attempts = AttemptRunner(parts, admitted, self)
 
@@ -123,10 +124,14 @@
         self._budget.record_request(
             self._parts.clock(), self._parts.known_router_count()
         )
+        self._answer = answer
         relay = self._relay = self._make_relay(answer)
         last: Attempt | None = None
         while True:
             answer.may_have_run = self._executed_attempts > 0
+            if self._has_caller_left():
+                self._parts.metrics.count("ended_caller_left")
+                return
             status_before = self._quarantine_status()
             try:
                 grant = (
@@ -148,13 +153,12 @@
                         answer, last, self._crash_refusal()
                     )
                 return
-            if not self._tried and self._is_too_late():
+            if self._is_begun_too_late():
                 with grant:
                     refusal = _shutdown_refusal()
                     self._end_without_target(answer, last, refusal)
                 return
-            if answer.closed() and not answer.may_have_run:
-                # The caller disconnected during an attempt that did not run.
+            if self._has_caller_left():
                 with grant:
                     self._parts.metrics.count("ended_caller_left")
                 return
@@ -431,6 +435,22 @@
         """Spends a retry of the budget; returns whether that allowed it."""
         return self._spend_retry(AttemptResult.SILENT.value)
 
+    def end_reason(self) -> str:
+        """Returns why the request must not be begun any more, "" if it may."""
+        if self._has_caller_left():
+            return "the caller left"
+        return "the router stops" if self._is_begun_too_late() else ""
+
+    def _has_caller_left(self) -> bool:
+        """Returns whether nobody waits for a request that no target has run."""
+        answer = self._answer
+        assert answer is not None
+        return answer.closed() and not self._executed_attempts
+
+    def _is_begun_too_late(self) -> bool:
+        """Returns whether the router stops before a target has run it."""
+        return not self._executed_attempts and self._is_too_late()
+
     def _has_budget(self) -> bool:
         parts = self._parts
         routers = parts.known_router_count()
--- a/packages/router/chervilwall_router/edge/scheduling.py
+++ b/packages/router/chervilwall_router/edge/scheduling.py
@@ -267,7 +267,10 @@
             target (RegisteredTarget): Target as it was registered then.
         """
         known = self._parts.registry.get(target.id)
-        if known is None or known.draining or known.start != target.start:
+        if known is None or known.draining:
+            return False
+        # A later start under the same id serves as well.
+        if (known.address, known.version) != (target.address, target.version):
             return False
         return target.id not in self._parts.pauses.paused(self._parts.clock())
 
--- a/packages/router/tests/test_edge_flow.py
+++ b/packages/router/tests/test_edge_flow.py
@@ -163,6 +163,46 @@
         self.assertEqual(scheduling.outcomes, [OUTCOME_WITHDRAWN])
 
 
+class _StoppingConnections:
+    """Begin a stop of the router while a connection is opened."""
+
+    def __init__(self, flow, conn):
+        self._flow = flow
+        self._conn = conn
+        self.dialled = 0
+
+    async def acquire(self, target):
+        self.dialled += 1
+        self._flow.aborts_at = time.monotonic() + 0.01
+        if self._conn is None:
+            raise DialError("timed out", step="connect", peer=target.address)
+        return self._conn
+
+
+class LateInStopTest(unittest.IsolatedAsyncioTestCase):
+    setUp = RequestFlowTest.setUp
+    arrive = RequestFlowTest.arrive
+
+    async def begin(self, conn):
+        parts = self.flow._parts
+        parts.scheduling = _GrantingScheduling()
+        parts.crashes = mock.MagicMock()
+        parts.crashes.status.return_value = NO_CRASHES
+        connections = _StoppingConnections(self.flow, conn)
+        parts.connections = connections
+        problem = await self.arrive()
+        self.assertEqual(problem.executed, EXECUTED_NO)
+        self.assertEqual(connections.dialled, 1)
+
+    async def test_no_request_is_begun_late_after_one_that_was_not_sent(self):
+        await self.begin(None)
+
+    async def test_no_request_is_sent_late_after_a_connection_was_opened(self):
+        conn = mock.MagicMock()
+        await self.begin(conn)
+        conn.write.assert_not_called()
+
+
 class _FullTargets:
     """Refuse replacements at the end of a wait."""
 
--- a/packages/standins/tests/test_edge_late_connections.py
+++ b/packages/standins/tests/test_edge_late_connections.py
@@ -59,6 +59,24 @@
 
         await self.call_and_change(pause)
 
+    async def test_a_target_that_starts_anew_under_its_id_is_used(self):
+        await self.fleet.remove_target(self.targets[1])
+        target = self.targets[0]
+        call = asyncio.ensure_future(self.fleet.call("/book/x"))
+        await self.dialled
+        target.born_ms += 1
+        await self.fleet.store.put("servers", target.id, target.spec())
+        response = await call
+        self.assertEqual(response.status, 200)
+
+    async def test_a_booking_whose_caller_leaves_meanwhile_is_not_sent(self):
+        caller = await self.fleet.connect()
+        await caller.send("/book/x")
+        await self.dialled
+        caller.close()
+        await asyncio.sleep(2 * DIAL_S)
+        self.assertEqual([x.received for x in self.targets], [[], []])
+
 
 if __name__ == "__main__":
     unittest.main()
