Send nothing of a stream that says that it was not run

A target that refused a request with a 200, an event stream and the header that says that it did not run had its events sent, and the request was retried: the caller got the events of two targets in one complete stream, also on routes that may not be resumed. Found by a review; no caller reported it.

Such an answer is buffered like other refusals, and only the retry is sent.

test_a_stream_that_is_said_not_to_have_run_is_not_joined: 4 of 4 cases failed before, passed after.

--- a/packages/router/chervilwall_router/edge/relay.py
+++ b/packages/router/chervilwall_router/edge/relay.py
@@ -239,7 +239,7 @@
         """Handles the status and the headers."""
         self._head = head
         is_stream = head.is_success and head.may_be_event_stream
-        if not (is_stream and head.may_be_relayed):
+        if not is_stream or not head.may_be_relayed or head.not_executed:
             self._buffered_relay = BufferedRelay(
                 self._answer, self._on_first_data
             )
--- a/packages/standins/chervilwall_standins/users/target.py
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -674,6 +674,20 @@
     return _head(status, headers, len(body)) + body
 
 
+def encode_chunked(
+    headers: dict[str, str], chunks: list[bytes], *, is_whole: bool
+) -> bytes:
+    """Returns a chunked response.
+
+    Args:
+        headers (dict[str, str]): Headers besides Transfer-Encoding.
+        chunks (list[bytes]): Its chunks, without framing.
+        is_whole (bool): Whether the last, empty chunk follows.
+    """
+    body = b"".join(_chunk(chunk) for chunk in chunks)
+    return _head(200, headers, -1) + body + (b"0\r\n\r\n" if is_whole else b"")
+
+
 def _endless_parts(mode: str, identity: dict[str, str]) -> tuple[bytes, bytes]:
     """Returns the beginning of an endless response and the block it repeats."""
     block = b"x" * BLOCK_BYTES
