Do not resume a stream behind an event without an id

Callers of a route whose streams may be resumed got one complete stream of two targets where events had no ids, or only the first had none: nothing says where such a stream broke off, and the next target began at its first event.

A request is not sent again once an event without an id was sent.

test_a_stream_without_ids_is_not_joined and test_a_first_event_without_id_does_not_come_twice failed before; the 4 of test_edge_joined_streams pass.

--- a/packages/router/chervilwall_router/edge/relay.py
+++ b/packages/router/chervilwall_router/edge/relay.py
@@ -172,6 +172,8 @@
         self.last_event_id = last_event_id
         self.events = 0
         self._comment_bytes = 0
+        # Whether the caller has an event without an id.
+        self._has_unnumbered = False
         self._is_continuation = last_event_id > 0
 
     def __repr__(self) -> str:
@@ -218,8 +220,11 @@
     def may_be_replaced(self) -> bool:
         """Whether another response may still replace or continue this one.
 
-        It may not once a body that is no event stream was sent in part.
+        It may not once a body that is no event stream was sent in part, nor
+        after an event without an id, behind which nothing can be resumed.
         """
+        if self._has_unnumbered:
+            return False
         has_sent_body = (
             self._buffered_relay is not None
             and not self._follows_events
@@ -275,6 +280,7 @@
                 break
             if event.id and event.id <= self.last_event_id:
                 continue
+            self._has_unnumbered |= not event.id
             self.last_event_id = event.id or self.last_event_id
             self.events += 1
             new_events.append(event.raw)
--- a/packages/standins/tests/test_edge_joined_streams.py
+++ b/packages/standins/tests/test_edge_joined_streams.py
@@ -78,6 +78,18 @@
                     self.assertEqual(sources, 1)
                     self.assertEqual(response.body.count(b"data: "), EVENTS)
 
+    async def test_a_stream_without_ids_is_not_joined(self):
+        response, sources = await self.call(
+            "/draft/x", numbered_from=EVENTS + 1
+        )
+        self.assertFalse(response.is_complete)
+        self.assertEqual(sources, 1)
+
+    async def test_a_first_event_without_id_does_not_come_twice(self):
+        response, sources = await self.call("/draft/x", numbered_from=2)
+        self.assertFalse(response.is_complete)
+        self.assertEqual(sources, 1)
+
 
 if __name__ == "__main__":
     unittest.main()
