Confirm no answer by a probe that another start accepted

An answer without framing ends with its connection and counts if its target outlives it. A target that ended, and started anew while the probe was on its way, confirmed the cut body of its earlier start.

Whether the start has ended is asked again after the probe, by its registration, its address and reported crashes.

A start that registers only after the probe is not noticed.

--- a/packages/router/chervilwall_router/edge/crash_watch.py
+++ b/packages/router/chervilwall_router/edge/crash_watch.py
@@ -186,14 +186,27 @@
             attempt (WatchedAttempt): Attempt whose response has ended.
         """
         await asyncio.sleep(CLOSE_SETTLE_S)
-        known = self._parts.registry.get(target.id)
-        if known is not None and known.start != target.start:
-            verdict = RESTARTED
-        else:
+        verdict = RESTARTED
+        if not self._has_ended(target, attempt):
             verdict = await self._probe(target, attempt)
+            # Another start may have accepted the probe.
+            if self._has_ended(target, attempt):
+                verdict = RESTARTED
         self._log_verdict(target, attempt, verdict)
         return verdict == ACCEPTS_CONNECTIONS
 
+    def _has_ended(
+        self, target: RegisteredTarget, attempt: WatchedAttempt
+    ) -> bool:
+        """Returns whether a start of a target is known to have ended."""
+        known = self._parts.registry.get(target.id)
+        if known is not None and known.start != target.start:
+            return True
+        entry = self._by_address.get(target.address)
+        if entry is not None and entry.target.start != target.start:
+            return True
+        return self._ledger.has_crashed_since(target.start, attempt.begun_at)
+
     async def _examine(
         self, target: RegisteredTarget, attempt: WatchedAttempt
     ) -> None:
--- a/packages/router/tests/test_edge_crash_watch.py
+++ b/packages/router/tests/test_edge_crash_watch.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 from chervilwall.crash_ledger import CrashLedger
+from chervilwall.crash_records import Crash
 from chervilwall.crash_updates import CrashUpdates
 from chervilwall.errors import DialError
 from chervilwall.http_messages import ResponseHead
@@ -79,6 +80,31 @@
             self.registry.put(T1._replace(born_ms=2))
             self.assertFalse(await self.watch.confirm_serving(T1, attempt))
 
+    async def check_change_during_probe(self, change):
+        self.probe.side_effect = lambda target: change()
+        with self.watch.attempt(T1, "r", (REQUEST,)) as attempt:
+            self.assertFalse(await self.watch.confirm_serving(T1, attempt))
+
+    async def test_a_start_that_takes_the_probe_confirms_nothing(self):
+        await self.check_change_during_probe(
+            lambda: self.registry.put(T1._replace(born_ms=2))
+        )
+
+    async def test_a_target_that_takes_the_address_confirms_nothing(self):
+        other = T1._replace(id="t1+2", born_ms=2)
+
+        def take_address():
+            self.registry.put(other)
+            self.watch.record_registration(other)
+
+        await self.check_change_during_probe(take_address)
+
+    async def test_a_crash_reported_during_the_probe_confirms_nothing(self):
+        crash = Crash(T1.start, self.now, True, "r9")
+        await self.check_change_during_probe(
+            lambda: self.ledger.record_crash(crash, (REQUEST,), self.now)
+        )
+
     async def test_a_leaving_target_that_is_gone_confirms_nothing(self):
         self.registry.put(T1._replace(draining=True))
         self.fail_probe()
