Deliver sound bodies that end like the head of a response

Since a body without framing whose text ends with a version of HTTP, or with a quoted status line, was taken for the beginning of a second answer, and one that quotes a 421 for a refusal: its caller got a 502 from each target. Found by a review.

A head that the end cuts off counts only if its lines end with CR LF, and one that is cut inside its status line only if no blank is before it. A 421 without a single header is text.

--- a/packages/router/chervilwall_router/edge/_repeated_head.py
+++ b/packages/router/chervilwall_router/edge/_repeated_head.py
@@ -12,13 +12,17 @@
 MAX_STATUS_LINES = 1024
 # Longest reason phrase of a status line that is recognized.
 MAX_REASON_BYTES = 64
-_MAX_STATUS_LINE_BYTES = len(b"HTTP/1.1 200 \r\n") + MAX_REASON_BYTES
+# One byte before a status line is looked at as well.
+_MAX_STATUS_LINE_BYTES = len(b"}HTTP/1.1 200 \r\n") + MAX_REASON_BYTES
 _REASON = rb"[^\r\n]{0,%d}" % MAX_REASON_BYTES
 _NAME = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 # Not bound to the beginning of a line: the bytes before belong to the body.
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})(?: " + _REASON + rb")?\r?\n")
+# A status line that was cut off. Text that names a version of HTTP or a status
+# has a blank before it.
 _CUT_STATUS_LINE = re.compile(
-    rb"HTTP/(?:1(?:\.(?:[01](?: (?:\d{0,2}|\d{3}(?: "
+    rb"(?<! )HTTP/"
+    rb"(?:1(?:\.(?:[01](?: (?:\d{0,2}|\d{3}(?: "
     + _REASON
     + rb")?\r?))?)?)?)?\Z"
 )
@@ -34,7 +38,7 @@
     body may also quote a response. A head is taken for one that a target sent
     if it names a request of the connection, or if it names none and is signed
     or states that a request was not run. One that is cut off by the end of the
-    body may have named anything.
+    body may have named anything, if its lines end as those of a head do.
 
     Args:
         request_ids (Collection): Ids of the requests that the connection has
@@ -51,6 +55,8 @@
         self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
+        # Whether each line of that head ends with CR LF.
+        self._has_line_ends = False
         self._status_lines = 0
 
     def __repr__(self) -> str:
@@ -73,6 +79,7 @@
                 self._status_lines += 1
                 self._status, self._head_bytes = int(found[1]), 0
                 self._headers = []
+                self._has_line_ends = found[0].endswith(b"\r\n")
             end = data.find(b"\n", start) + 1
             if end == 0:
                 self._rest = data[start:]
@@ -87,7 +94,8 @@
     def ends_inside_head(self) -> bool:
         """Returns whether the bytes end inside the head of a response."""
         if self._status:
-            return _CUT_HEADER_LINE.fullmatch(self._rest) is not None
+            is_header = _CUT_HEADER_LINE.fullmatch(self._rest) is not None
+            return self._has_line_ends and is_header
         return _CUT_STATUS_LINE.search(self._rest) is not None
 
     def _add_line(self, line: bytes) -> bool:
@@ -96,6 +104,7 @@
         Sets `_status` to 0 if the line, or the head, is not that of a response.
         """
         self._head_bytes += len(line)
+        self._has_line_ends &= line.endswith(b"\r\n")
         header = _HEADER_LINE.fullmatch(line)
         if header is not None and self._head_bytes <= MAX_HEAD_BYTES:
             self._headers.append((header[1], header[2].strip()))
@@ -110,4 +119,6 @@
         )
         if head.request_id:
             return head.request_id in self._ids
-        return head.signed or head.not_executed
+        # A 421 counts as not executed by its status alone, which text may name.
+        is_refusal = head.not_executed and bool(self._headers)
+        return head.signed or is_refusal
--- a/packages/router/tests/test_edge_exchange.py
+++ b/packages/router/tests/test_edge_exchange.py
@@ -116,6 +116,11 @@
             b"HTTP/1.1 200 OK\r\nX-Any: 1\r\n\r\nbody\r\n",
             b"HTTP/1.1 200 " + b"x" * 100,
             b"HTTP/1.1 200 OK\r\nX: " + b"x" * 70_000,
+            b"this page is served over HTTP/1.1",
+            b"$ curl -I /x\nHTTP/1.1 200 OK\n",
+            b"$ curl -I /x\nHTTP/1.1 200 OK\nServer: nginx",
+            b"expected HTTP/1.1 200 OK\ngot: nothing",
+            b"<li>HTTP/1.1 421 Misdirected Request\n\n</li>",
         ):
             for size in (1, 1000):
                 with self.subTest(body=body[:80], size=size):
