--- a/packages/standins/chervilwall_standins/users/target.py
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import enum
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -91,6 +92,8 @@
 DRIP_INTERVAL_S = 0.1
 # Time for a router to read what came before a reset in mode LARGE_BROKEN.
 RESET_DELAY_S = 0.1
+# Time for a router to read a part of a BulkResponse on its own.
+BULK_PAUSE_S = 0.05
 UNRESPONSIVE_POLL_S = 0.05
 EVENT_STREAM = {"Content-Type": "text/event-stream"}
 # Keeps a failing test from exhausting the memory.
@@ -135,6 +138,36 @@
     pause_s: float = 0.0
 
 
+class BulkKind(enum.Enum):
+    """Part of a response that holds most of its bytes."""
+
+    # The value of one header, or headers of four bytes each.
+    HEAD = "head"
+    HEADERS = "headers"
+    UNSIGNED = "unsigned body"
+    BODY = "signed body"
+    EVENT = "event"
+    # The body of a response to another attempt.
+    SKIPPED = "skipped response"
+    # Behind a body of BLOCK_BYTES.
+    TRAILER = "trailer"
+
+
+class BulkResponse(NamedTuple):
+    """Response with many bytes, after which the target waits for its router.
+
+    Args:
+        kind (BulkKind): Part that holds the bytes.
+        size (int): Number of bytes of that part.
+        is_whole (bool): Whether the response ends behind them. Defaults to
+            False.
+    """
+
+    kind: BulkKind
+    size: int
+    is_whole: bool = False
+
+
 class ReceivedRequest(NamedTuple):
     """A request that arrived at a target.
 
@@ -243,6 +276,8 @@
         self.resets_in_head = False
         # How responses without length or chunks end, None for framed ones.
         self.unframed: UnframedEnd | None = None
+        # Response with many bytes, None for others.
+        self.bulk: BulkResponse | None = None
         self.received: list[ReceivedRequest] = []
         self.executed: list[str] = []
         self.cancelled: list[str] = []
@@ -485,6 +520,12 @@
                 body = _chunk(body) + b"0\r\n\r\n"
             writer.write(_head(200, identity | EVENT_STREAM, length) + body)
             return False
+        if self.bulk is not None:
+            for part in _encode_bulk(self.bulk, identity):
+                writer.write(part)
+                await asyncio.sleep(BULK_PAUSE_S)
+            await reader.read(1)
+            return False
         if self.body_parts:
             await self._send_parts(reader, writer, identity)
             return False
@@ -703,6 +744,30 @@
     return _head(200, identity | EVENT_STREAM, -1), _chunk(block)
 
 
+def _encode_bulk(
+    bulk: BulkResponse, identity: dict[str, str]
+) -> tuple[bytes, ...]:
+    """Returns the parts of a response with many bytes."""
+    kind, data = bulk.kind, b"x" * bulk.size
+    if kind is BulkKind.HEAD:
+        return (b"HTTP/1.1 200 OK\r\nX-Long: " + data,)
+    if kind is BulkKind.HEADERS:
+        return (b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * (bulk.size // 4),)
+    if kind is BulkKind.SKIPPED:
+        other = identity | {"Attempt-Id": "another"}
+        return (_head(200, other, bulk.size + 1) + data,)
+    if kind is BulkKind.EVENT:
+        return (_head(200, identity | EVENT_STREAM, -1) + _chunk(data),)
+    if kind is BulkKind.TRAILER:
+        body = _chunk(b"x" * BLOCK_BYTES)
+        trailer = b"0\r\nX-Long: " + data
+        return _head(200, identity, -1), body, trailer
+    headers = {} if kind is BulkKind.UNSIGNED else identity
+    head = _head(200, headers | {"Content-Type": "application/json"}, -1)
+    end = b"0\r\n\r\n" if bulk.is_whole else b""
+    return (head + _chunk(data) + end,)
+
+
 def _chunk(data: bytes) -> bytes:
     return b"%x\r\n%s\r\n" % (len(data), data)
 
