Do not keep bodies that are never relayed

A router with many unsigned responses at once passed the memory of its host and was killed, with the requests of others. BufferedRelay kept each body up to 1 MiB until its end, although only a signed body, a redirect or a failure is ever passed on.

Bodies of unsigned successes, unconfirmed refusals and responses that state that nothing was run are now counted, but not kept; their bound and what the caller is told stay the same.

--- a/packages/router/chervilwall_router/edge/relay.py
+++ b/packages/router/chervilwall_router/edge/relay.py
@@ -8,6 +8,7 @@
 from chervilwall.http_messages import ResponseHead
 
 from chervilwall_router.edge.caller_response import CallerResponse
+from chervilwall_router.edge.request_types import is_unconfirmed_refusal
 
 # Responses that are not streams are buffered until complete, up to this size,
 # so that another target can be tried if one fails.
@@ -23,6 +24,8 @@
 class BufferedRelay:
     """Buffer a response until it is complete, and stream it if it is large.
 
+    The body of a response that is never relayed is counted, but not kept.
+
     A response that exceeds `MAX_BUFFERED_BYTES` is sent while it arrives if it
     is signed by the target, not encoded, and does not state that the request
     was not executed. Otherwise receive_data() raises OversizedError.
@@ -40,6 +43,7 @@
         self._on_first_data = on_first_data
         self._head: ResponseHead | None = None
         self._buffered: list[bytes] = []
+        self._keeps_body = False
         self._body_bytes = 0
 
     def __repr__(self) -> str:
@@ -83,6 +87,9 @@
     def receive_head(self, head: ResponseHead) -> None:
         """Handles the status and the headers."""
         self._head = head
+        self._keeps_body = may_relay(head) and not (
+            head.not_executed or is_unconfirmed_refusal(head)
+        )
         self._on_first_data()
 
     def receive_data(self, chunk: bytes) -> "asyncio.Future[None] | None":
@@ -98,7 +105,8 @@
         self._body_bytes += len(chunk)
         if self._answer.started:
             return self._answer.write(chunk)
-        self._buffered.append(chunk)
+        if self._keeps_body:
+            self._buffered.append(chunk)
         if self._body_bytes <= MAX_BUFFERED_BYTES:
             return None
         head = self._head
