Bound what is kept for all responses together

A router with many large responses at once passed the memory of its host and was killed, with the requests of others (LOST): each response is bounded, their sum was not. Headers were worst, which nobody had reported: a head of 65,000 bytes with headers of 4 bytes takes about a megabyte.

KeptBytes in core decides over the sum of heads, signed bodies, unfinished events and trailers, each with the overhead of its storage. The limit is a fifth of memory_mb, which the template takes from the platform (default 150 MB, a small host). Above half of the limit, reading is paused for responses of 16 KiB and more, except those whose rest has room below the limit, beginning with the one that is nearest to an answer: so one is always read, and paused ones go on as others end. Above the limit, responses are given up down to three quarters of it: first those of a target of which one was given up in the last minute, then those without a signed head, streams without an event, and those of the target for which most is kept. Their attempts end as broken: they may have run. E611 names the target; responses_given_up and responses_paused count.

What an attempt that failed has left is dropped before its target is examined.

--- a/packages/core/chervilwall/events.py
+++ b/packages/core/chervilwall/events.py
@@ -90,6 +90,9 @@
 REQUEST_RELEASED = Event(608, logging.INFO, "request released from quarantine")
 CALLER_CLOSED = Event(609, logging.INFO, "caller's connection closed")
 RETRY_DECIDED = Event(610, logging.INFO, "retry allowed or withheld")
+RESPONSE_GIVEN_UP = Event(
+    611, logging.WARNING, "response given up to bound memory"
+)
 COUNTERS_WRITE_FAILED = Event(700, logging.WARNING, "failed to write counters")
 CRASH_RECORD_WRITE_FAILED = Event(
     702, logging.WARNING, "failed to write crash records"
--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -139,7 +139,14 @@
                 self._parts.on_response_head(target, head, watched.begun_at)
                 crashes.record_head(target, head, watched.begun_at)
 
-            exchange = Exchange(conn, self._parts.wire, relay, on_head)
+            exchange = Exchange(
+                conn,
+                self._parts.wire,
+                relay,
+                on_head,
+                self._parts.kept,
+                target.id,
+            )
             result = AttemptResult.BROKEN
             try:
                 result = await self._exchange(exchange, target, relay)
@@ -153,7 +160,9 @@
             finally:
                 self._release_connection(exchange, target, conn)
             watched.answered = result in _NO_CRASH_EVIDENCE
+        partial_bytes = relay.partial_bytes
         if result is AttemptResult.BROKEN:
+            relay.discard()
             examined = crashes.examine(target, watched)
             # Wait for the verdict before a retry: a crash may quarantine the
             # request, which rules out a retry. Otherwise nothing depends on
@@ -166,7 +175,7 @@
             exchange.head,
             exchange.reason,
             exchange.ending,
-            relay.partial_bytes,
+            partial_bytes,
             relay.last_event_id,
             tuple(exchange.skipped),
             relay.sent_bytes,
--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -38,6 +38,7 @@
     HousekeepingParts,
 )
 from chervilwall_router.edge.ingress import Ingress
+from chervilwall_router.edge.kept_responses import KeptResponses
 from chervilwall_router.edge.limit_metrics import render_limits
 from chervilwall_router.edge.page_server import PageServer, Reply
 from chervilwall_router.edge.peer_grants import SchedulingParts
@@ -318,6 +319,9 @@
                 on_response_head=self._notices.apply_head,
                 host_load=self.host_load,
                 streams=self.streams,
+                kept=KeptResponses(
+                    self._cfg.kept_bytes, self.metrics, self._clock
+                ),
             )
         )
 
--- a/packages/router/chervilwall_router/edge/exchange.py
+++ b/packages/router/chervilwall_router/edge/exchange.py
@@ -8,11 +8,13 @@
 import httptools
 from chervilwall.errors import CodecError, OversizedError
 from chervilwall.http_messages import Headers, InboundRequest, ResponseHead
+from chervilwall.kept_bytes import KeptResponse, Standing
 from chervilwall.protocol import WireFormat
 
 from chervilwall_router.edge._framing import FramingCounter
 from chervilwall_router.edge._head import decode_headers, encode_head
 from chervilwall_router.edge._repeated_head import RepeatedHeadDetector
+from chervilwall_router.edge.kept_responses import KeptResponses
 from chervilwall_router.edge.target_connection import TargetConnection
 
 # Limit on the body of a response, streams included.
@@ -23,6 +25,13 @@
 MAX_UNMATCHED_RESPONSES = 4
 MAX_UNMATCHED_BYTES = 1 << 20
 MAX_INFORMATIONAL_RESPONSES = 8
+# Memory of one header besides its bytes: two strings in a pair, in a list.
+HEADER_OVERHEAD_BYTES = 192
+# The parser copies an unfinished trailer at each read.
+REST_COPIES = 2
+# What is kept for a response counts in the sum from this size on, so that most
+# responses cost no accounting.
+MIN_COUNTED_BYTES = 4096
 _BODY_METHODS = frozenset(("POST", "PUT", "PATCH"))
 
 
@@ -62,6 +71,20 @@
 class AnswerReceiver(Protocol):
     """Consume a response while it arrives."""
 
+    @property
+    def kept_bytes(self) -> int:
+        """Bytes of memory that are kept of the body."""
+        ...
+
+    @property
+    def awaits_event(self) -> bool:
+        """Whether the response is a stream that had no new event yet."""
+        ...
+
+    def discard(self) -> None:
+        """Drops the bytes that are kept."""
+        ...
+
     def receive_head(self, head: ResponseHead) -> None:
         """Handles the status and the headers."""
         ...
@@ -93,6 +116,9 @@
         wire (WireFormat): Decodes the heads of responses.
         receiver (AnswerReceiver): Receives the response to this request.
         on_head (Callable): Called with the head of the response.
+        kept (KeptResponses | None): Bounds what is kept for all responses.
+            Defaults to None, for no bound.
+        target_id (str): Id of the target, for that bound. Defaults to "".
 
     Attributes:
         head (ResponseHead | None): Head of the response, or None if none was
@@ -110,6 +136,8 @@
         wire: WireFormat,
         receiver: AnswerReceiver,
         on_head: Callable[[ResponseHead], None],
+        kept: KeptResponses | None = None,
+        target_id: str = "",
     ) -> None:
         self._conn = conn
         self._wire = wire
@@ -133,7 +161,17 @@
         self._pending_body: list[bytes] = []
         # None unless the body ends with the connection.
         self._repeats: RepeatedHeadDetector | None = None
-        self._is_paused = False
+        # Why reading is paused: the caller is slow, or too much is kept.
+        self._awaits_caller = False
+        self._is_held = False
+        self._kept = kept
+        self._kept_response = KeptResponse(target_id)
+        # Memory of the head, and bytes since the last byte of the body, which
+        # the parser keeps if they are an unfinished trailer.
+        self._head_memory_bytes = 0
+        self._rest_bytes = 0
+        # Bytes received since what is kept was last counted.
+        self._uncounted_bytes = 0
         self.head: ResponseHead | None = None
         self.is_complete = False
         self.ending = Ending.ABANDONED
@@ -175,10 +213,12 @@
     def close(self) -> None:
         """Detaches from the connection, and closes it unless reusable."""
         self._conn.detach()
+        if self._kept is not None:
+            self._kept.remove(self._kept_response)
         if self.reusable:
-            self._resume()
+            self._set_paused(awaits_caller=False, is_held=False)
         else:
-            self._is_paused = False
+            self._awaits_caller = self._is_held = False
             self._conn.close()
 
     def abort(self, reason: str) -> None:
@@ -186,6 +226,23 @@
         self._finish(reason)
         self._conn.close()
 
+    # Callbacks of KeptResponses.
+
+    def hold(self) -> None:
+        """Pauses reading, as too much is kept for all responses."""
+        self._set_paused(awaits_caller=self._awaits_caller, is_held=True)
+
+    def release(self) -> None:
+        """Ends hold()."""
+        self._set_paused(awaits_caller=self._awaits_caller, is_held=False)
+
+    def give_up(self, reason: str) -> None:
+        """Fails the exchange and drops what is kept of the response."""
+        self.abort(reason)
+        self._raw_headers = []
+        self._parser = httptools.HttpResponseParser(self)
+        self._receiver.discard()
+
     # Callbacks of the connection.
 
     def receive(self, data: bytes) -> None:
@@ -220,7 +277,21 @@
                 f"responses to other requests exceed {MAX_UNMATCHED_BYTES}"
                 " bytes"
             )
+        if was_in_head:
+            self._rest_bytes = 0
+        elif self._read_body_bytes:
+            self._rest_bytes = len(data) - self._read_body_bytes
+        else:
+            self._rest_bytes += len(data)
         self._deliver_body()
+        self._uncounted_bytes += len(data)
+        if self._kept is not None and (
+            was_in_head
+            or self._uncounted_bytes >= MIN_COUNTED_BYTES
+            or self._kept_response.kept_bytes
+        ):
+            self._uncounted_bytes = 0
+            self._count_kept(self._kept)
 
     def on_connection_lost(self, reason: str, *, clean: bool) -> None:
         """Ends the exchange after the connection closed.
@@ -270,10 +341,15 @@
             self._informational_count += 1
             return
         self._in_head = False
+        if self._head_bytes >= MIN_COUNTED_BYTES:
+            self._head_memory_bytes += HEADER_OVERHEAD_BYTES * len(
+                self._raw_headers
+            ) + sum(len(n) + len(v) for n, v in self._raw_headers)
         self._head_bytes = 0
         head = self._wire.decode_response_head(
             status, decode_headers(self._raw_headers)
         )
+        self._raw_headers = []
         mismatch = self._find_mismatch(head)
         if mismatch is not None:
             self._is_unmatched = True
@@ -360,16 +436,45 @@
         except (CodecError, OversizedError) as exc:
             self.abort(str(exc))
             return
-        if drained is not None and not self._is_paused:
-            self._is_paused = True
-            self._conn.pause()
+        if drained is not None and not self._awaits_caller:
+            self._set_paused(awaits_caller=True, is_held=self._is_held)
             drained.add_done_callback(lambda _: self._resume())
 
     def _resume(self) -> None:
-        if self._is_paused:
-            self._is_paused = False
+        if self._awaits_caller:
+            self._set_paused(awaits_caller=False, is_held=self._is_held)
+
+    def _set_paused(self, *, awaits_caller: bool, is_held: bool) -> None:
+        was_paused = self._awaits_caller or self._is_held
+        self._awaits_caller, self._is_held = awaits_caller, is_held
+        is_paused = awaits_caller or is_held
+        if is_paused and not was_paused:
+            self._conn.pause()
+        elif was_paused and not is_paused:
             self._conn.resume()
 
+    def _count_kept(self, kept: KeptResponses) -> None:
+        """Counts what is kept for the response in the sum of all."""
+        kept_bytes = (
+            self._head_memory_bytes
+            + self._head_bytes
+            + HEADER_OVERHEAD_BYTES * len(self._raw_headers)
+            + REST_COPIES * self._rest_bytes
+            + self._receiver.kept_bytes
+        )
+        response = self._kept_response
+        if kept_bytes >= MIN_COUNTED_BYTES or response.kept_bytes:
+            kept.update(response, self, kept_bytes, self._standing())
+
+    def _standing(self) -> Standing:
+        if self.is_complete:
+            return Standing.COMPLETE
+        if self.head is None or not self.head.signed:
+            return Standing.UNCONFIRMED
+        if self._receiver.awaits_event:
+            return Standing.NO_EVENT
+        return Standing.BEGUN
+
     def _is_done(self) -> bool:
         return self._done is None or self._done.done()
 
--- a/packages/router/chervilwall_router/edge/relay.py
+++ b/packages/router/chervilwall_router/edge/relay.py
@@ -16,6 +16,8 @@
 
 # Comments that a stream may have between two events, in bytes.
 MAX_COMMENT_BYTES = 1 << 14
+# Memory of each part of a buffered body besides its bytes.
+PART_OVERHEAD_BYTES = 64
 # Bytes that are split into events at a time, so that a limit that they exceed
 # ends the work on the rest.
 SPLIT_BYTES = 1 << 14
@@ -44,6 +46,7 @@
         self._head: ResponseHead | None = None
         self._buffered: list[bytes] = []
         self._keeps_body = False
+        self._kept_bytes = 0
         self._body_bytes = 0
 
     def __repr__(self) -> str:
@@ -59,6 +62,16 @@
         """Always 0, as the body is not divided into events."""
         return 0
 
+    @property
+    def kept_bytes(self) -> int:
+        """Bytes of memory that are kept of the body."""
+        return self._kept_bytes
+
+    @property
+    def awaits_event(self) -> bool:
+        """Always False, as the body is not divided into events."""
+        return False
+
     @property
     def last_event_id(self) -> int:
         """Always 0, as the body is not divided into events."""
@@ -107,11 +120,12 @@
             return self._answer.write(chunk)
         if self._keeps_body:
             self._buffered.append(chunk)
+            self._kept_bytes += len(chunk) + PART_OVERHEAD_BYTES
         if self._body_bytes <= MAX_BUFFERED_BYTES:
             return None
         head = self._head
         if head is None or not head.may_be_relayed or head.not_executed:
-            self._buffered.clear()
+            self.discard()
             raise OversizedError(
                 "response that must not be relayed exceeds"
                 f" {MAX_BUFFERED_BYTES} bytes",
@@ -123,9 +137,14 @@
             b"".join(self._buffered),
             has_known_end=head.is_delimited,
         )
-        self._buffered.clear()
+        self.discard()
         return None
 
+    def discard(self) -> None:
+        """Drops the bytes that are kept."""
+        self._buffered.clear()
+        self._kept_bytes = 0
+
     def finish(self) -> None:
         """Sends the buffered response, or ends the one being streamed."""
         if self._answer.started:
@@ -195,6 +214,18 @@
         """Bytes received after the last complete event."""
         return len(self._splitter.pending)
 
+    @property
+    def kept_bytes(self) -> int:
+        """Bytes of memory that are kept of the response."""
+        if self._buffered_relay is not None:
+            return self._buffered_relay.kept_bytes
+        return len(self._splitter.pending)
+
+    @property
+    def awaits_event(self) -> bool:
+        """Whether the response is a stream that had no new event yet."""
+        return self._buffered_relay is None and not self.events
+
     def find_fault(self, *, is_framed: bool) -> str:
         """Returns why the events of an ended response are no whole stream.
 
@@ -243,6 +274,12 @@
         self._follows_events = self._answer.started
         self._is_continuation = self.last_event_id > 0
 
+    def discard(self) -> None:
+        """Drops the bytes that are kept of the current response."""
+        self._splitter = EventSplitter()
+        if self._buffered_relay is not None:
+            self._buffered_relay.discard()
+
     def receive_head(self, head: ResponseHead) -> None:
         """Handles the status and the headers."""
         self._head = head
--- a/packages/router/chervilwall_router/edge/request_types.py
+++ b/packages/router/chervilwall_router/edge/request_types.py
@@ -19,6 +19,7 @@
 from chervilwall_router.edge.connections import TargetConnectionPool
 from chervilwall_router.edge.crash_watch import CrashWatch
 from chervilwall_router.edge.exchange import Ending, SkippedResponse
+from chervilwall_router.edge.kept_responses import KeptResponses
 from chervilwall_router.edge.scheduling import Scheduling
 from chervilwall_router.edge.settings import RetrySettings
 
@@ -143,6 +144,7 @@
             request was sent.
         host_load (HostLoad): Sheds load while this host is overloaded.
         streams (StreamVersions): Software versions that began streams.
+        kept (KeptResponses): Bounds what is kept for all responses.
     """
 
     table: Callable[[], RoutingTable | None]
@@ -161,6 +163,7 @@
     on_response_head: Callable[[RegisteredTarget, ResponseHead, float], None]
     host_load: HostLoad
     streams: StreamVersions
+    kept: KeptResponses
 
 
 def outcome_of(attempt: Attempt) -> str:
--- a/packages/router/chervilwall_router/edge/settings.py
+++ b/packages/router/chervilwall_router/edge/settings.py
@@ -15,6 +15,13 @@
     Seconds,
 )
 
+Megabytes = Annotated[float, msgspec.Meta(gt=0, le=1 << 20)]
+# Fraction of the host's memory for the bytes that are kept of all responses. A
+# router without load takes a third of a host of 150 MB; the rest is for its
+# callers, its tables, copies, and bytes in sockets.
+KEPT_FRACTION = 0.2
+# Least limit on them, in bytes: some responses of the largest size.
+MIN_KEPT_BYTES = 4 << 20
 Milliseconds = Annotated[float, msgspec.Meta(gt=0, le=86_400_000)]
 READ_STEP = "read settings"
 COMMENT_PREFIX = b"//"
@@ -112,6 +119,8 @@
             a second.
         cpu (float): Processors available to this process, whose single thread
             uses at most one. Routers with more are preferred as hubs.
+        memory_mb (float): Memory in MiB that this process may take. Defaults
+            to that of a small host, so that a larger one is safe without it.
         bootstrap (bool): Whether the whole system starts for the first time, so
             that no earlier routers have written to the object store.
         event_delay_ms (float): Maximum time in milliseconds that this host may
@@ -131,12 +140,18 @@
     address_ttl_s: Seconds = 1.0
     mesh_most: int = 16
     cpu: float = 1.0
+    memory_mb: Megabytes = 150.0
     bootstrap: bool = False
     event_delay_ms: Milliseconds = 200.0
     log: LogSettings = LogSettings(format="json")
     waiting: WaitSettings = WaitSettings()
     placement: PlacementSettings = PlacementSettings()
 
+    @property
+    def kept_bytes(self) -> int:
+        """Limit on the bytes that are kept of all responses together."""
+        return max(MIN_KEPT_BYTES, int(self.memory_mb * KEPT_FRACTION * 2**20))
+
 
 def read_edge_settings(path: pathlib.Path) -> EdgeSettings:
     """Returns the settings in a JSON file with comments.
--- a/packages/router/tests/test_edge_flow.py
+++ b/packages/router/tests/test_edge_flow.py
@@ -105,6 +105,7 @@
             connections=None,
             wire=None,
             streams=StreamVersions(lambda service: 30.0),
+            kept=None,
         )
         self.flow = RequestAdmission(parts)
 
--- a/packages/router/tests/test_edge_settings.py
+++ b/packages/router/tests/test_edge_settings.py
@@ -25,6 +25,7 @@
     "bounds.grace_s": "8",
     "bounds.pass_ms": "120",
     "limits.cpu_share": "0.537",
+    "limits.memory_mb": "300",
     "bootstrap": "true",
 }
 
@@ -62,10 +63,14 @@
         self.assertEqual(cfg.stop.grace_s, 8)
         self.assertEqual(cfg.event_delay_ms, 120)
         self.assertTrue(cfg.bootstrap)
+        self.assertEqual(cfg.memory_mb, 300)
+        self.assertEqual(cfg.kept_bytes, 60 << 20)
 
     def test_what_a_deployment_does_not_say_has_a_default(self):
         cfg = self.read(render_template(**{"bounds.pass_ms": ""}))
         self.assertGreater(cfg.event_delay_ms, 0)
+        cfg = self.read(render_template(**{"limits.memory_mb": ""}))
+        self.assertEqual(cfg.kept_bytes, 30 << 20)
         cfg = self.read(render_template(bootstrap=""))
         self.assertFalse(cfg.bootstrap)
 
--- a/packages/standins/chervilwall_standins/users/fleet.py
+++ b/packages/standins/chervilwall_standins/users/fleet.py
@@ -250,6 +250,8 @@
         routes (list): Routes of the configuration. Defaults to ROUTES.
         retries (RetrySettings): Retry budget of the fleet. Defaults to
             AMPLE_RETRIES.
+        memory_mb (float): Memory of each router. Defaults to that of its
+            settings.
     """
 
     def __init__(
@@ -259,6 +261,7 @@
         mesh_most: int = 16,
         routes: list[dict] | None = None,
         retries: RetrySettings = AMPLE_RETRIES,
+        memory_mb: float = 150.0,
     ) -> None:
         self.store = FakeStore()
         self.targets = targets
@@ -268,6 +271,7 @@
         self._initial_count = routers
         self._mesh_most = mesh_most
         self._retries = retries
+        self._memory_mb = memory_mb
         self._stack = contextlib.AsyncExitStack()
 
     def __repr__(self) -> str:
@@ -415,6 +419,7 @@
             stop=ShutdownSettings(**stop),
             retries=self._retries,
             mesh_most=self._mesh_most,
+            memory_mb=self._memory_mb,
             bootstrap=bootstrap,
         )
         store = self._clients[name] = ObjectClient(cfg.store)
