Count a failure that is kept while another target is tried

A target's failure of up to 1 MiB is kept until the retry ends, in case no better answer comes. It was in no sum, so many retries at once could still take a router over its memory. It now counts as a complete response until its request ends.

--- a/packages/router/chervilwall_router/edge/kept_responses.py
+++ b/packages/router/chervilwall_router/edge/kept_responses.py
@@ -73,6 +73,11 @@
         if self._bytes.update(response, kept_bytes, standing):
             self._relieve()
 
+    def keep(self, response: KeptResponse, kept_bytes: int) -> None:
+        """Records what is kept for a response that is complete."""
+        if self._bytes.update(response, kept_bytes, Standing.COMPLETE):
+            self._relieve()
+
     def remove(self, response: KeptResponse) -> None:
         """Forgets a response that has ended."""
         self._readers.pop(response, None)
--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -7,6 +7,7 @@
 
 from chervilwall import cell_messages, events
 from chervilwall.errors import RequestRefusedError
+from chervilwall.kept_bytes import KeptResponse
 from chervilwall.placement import Demand
 from chervilwall.quarantine_status import QuarantineStatus
 from chervilwall.retry_budget import RetryWindow
@@ -108,6 +109,7 @@
         self._grant: PlacedRequest | None = None
         self._relay: BufferedRelay | StreamRelay | None = None
         self._failure: _FailureAnswer | None = None
+        self._kept_failure = KeptResponse("")
         self._stream = _make_stream(admitted, parts.streams)
         self._attempts = AttemptRunner(parts, admitted, self)
 
@@ -120,6 +122,12 @@
         Args:
             answer (CallerResponse): Sends the response to the caller.
         """
+        try:
+            await self._run_attempts(answer)
+        finally:
+            self._parts.kept.remove(self._kept_failure)
+
+    async def _run_attempts(self, answer: CallerResponse) -> None:
         self._budget.record_request(
             self._parts.clock(), self._parts.known_router_count()
         )
@@ -379,6 +387,7 @@
             return
         if head.signed and head.status not in NOT_RUN_STATUSES:
             self._failure = _FailureAnswer(attempt, buffered)
+            self._parts.kept.keep(self._kept_failure, buffered.kept_bytes)
 
     def _quarantine_status(self) -> QuarantineStatus:
         return self._parts.crashes.status(self._admitted.fingerprints)
--- a/packages/router/tests/test_edge_flow.py
+++ b/packages/router/tests/test_edge_flow.py
@@ -105,7 +105,7 @@
             connections=None,
             wire=None,
             streams=StreamVersions(lambda service: 30.0),
-            kept=None,
+            kept=mock.MagicMock(),
         )
         self.flow = RequestAdmission(parts)
 
--- a/packages/standins/chervilwall_standins/users/target.py
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -521,7 +521,7 @@
             writer.write(_head(200, identity | EVENT_STREAM, length) + body)
             return False
         if self.bulk is not None:
-            for part in _encode_bulk(self.bulk, identity):
+            for part in _encode_bulk(self.bulk, identity, self.large_status):
                 writer.write(part)
                 await asyncio.sleep(BULK_PAUSE_S)
             if self.bulk.end_after_s is None:
@@ -749,7 +749,7 @@
 
 
 def _encode_bulk(
-    bulk: BulkResponse, identity: dict[str, str]
+    bulk: BulkResponse, identity: dict[str, str], status: int
 ) -> tuple[bytes, ...]:
     """Returns the parts of a response with many bytes."""
     kind, data = bulk.kind, b"x" * bulk.size
@@ -767,7 +767,7 @@
         trailer = b"0\r\nX-Long: " + data
         return _head(200, identity, -1), body, trailer
     headers = {} if kind is BulkKind.UNSIGNED else identity
-    head = _head(200, headers | {"Content-Type": "application/json"}, -1)
+    head = _head(status, headers | {"Content-Type": "application/json"}, -1)
     return (head + _chunk(data),)
 
 
--- a/packages/standins/tests/test_edge_many_responses.py
+++ b/packages/standins/tests/test_edge_many_responses.py
@@ -195,3 +195,19 @@
         self.assertLessEqual(statuses, {502, 503, 504})
         self.assertGreater(self.count("responses_paused"), 0)
         self.assertEqual(self.kept.total_bytes, 0)
+
+    async def test_a_failure_that_is_kept_during_a_retry_counts(self):
+        other = FakeTarget("p1", "plain")
+        await self.fleet.add_target(other)
+        for target in (self.plain, other):
+            target.large_status = 500
+            target.bulk = BulkResponse(BulkKind.BODY, 200_000, 0.3)
+        (answer,) = self.start("/read/x", 1, "r")
+        most_bytes = 0
+        while not answer.done():
+            most_bytes = max(most_bytes, self.kept.total_bytes)
+            await asyncio.sleep(0.01)
+        response = await answer
+        self.assertEqual((response.status, len(response.body)), (500, 200_000))
+        self.assertGreater(most_bytes, 400_000)
+        self.assertEqual(self.kept.total_bytes, 0)
