--- a/packages/router/chervilwall_router/edge/caller_closes.py
+++ b/packages/router/chervilwall_router/edge/caller_closes.py
@@ -32,6 +32,8 @@
         request_id (str): Request that was read and is not answered completely,
             "" for none. Defaults to none.
         queued (int): Further requests that were read. Defaults to 0.
+        queued_ids (tuple[str, ...]): Ids of the first of these. Defaults to
+            none.
         unread_bytes (int): Received bytes that were not parsed. Defaults to 0.
         unsent_bytes (int): Bytes of responses that were not sent. Defaults to
             0.
@@ -41,6 +43,7 @@
     reason: CloseReason
     request_id: str = ""
     queued: int = 0
+    queued_ids: tuple[str, ...] = ()
     unread_bytes: int = 0
     unsent_bytes: int = 0
     idle_s: float = 0.0
@@ -85,6 +88,7 @@
                 connections=1,
                 request=close.request_id,
                 queued=close.queued,
+                queued_requests=",".join(close.queued_ids),
                 unread_bytes=close.unread_bytes,
                 unsent_bytes=close.unsent_bytes,
                 idle_ms=round(close.idle_s * 1000),
--- a/packages/router/chervilwall_router/edge/caller_connection.py
+++ b/packages/router/chervilwall_router/edge/caller_connection.py
@@ -40,6 +40,8 @@
 # Time that a caller has for the first bytes of a new connection before the
 # connection counts as idle while the router stops.
 FIRST_REQUEST_S = 0.5
+# Number of requests whose ids are logged if they are dropped with a connection.
+MAX_LOGGED_REQUESTS = 8
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -234,11 +236,14 @@
         if transport is None or transport.is_closing():
             return
         in_socket = unread_bytes(transport.get_extra_info("socket"))
+        queued = [item.req for item in self._queue]
+        queued_ids = [r.id for r in queued if isinstance(r, InboundRequest)]
         self._context.closes.record(
             CallerClose(
                 reason,
                 active.req.id if active is not None else "",
                 len(self._queue),
+                tuple(queued_ids[:MAX_LOGGED_REQUESTS]),
                 in_socket + self._pipelined_bytes,
                 transport.get_write_buffer_size(),
                 self._context.clock() - self._last_active_at,
--- a/packages/router/tests/test_edge_caller_closes.py
+++ b/packages/router/tests/test_edge_caller_closes.py
@@ -23,7 +23,9 @@
         self.closes = CallerCloseLog(self.metrics)
 
     def test_a_close_that_loses_a_request_names_it(self):
-        close = CallerClose(CloseReason.HANDLER_FAILED, "r1", 2, 30, 40, 0.5)
+        close = CallerClose(
+            CloseReason.HANDLER_FAILED, "r1", 2, ("r2", "r3"), 30, 40, 0.5
+        )
         with self.assertLogs(LOGGER) as logs:
             self.closes.record(close)
         (record,) = logs.records
@@ -35,6 +37,7 @@
                 "connections": 1,
                 "request": "r1",
                 "queued": 2,
+                "queued_requests": "r2,r3",
                 "unread_bytes": 30,
                 "unsent_bytes": 40,
                 "idle_ms": 500,
