Answer requests that were read behind another before a stop closes

Callers that pipeline lost whole requests in a planned stop: each router announced its close with the first response after SIGTERM, and dropped what it had read behind it, without an answer or a refusal. Where that is longer ago than the slack that callers allow, the request was accepted and lost.

Cause: whether a response announces the close depended on the stop alone, not on what else the connection holds.

Now a stopping router announces the close with the response to the last request that has arrived, also if that is incomplete or still in the socket. At the end of the grace period, what was read behind a cancelled request is refused (503, not run). A caller that never stops sending keeps its connection until then.

--- a/packages/router/chervilwall_router/edge/caller_connection.py
+++ b/packages/router/chervilwall_router/edge/caller_connection.py
@@ -392,12 +392,27 @@
         )
         answer = CallerResponse(
             self,
-            lambda: self._context.is_shutting_down() or not keep_alive,
+            lambda: self._is_last_before_stop() or not keep_alive,
             chunked=self._parser.get_http_version() == "1.1",
             bodiless=request.method == "HEAD",
         )
         self._queue.append(QueuedRequest(request.build(), answer))
 
+    def _is_last_before_stop(self) -> bool:
+        """Returns whether the router stops and no further request came.
+
+        Requests that have arrived behind the current one are served or refused
+        first: a close that its response announces would drop them.
+        """
+        if not self._context.is_shutting_down():
+            return False
+        if self._queue or self._pipelined or self._request is not None:
+            return False
+        transport = self._transport
+        return transport is None or not unread_bytes(
+            transport.get_extra_info("socket")
+        )
+
     # Serving of requests in order.
 
     def _parse(self, data: bytes) -> None:
--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -470,11 +470,15 @@
         await self._shutdown.wait()
         await self.write_totals()
         await self._shutdown.close_connections()
-        tasks = set(self.ingress.request_tasks)
-        for task in tasks:
+        for task in list(self.ingress.request_tasks):
             task.cancel()
-        if tasks:
-            await asyncio.wait(tasks, timeout=CANCEL_TIMEOUT_S)
+        ends_at = self._clock() + CANCEL_TIMEOUT_S
+        # What was read behind the cancelled requests is refused.
+        while tasks := set(self.ingress.request_tasks):
+            left_s = ends_at - self._clock()
+            if left_s <= 0:
+                return
+            await asyncio.wait(tasks, timeout=left_s)
 
     # Callbacks of the components.
 
