Keep a router alive that is told to reload while it starts

A router that got SIGHUP before it had begun to handle it was ended by it: all the signals of a reload of the fleet that meet a restart, as in a rolling replacement. Its callers got no connection.

SIGHUP is blocked from the first line of the program on until its handler is in place, and delivered then, so that no reload is missed. The start of the interpreter before that line is not covered.

--- a/packages/router/chervilwall_router/edge/main.py
+++ b/packages/router/chervilwall_router/edge/main.py
@@ -65,6 +65,8 @@
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, router.begin_shutdown)
     loop.add_signal_handler(signal.SIGHUP, _reload, router, path)
+    # It is blocked while the process starts.
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     async with router:
         await router.run()
 
--- a/packages/standins/chervilwall_standins/users/process_fleet.py
+++ b/packages/standins/chervilwall_standins/users/process_fleet.py
@@ -8,15 +8,24 @@
 import tempfile
 
 import msgspec
-from chervilwall_router.edge.settings import EdgeSettings, StoreSettings
+from chervilwall_router.edge.settings import (
+    EdgeSettings,
+    ShutdownSettings,
+    StoreSettings,
+)
 
 from chervilwall_standins.users.fleet import make_config
-from chervilwall_standins.users.flood import make_settings, start_process
+from chervilwall_standins.users.flood import (
+    SHORT_STOP,
+    make_settings,
+    start_process,
+)
 from chervilwall_standins.users.store import FakeStore
 from chervilwall_standins.users.target import FakeTarget
 
 CALL_TIMEOUT_S = 0.5
 WATCH_S = 2.0
+EXIT_POLL_S = 0.02
 
 
 class RouterProcess:
@@ -26,6 +35,7 @@
         name (str): Name of the router.
         store (FakeStore): The store, at which it gets an address of its own.
         folder (pathlib.Path): Folder for its settings and its log.
+        stop (ShutdownSettings): How it stops. Defaults to SHORT_STOP.
 
     Attributes:
         log (pathlib.Path): Its log.
@@ -33,7 +43,11 @@
     """
 
     def __init__(
-        self, name: str, store: FakeStore, folder: pathlib.Path
+        self,
+        name: str,
+        store: FakeStore,
+        folder: pathlib.Path,
+        stop: ShutdownSettings = SHORT_STOP,
     ) -> None:
         self._store = store
         self._store_address = store.add_address()
@@ -42,7 +56,9 @@
         self._process: subprocess.Popen[bytes] | None = None
         self.starts = 0
         self.settings: EdgeSettings = make_settings(
-            name, StoreSettings(self._store_address, CALL_TIMEOUT_S, WATCH_S)
+            name,
+            StoreSettings(self._store_address, CALL_TIMEOUT_S, WATCH_S),
+            stop,
         )
         self._path.write_bytes(msgspec.json.encode(self.settings))
 
@@ -54,6 +70,12 @@
         """Address for callers, as `host:port`."""
         return self.settings.listen.callers
 
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        assert self._process is not None
+        return self._process.pid
+
     def start(self) -> None:
         """Starts the process; one that still runs is killed before."""
         if self._process is not None:
@@ -67,6 +89,24 @@
         self._process.kill()
         self._process.wait()
 
+    async def terminate(self) -> int:
+        """Stops the process as planned, and returns its exit code."""
+        process = self._process
+        assert process is not None
+        process.terminate()
+        while process.poll() is None:
+            await asyncio.sleep(EXIT_POLL_S)
+        return process.returncode
+
+    def reload(self) -> None:
+        """Makes the process read its settings again."""
+        assert self._process is not None
+        self._process.send_signal(signal.SIGHUP)
+
+    def has_ended(self) -> bool:
+        """Returns whether the process has ended."""
+        return self._process is None or self._process.poll() is not None
+
     async def freeze(self, duration_s: float) -> None:
         """Suspends the process for a time in seconds."""
         process = self._process
@@ -92,13 +132,20 @@
     Args:
         *targets (FakeTarget): Targets to start and register in the store.
         routers (int): Number of routers.
+        stop (ShutdownSettings): How they stop. Defaults to SHORT_STOP.
     """
 
-    def __init__(self, *targets: FakeTarget, routers: int) -> None:
+    def __init__(
+        self,
+        *targets: FakeTarget,
+        routers: int,
+        stop: ShutdownSettings = SHORT_STOP,
+    ) -> None:
         self.store = FakeStore()
         self.targets = list(targets)
         self.routers: list[RouterProcess] = []
         self._router_count = routers
+        self._stop = stop
         self._stack = contextlib.AsyncExitStack()
 
     def __repr__(self) -> str:
@@ -112,7 +159,10 @@
             await self.start_target(target)
         for number in range(self._router_count):
             router = RouterProcess(
-                f"router{number}", self.store, pathlib.Path(folder)
+                f"router{number}",
+                self.store,
+                pathlib.Path(folder),
+                self._stop,
             )
             router.start()
             self._stack.callback(router.kill)
--- a/packages/standins/tests/test_edge_process.py
+++ b/packages/standins/tests/test_edge_process.py
@@ -1,8 +1,14 @@
 """Tests of an edge router that runs in its own process."""
 
+import asyncio
+import contextlib
+import pathlib
 import unittest
 
+from chervilwall_standins.users.fleet import CallerConnection
 from chervilwall_standins.users.flood import Load, measure, run_router
+from chervilwall_standins.users.process_fleet import ProcessFleet
+from chervilwall_standins.users.target import FakeTarget
 
 LOADS = (
     Load("plain", "/read/x", callers=4, requests=5),
@@ -28,3 +34,26 @@
             cost = await measure(router, EVENT_LOAD)
         events = EVENT_LOAD.events * sum(cost.responses.values())
         self.assertLess(cost.cpu_s * 1e6 / events, MAX_CPU_US_PER_EVENT)
+
+    async def test_a_reload_during_the_start_does_not_end_the_router(self):
+        target = FakeTarget("p0", "plain")
+        async with (
+            ProcessFleet(target, routers=1) as fleet,
+            asyncio.timeout(20.0),
+        ):
+            router = fleet.routers[0]
+            maps = pathlib.Path(f"/proc/{router.pid}/maps")
+            # It imports its modules, before it reads its settings.
+            while "msgspec" not in maps.read_text():
+                await asyncio.sleep(0.002)
+            router.reload()
+            while not router.has_ended():
+                with contextlib.suppress(OSError):
+                    caller = await CallerConnection.open(router.address)
+                    caller.close()
+                    break
+                await asyncio.sleep(0.05)
+            self.assertFalse(router.has_ended())
+            router.reload()
+            while router.log.read_text().count('"event":103') < 2:
+                await asyncio.sleep(0.05)
