Do not refuse a request as late whose rest has arrived behind another

Cause: as for requests dropped in a stop, a connection was judged without asking what else it held.

What has arrived is read before timeouts are judged. test_a_request_that_arrived_behind_another_is_not_late failed before (the second request was not served) and passes.

--- a/packages/router/chervilwall_router/edge/caller_connection.py
+++ b/packages/router/chervilwall_router/edge/caller_connection.py
@@ -262,6 +262,9 @@
         """
         if self.closed() or self._active is not None:
             return
+        if self._queue or self._pipelined:
+            # What has arrived behind a response that just ended is read first.
+            return
         if self.has_unsent_data():
             # The connection is idle once its caller has the whole response.
             self._last_active_at = now
--- a/packages/router/tests/test_edge_ingress.py
+++ b/packages/router/tests/test_edge_ingress.py
@@ -8,7 +8,9 @@
 from unittest import mock
 
 import uvloop
+from chervilwall.limit_history import LimitHistory
 from chervilwall.routing import CallerLimits
+from chervilwall_router.edge import caller_connection
 from chervilwall_router.edge.caller_closes import CallerCloseLog
 from chervilwall_router.edge.caller_connection import (
     CallerConnection,
@@ -105,6 +107,26 @@
         self.assertEqual(sent.count(b"HTTP/1.1 200"), 3)
         self.assertLess(sent.index(b"r1"), sent.index(b"r2"))
 
+    async def test_a_request_that_arrived_behind_another_is_not_late(self):
+        second = request(2)
+        self.conn.data_received(request(1) + second[:-2])
+        await self.run_loop()
+        self.conn.data_received(second[-2:])
+        end_answer = self.conn.end_answer
+        history = LimitHistory(CallerLimits())
+
+        def end_and_sweep(*, close):
+            end_answer(close=close)
+            self.conn.close_if_timed_out(history, time.monotonic() + 100.0)
+
+        self.conn.end_answer = end_and_sweep
+        with mock.patch.object(
+            caller_connection, "unread_bytes", return_value=0
+        ):
+            self.handler.received[0][1].set_result(None)
+            await self.run_loop()
+        self.assertEqual(self.received(), [("r1", b"bod1"), ("r2", b"bod2")])
+
     async def test_a_caller_that_sends_far_ahead_is_paused(self):
         self.conn.data_received(request(1))
         await self.run_loop()
