--- a/packages/router/chervilwall_router/edge/caller_connection.py
+++ b/packages/router/chervilwall_router/edge/caller_connection.py
@@ -40,6 +40,8 @@
 # Time that a caller has for the first bytes of a new connection before the
 # connection counts as idle while the router stops.
 FIRST_REQUEST_S = 0.5
+# Number of requests whose ids are logged if they are dropped with a connection.
+MAX_LOGGED_REQUESTS = 8
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -234,11 +236,14 @@
         if transport is None or transport.is_closing():
             return
         in_socket = unread_bytes(transport.get_extra_info("socket"))
+        queued = [item.req for item in self._queue]
+        queued_ids = [r.id for r in queued if isinstance(r, InboundRequest)]
         self._context.closes.record(
             CallerClose(
                 reason,
                 active.req.id if active is not None else "",
                 len(self._queue),
+                tuple(queued_ids[:MAX_LOGGED_REQUESTS]),
                 in_socket + self._pipelined_bytes,
                 transport.get_write_buffer_size(),
                 self._context.clock() - self._last_active_at,
@@ -257,6 +262,9 @@
         """
         if self.closed() or self._active is not None:
             return
+        if self._queue or self._pipelined:
+            # What has arrived behind a response that just ended is read first.
+            return
         if self.has_unsent_data():
             # The connection is idle once its caller has the whole response.
             self._last_active_at = now
@@ -387,12 +395,27 @@
         )
         answer = CallerResponse(
             self,
-            lambda: self._context.is_shutting_down() or not keep_alive,
+            lambda: self._is_last_before_stop() or not keep_alive,
             chunked=self._parser.get_http_version() == "1.1",
             bodiless=request.method == "HEAD",
         )
         self._queue.append(QueuedRequest(request.build(), answer))
 
+    def _is_last_before_stop(self) -> bool:
+        """Returns whether the router stops and no further request came.
+
+        Requests that have arrived behind the current one are served or refused
+        first: a close that its response announces would drop them.
+        """
+        if not self._context.is_shutting_down():
+            return False
+        if self._queue or self._pipelined or self._request is not None:
+            return False
+        transport = self._transport
+        return transport is None or not unread_bytes(
+            transport.get_extra_info("socket")
+        )
+
     # Serving of requests in order.
 
     def _parse(self, data: bytes) -> None:
