Name a router to callers once it has a configuration

Callers got 503 "No configuration is in force yet." from a router that had just started: the list for callers, its own and those of its peers, held it from the moment it joined.

Cause: ready_members took each member that is alive for one that can serve; nothing in the gossip told whether it had a configuration.

A member's refutation number is now below 0 until it has a configuration with teams, and only members that are ready are named. A router that becomes ready tells up to 16 peers at once. Entries of earlier versions start with 0 and count as ready.

test_callers_are_served_over_tls expected a router without any configuration in its own list, which is this fault. The test now applies a sheet first; what it asserts is unchanged.

--- a/packages/core/chervilwall/cell_messages.py
+++ b/packages/core/chervilwall/cell_messages.py
@@ -38,6 +38,10 @@
 OUTCOMES_NOT_RUN = frozenset(
     (OUTCOME_REFUSED, OUTCOME_NOT_SENT, OUTCOME_WITHDRAWN)
 )
+# Value of `MemberUpdate.refutation` at the start of a router. Routers of
+# earlier versions start with 0. They refuse frames with entries of another
+# length, so a further field would divide the fleet during a rolling update.
+UNREADY_REFUTATION = -(1 << 31)
 # Value of `Done.cost` when the actual cost is unknown: the team stays charged
 # with the estimate.
 COST_UNKNOWN = -1.0
@@ -257,7 +261,8 @@
         incarnation (int): Unix time of the router's start in milliseconds, so
             that each restart has a higher one.
         refutation (int): Counter, incremented by the member to refute a
-            suspicion.
+            suspicion. It starts at UNREADY_REFUTATION and is below 0 until the
+            member is ready for callers.
         state (str): "alive", "suspect", "leaving" or "dead".
         peer_address (str): "IP:port" on which it accepts messages of routers.
         caller_address (str): "IP:port" on which it accepts requests of callers.
@@ -272,6 +277,11 @@
     caller_address: str
     zone: str
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the member has a configuration, which it never loses."""
+        return self.refutation >= 0
+
 
 class Suspicion(NamedTuple):
     """A request that was in flight on targets when they crashed.
--- a/packages/core/chervilwall/membership.py
+++ b/packages/core/chervilwall/membership.py
@@ -156,8 +156,26 @@
         return found or [self._me.name]
 
     def ready_members(self) -> list[MemberUpdate]:
-        """Returns the members that accept new callers."""
-        return [m for m in self._members.values() if m.state == STATE_ALIVE]
+        """Returns the members that accept new callers.
+
+        A member that has no configuration yet would refuse their requests.
+        """
+        return [
+            m
+            for m in self._members.values()
+            if m.state == STATE_ALIVE and m.is_ready
+        ]
+
+    def mark_ready(self) -> bool:
+        """Marks this router as ready for callers.
+
+        Returns:
+            Whether it was not ready before.
+        """
+        if self._me.is_ready:
+            return False
+        self._update_self(self._me._replace(refutation=0))
+        return True
 
     def leave(self) -> None:
         """Marks this router as leaving."""
--- a/packages/core/tests/test_codec.py
+++ b/packages/core/tests/test_codec.py
@@ -4,7 +4,9 @@
 import hashlib
 import math
 import unittest
+from typing import NamedTuple
 
+import msgspec
 from chervilwall import cell_messages
 from chervilwall.codec import FrameCodec, pack_config, unpack_config
 from chervilwall.config import Config, Team, VersionedConfig
@@ -19,6 +21,18 @@
 OLD, NEW = b"old-key-of-16-byte", b"new-key-of-16-byte"
 
 
+class EarlierMemberUpdate(NamedTuple):
+    """A MemberUpdate as in versions that did not tell who is ready."""
+
+    name: str
+    incarnation: int
+    refutation: int
+    state: str
+    peer_address: str
+    caller_address: str
+    zone: str
+
+
 class FrameCodecTest(unittest.TestCase):
     def test_returns_what_was_sent(self):
         messages = (
@@ -51,6 +65,21 @@
             with self.assertRaises(CodecError):
                 codec.decode(forged)
 
+    def test_earlier_versions_and_this_one_read_each_others_members(self):
+        encode, decode = msgspec.msgpack.encode, msgspec.msgpack.decode
+        unready = cell_messages.MemberUpdate(
+            "r1", 1, cell_messages.UNREADY_REFUTATION, "alive", "a", "b", "z"
+        )
+        read = decode(encode(unready), type=EarlierMemberUpdate)
+        self.assertEqual(read, unready)
+        self.assertFalse(
+            decode(encode(read), type=cell_messages.MemberUpdate).is_ready
+        )
+        earlier = EarlierMemberUpdate("r1", 1, 0, "alive", "a", "b", "z")
+        self.assertTrue(
+            decode(encode(earlier), type=cell_messages.MemberUpdate).is_ready
+        )
+
     @settings(derandomize=True, max_examples=300, deadline=None)
     @given(st.binary(max_size=300), st.booleans())
     def test_any_bytes_decode_or_are_refused(self, blob, signed):
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -4,7 +4,11 @@
 import unittest
 
 from chervilwall import cell_messages
-from chervilwall.cell_messages import Envelope, MemberUpdate
+from chervilwall.cell_messages import (
+    UNREADY_REFUTATION,
+    Envelope,
+    MemberUpdate,
+)
 from chervilwall.membership import (
     STATE_ALIVE,
     STATE_DEAD,
@@ -29,8 +33,10 @@
         for i in range(count):
             self.add(f"r{i}", 1, seed + i)
 
-    def add(self, name, incarnation, seed):
-        me = MemberUpdate(name, incarnation, 0, STATE_ALIVE, "", "", "az1")
+    def add(self, name, incarnation, seed, refutation=0):
+        me = MemberUpdate(
+            name, incarnation, refutation, STATE_ALIVE, "", "", "az1"
+        )
         made = Membership(me, rng=random.Random(seed))
         made.merge([m.me for m in self.members.values()], self.now)
         self.members[name] = made
@@ -70,6 +76,14 @@
             out = [Envelope(source, push)]
         self.send(peer, out)
 
+    def named(self):
+        """Returns the names that each member that is up gives to callers."""
+        return {
+            name: {m.name for m in member.ready_members()}
+            for name, member in self.members.items()
+            if name not in self.down
+        }
+
     def seen(self, subject):
         return {
             member.get(subject).state
@@ -147,6 +161,68 @@
             named = {m.name for m in member.ready_members()}
             self.assertNotIn("r1", named, name)
 
+    def test_a_member_without_a_configuration_is_not_named(self):
+        net = Network(4)
+        net.add("r4", 1, 99, UNREADY_REFUTATION)
+        net.run(5)
+        self.assertEqual(net.seen("r4"), {STATE_ALIVE})
+        for name, named in net.named().items():
+            self.assertEqual(named, {"r0", "r1", "r2", "r3"}, name)
+        net.members["r4"].mark_ready()
+        net.run(5)
+        for name, named in net.named().items():
+            self.assertEqual(named, set(net.members), name)
+
+    def test_a_refutation_does_not_make_a_member_ready(self):
+        net = Network(4)
+        net.add("r4", 1, 99, UNREADY_REFUTATION)
+        unready = net.members["r4"].me
+        dead = unready._replace(state=STATE_DEAD)
+        net.members["r0"].merge([dead], net.now)
+        net.run(settle_s(5))
+        self.assertEqual(net.seen("r4"), {STATE_ALIVE})
+        self.assertGreater(net.members["r4"].me.refutation, unready.refutation)
+        for name, named in net.named().items():
+            self.assertNotIn("r4", named, name)
+        net.members["r4"].mark_ready()
+        net.members["r1"].merge([dead, unready], net.now)
+        net.run(settle_s(5))
+        for name, named in net.named().items():
+            self.assertIn("r4", named, name)
+
+    def test_an_old_report_of_the_same_start_does_not_undo_readiness(self):
+        net = Network(3)
+        net.add("r3", 1, 99, UNREADY_REFUTATION)
+        unready = net.members["r3"].me
+        net.members["r3"].mark_ready()
+        net.run(5)
+        for member in net.members.values():
+            self.assertEqual(member.merge([unready], net.now), [])
+        for name, named in net.named().items():
+            self.assertIn("r3", named, name)
+
+    def test_a_restarted_member_is_named_again_only_once_it_is_ready(self):
+        net = Network(4)
+        net.members["r1"].leave()
+        net.run(3)
+        net.add("r1", 2, 99, UNREADY_REFUTATION)
+        net.run(5)
+        for name, named in net.named().items():
+            self.assertNotIn("r1", named, name)
+        net.members["r1"].mark_ready()
+        net.run(5)
+        for name, named in net.named().items():
+            self.assertIn("r1", named, name)
+
+    def test_a_member_that_becomes_ready_while_it_leaves_is_not_named(self):
+        net = Network(4)
+        net.add("r4", 1, 99, UNREADY_REFUTATION)
+        net.members["r4"].leave()
+        net.members["r4"].mark_ready()
+        net.run(5)
+        for name, named in net.named().items():
+            self.assertNotIn("r4", named, name)
+
     def test_settles_at_the_size_to_come_by_gossip(self):
         net = Network(64, seed=7)
         net.run(2)
--- a/packages/router/chervilwall_router/fleet.py
+++ b/packages/router/chervilwall_router/fleet.py
@@ -21,9 +21,9 @@
 # of it by gossip.
 MAX_CONFIG_NOTICES = 3
 MIN_CONFIG_PULL_INTERVAL_S = 0.3
-# Number of peers notified immediately that this router is leaving. The others
-# learn of it by gossip.
-MAX_LEAVE_NOTICES = 16
+# Number of peers notified immediately that this router is ready for callers or
+# leaving. The others learn of it by gossip.
+MAX_STATE_NOTICES = 16
 
 
 class Fleet:
@@ -84,15 +84,21 @@
         for address in self._seeds - known:
             self._mesh.send(address, pull)
 
+    def mark_ready(self) -> None:
+        """Marks this router as ready for callers and notifies some peers.
+
+        The others learn of it by gossip. Further calls have no effect.
+        """
+        if self.membership.mark_ready():
+            self._notify_peers()
+
     def leave(self) -> None:
         """Marks this router as leaving and notifies some peers immediately.
 
         The others learn of it by gossip.
         """
         self.membership.leave()
-        push = cell_messages.MembersPush((self.membership.me,))
-        for name in self._sample_peers(MAX_LEAVE_NOTICES):
-            self.send(name, push)
+        self._notify_peers()
 
     def send(self, name: str, msg: cell_messages.Message) -> None:
         """Sends a message to a member.
@@ -221,6 +227,11 @@
         if changed:
             self._on_members(changed)
 
+    def _notify_peers(self) -> None:
+        push = cell_messages.MembersPush((self.membership.me,))
+        for name in self._sample_peers(MAX_STATE_NOTICES):
+            self.send(name, push)
+
     def _sample_peers(self, count: int) -> list[str]:
         names = [
             m.name
--- a/packages/router/chervilwall_router/router.py
+++ b/packages/router/chervilwall_router/router.py
@@ -220,7 +220,7 @@
         local_member = MemberUpdate(
             name=cfg.name,
             incarnation=self._started_ms,
-            refutation=0,
+            refutation=cell_messages.UNREADY_REFUTATION,
             state=STATE_ALIVE,
             peer_address=cfg.listen.peers_advertised or cfg.listen.peers,
             caller_address=cfg.listen.callers,
@@ -335,6 +335,8 @@
         self._pipeline.configure(config)
         self._cell_host.configure(config)
         self._holder.refuse_removed_cells(self._cell_host.cells)
+        if config.teams:
+            self._fleet.mark_ready()
         self._assign_cells()
         self._fleet.announce_config()
 
--- a/packages/router/tests/test_security.py
+++ b/packages/router/tests/test_security.py
@@ -4,11 +4,14 @@
 import pathlib
 import signal
 import ssl
+import tempfile
 import time
 import unittest
 import urllib.request
 
+from chervilwall_standins.demo import make_deployment, run_ctl
 from chervilwall_standins.fleet import FLEET_KEY, Fleet, call_json, wait_for
+from chervilwall_standins.sheets import make_sheet
 
 DATA = pathlib.Path(__file__).parent / "data"
 CERT, KEY = str(DATA / "cert.pem"), str(DATA / "key.pem")
@@ -74,6 +77,12 @@
                 "tls": tls,
             }
             fleet.start_router("router1", listen=listen)
+            # A router names itself only once it has a configuration.
+            with tempfile.NamedTemporaryFile(suffix=".csv") as file:
+                sheet = make_sheet(make_deployment())
+                pathlib.Path(file.name).write_bytes(sheet)
+                result = run_ctl(fleet, "apply", file.name)
+            self.assertEqual(result.returncode, 0, result.stderr)
             url = f"https://{fleet.caller_address('router1')}/v1/routers"
 
             def served():
--- a/packages/standins/tests/test_config_in_force.py
+++ b/packages/standins/tests/test_config_in_force.py
@@ -4,6 +4,7 @@
 import pathlib
 import signal
 import tempfile
+import unittest
 
 from chervilwall.errors import PlatformUnavailableError
 from chervilwall_ctl.config_change import (
@@ -13,7 +14,8 @@
 )
 from chervilwall_platform.client import HttpPlatform
 from chervilwall_standins.case import FleetCase
-from chervilwall_standins.fleet import wait_for
+from chervilwall_standins.demo import apply_sheet, make_deployment
+from chervilwall_standins.fleet import Fleet, call_json, wait_for
 from chervilwall_standins.sheets import make_sheet
 
 IN_FORCE_TIMEOUT_S = 5.0
@@ -118,3 +120,32 @@
         self.addCleanup(self.fleet.set_platform_faults, down=False)
         text = self.run_async(scenario())
         self.assertIn(self.fleet.platform_url, text)
+
+
+class NamedToCallersTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = self.enterContext(Fleet(routers=3))
+
+    def named_by(self, router):
+        url = f"{self.fleet.router_url(router)}/v1/routers"
+        return {r["name"] for r in call_json(url)["routers"]}
+
+    def test_no_router_is_named_before_it_has_a_configuration(self):
+        names = self.fleet.router_names
+        wait_for(
+            lambda: all(
+                [m[3] for m in self.fleet.status(n)["members"]]
+                == ["alive"] * len(names)
+                for n in names
+            ),
+            limit_s=IN_FORCE_TIMEOUT_S,
+            what="all routers joined",
+        )
+        for name in names:
+            self.assertEqual(self.named_by(name), set(), name)
+        apply_sheet(self.fleet, make_sheet(make_deployment()), quiet=True)
+        wait_for(
+            lambda: all(self.named_by(n) == set(names) for n in names),
+            limit_s=IN_FORCE_TIMEOUT_S,
+            what="all routers named to callers",
+        )
