Assign cells only to routers that have a configuration

A router that has joined and has no configuration knows no cells, but the others assigned cells to it: it drops their requests for a grant and the state that the cell's last scheduler hands over. Requests of these cells wait until they are queued again, after its configuration has arrived, or reach their deadline. Found while looking for the cause of the routers named without a configuration; no caller reported it, and how long requests waited was not measured.

Cause: the same. Alive was taken for able to schedule.

Membership.schedulers returns the members that are ready; if none is, all that live, as before, so that a fleet before its first sheet does not let each router take itself for the only one.

test_a_router_schedules_nothing_until_it_knows_the_cells and test_without_any_ ready_member_all_that_live_may_schedule failed before, pass after.

--- a/packages/core/chervilwall/membership.py
+++ b/packages/core/chervilwall/membership.py
@@ -145,15 +145,17 @@
 
         A cell is a group of targets of one service that one router schedules.
         A suspect keeps its cells until it is declared dead, while a leaving
-        member gives them up immediately. If no member is eligible, only this
-        router is returned.
+        member gives them up immediately. A member without a configuration
+        knows no cells and is returned only if none has one. If no member is
+        eligible, only this router is returned.
         """
-        found = sorted(
-            m.name
+        found = [
+            m
             for m in self._members.values()
             if m.state in (STATE_ALIVE, STATE_SUSPECT)
-        )
-        return found or [self._me.name]
+        ]
+        found = [m for m in found if m.is_ready] or found
+        return sorted(m.name for m in found) or [self._me.name]
 
     def ready_members(self) -> list[MemberUpdate]:
         """Returns the members that accept new callers.
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -223,6 +223,18 @@
         for name, named in net.named().items():
             self.assertNotIn("r4", named, name)
 
+    def test_without_any_ready_member_all_that_live_may_schedule(self):
+        net = Network(0)
+        for i in range(3):
+            net.add(f"r{i}", 1, i, UNREADY_REFUTATION)
+        net.run(5)
+        for member in net.members.values():
+            self.assertEqual(member.schedulers(), ["r0", "r1", "r2"])
+        net.members["r1"].mark_ready()
+        net.run(5)
+        for member in net.members.values():
+            self.assertEqual(member.schedulers(), ["r1"])
+
     def test_settles_at_the_size_to_come_by_gossip(self):
         net = Network(64, seed=7)
         net.run(2)
--- a/packages/router/tests/test_fleet.py
+++ b/packages/router/tests/test_fleet.py
@@ -7,7 +7,14 @@
 import msgspec
 from chervilwall.cell_messages import ConfigPull, ConfigPush
 from chervilwall.codec import FrameCodec
-from chervilwall.config import Config, ConfigObject, Team
+from chervilwall.config import (
+    Config,
+    ConfigObject,
+    RequestClass,
+    Service,
+    Target,
+    Team,
+)
 from chervilwall.errors import PlatformError
 from chervilwall.membership import STATE_ALIVE
 from chervilwall.protocol import PlatformObject
@@ -15,7 +22,15 @@
 from chervilwall_router.settings import ListenSettings, RouterSettings
 
 FLEET_KEY = "fleet-key-of-the-test"
-STORED = msgspec.json.encode(ConfigObject(Config((Team("a", 1.0),)), "id"))
+CONFIG = Config(
+    teams=(Team("a", 1.0),),
+    services=tuple(Service(f"svc{i}") for i in range(3)),
+    classes=tuple(RequestClass("c", f"svc{i}", f"/{i}") for i in range(3)),
+    targets=tuple(
+        Target(f"t{i}", f"svc{i}", f"10.0.0.{i}:80") for i in range(3)
+    ),
+)
+STORED = msgspec.json.encode(ConfigObject(CONFIG, "id"))
 
 
 class MemoryMesh:
@@ -141,3 +156,18 @@
         await self.routers["r3"]._config_watcher.poll()
         self.deliver()
         self.assert_named("r1", "r2")
+
+    async def test_a_router_schedules_nothing_until_it_knows_the_cells(self):
+        for name in ("r1", "r2"):
+            owners = self.routers[name]._cell_host.router_by_cell
+            self.assertEqual(set(owners.values()), {"r1", "r2"}, name)
+        self.platforms["r3"].may_answer.set()
+        await self.routers["r3"]._config_watcher.poll()
+        self.deliver()
+        for name, router in self.routers.items():
+            owners = router._cell_host.router_by_cell
+            self.assertEqual(set(owners.values()), set(self.routers), name)
+            for cell, owner in owners.items():
+                self.assertTrue(
+                    self.routers[owner]._cell_host.is_scheduled_here(cell)
+                )
