Break off a body with a length that another response fills up

Callers got a complete 200 whose body ended with the head of another response: the answer broke off before its length was met, and its target sent it once more on the same connection. The parser counted the copy's bytes until the length was met; the malformed rest behind only prevented reuse. Found by a review; it fits targets that answer twice.

Bodies with a length are searched for heads as those without framing are. If the length is met inside a head, the answer counts only if no more bytes come within 10 ms. Chunked bodies need none of this, as their framing breaks.

The product's own path (target_client) does the same still.

--- a/packages/core/chervilwall/http_messages.py
+++ b/packages/core/chervilwall/http_messages.py
@@ -95,6 +95,7 @@
         closes_connection (bool): Whether the target closes the connection.
         is_delimited (bool): Whether the body is chunked or has a length,
             so that its end differs from a broken connection.
+        is_chunked (bool): Whether the body is chunked.
         target_leaving (bool): Whether the target announces that it will stop.
         pause_s (float): Seconds for which a target that rejected the request
             wants no further requests from this router, 0 for no pause.
@@ -111,6 +112,7 @@
     idle_limit_s: float | None = None
     closes_connection: bool = False
     is_delimited: bool = True
+    is_chunked: bool = False
     target_leaving: bool = False
     pause_s: float = 0.0
     rate_limit: RateLimit = RateLimit()
--- a/packages/router/chervilwall_router/edge/exchange.py
+++ b/packages/router/chervilwall_router/edge/exchange.py
@@ -25,6 +25,8 @@
 MAX_UNMATCHED_RESPONSES = 4
 MAX_UNMATCHED_BYTES = 1 << 20
 MAX_INFORMATIONAL_RESPONSES = 8
+# Time for the rest of a head whose beginning met the length of a body.
+REST_WAIT_S = 0.01
 # Memory of one header besides its bytes: two strings in a pair, in a list.
 HEADER_OVERHEAD_BYTES = 192
 # The parser copies an unfinished trailer at each read.
@@ -159,8 +161,12 @@
         self._informational_count = 0
         self._is_unmatched = False
         self._pending_body: list[bytes] = []
-        # None unless the body ends with the connection.
+        # None for a chunked body: its framing breaks where another response
+        # begins.
         self._repeats: RepeatedHeadDetector | None = None
+        # Completes a body that ends like the beginning of a head, unless more
+        # bytes follow.
+        self._completion: asyncio.TimerHandle | None = None
         # Why reading is paused: the caller is slow, or too much is kept.
         self._awaits_caller = False
         self._is_held = False
@@ -251,6 +257,9 @@
             self.reusable = False
             self._conn.close()
             return
+        if self._completion is not None:
+            self.abort("the body ends inside the head of another response")
+            return
         was_in_head = self._in_head
         if was_in_head:
             self._head_bytes += len(data)
@@ -300,6 +309,8 @@
         connection, so it is complete if the target closed that cleanly and
         had not begun another one.
         """
+        if self._completion is not None:
+            self._complete()
         self.reusable = False
         if not self._is_done():
             self.ending = Ending.CLOSED if clean else Ending.LOST
@@ -323,6 +334,8 @@
         """Starts a response, to this request or to another one."""
         if self.is_complete:
             self.reusable = False
+        if self._completion is not None:
+            self.abort("the body ends inside the head of another response")
         self._raw_headers = []
         self._in_head = True
         self._is_unmatched = False
@@ -357,7 +370,7 @@
             return
         self._on_head(head)
         self.head = head
-        if not head.is_delimited:
+        if not head.is_chunked:
             self._repeats = RepeatedHeadDetector(
                 self._conn.request_ids, self._wire
             )
@@ -393,6 +406,16 @@
                 self.abort(f"{len(self.skipped)} responses to other requests")
             return
         self._deliver_body()
+        if self._is_done():
+            return
+        if self._repeats is not None and self._repeats.ends_inside_head():
+            loop = asyncio.get_running_loop()
+            self._completion = loop.call_later(REST_WAIT_S, self._complete)
+            return
+        self._complete()
+
+    def _complete(self) -> None:
+        """Ends the exchange with a whole response."""
         if self._is_done():
             return
         head = self.head
@@ -401,6 +424,8 @@
         self.ending = Ending.FRAMED
         self.reusable = (
             head.is_delimited
+            # What may still come could not be told from the next response.
+            and self._completion is None
             and not head.closes_connection
             # The next response could not be told from a copy of this one.
             and bool(head.request_id)
@@ -424,7 +449,7 @@
             return
         self._body_bytes += len(chunk)
         if self._repeats is not None and self._repeats.feed(chunk):
-            self.abort("another response follows in a body without framing")
+            self.abort("another response follows inside the body")
             return
         try:
             if self._body_bytes > MAX_BODY_BYTES:
@@ -479,6 +504,8 @@
         return self._done is None or self._done.done()
 
     def _finish(self, reason: str) -> None:
+        if self._completion is not None:
+            self._completion.cancel()
         if not self.is_complete:
             self.reason = self.reason or reason
         if self._done is not None and not self._done.done():
--- a/packages/router/tests/test_edge_exchange.py
+++ b/packages/router/tests/test_edge_exchange.py
@@ -104,6 +104,41 @@
                             await self.receive_unframed(body, size=size)
                         )
 
+    async def receive_with_length(self, length, body, *, size=1000):
+        """Receives a body with a length; returns whether it is complete."""
+        await self.asyncSetUp()
+        head = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nContent-Length: %d\r\n"
+        data = head % length + b"\r\n" + body
+        for at in range(0, len(data), size):
+            if not self.done.done():
+                self.exchange.receive(data[at : at + size])
+        async with asyncio.timeout(1.0):
+            await self.done
+        return self.exchange.is_complete
+
+    async def test_a_second_answer_does_not_fill_up_a_short_body(self):
+        copy = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nContent-Length: 4\r\n\r\n"
+        copy += b"body"
+        for length in range(len(b"bbbHTTP/"), len(copy) + 3):
+            for size in (1, 7, 1000):
+                with self.subTest(length=length, size=size):
+                    self.assertFalse(
+                        await self.receive_with_length(
+                            length, b"bbb" + copy, size=size
+                        )
+                    )
+
+    async def test_a_body_with_a_length_may_end_like_a_head(self):
+        for body in (b"}HTTP/1.1", b"}HTTP/1.1 200 OK\r\nX: 1", b"HTTP/1.1 2"):
+            for size in (1, 1000):
+                with self.subTest(body=body, size=size):
+                    self.assertTrue(
+                        await self.receive_with_length(
+                            len(body), body, size=size
+                        )
+                    )
+                    self.assertFalse(self.exchange.reusable)
+
     async def test_a_refusal_without_id_behind_a_body_does_not_end_it(self):
         self.assertFalse(await self.receive_unframed(b"body" + REFUSAL))
 
