--- a/packages/standins/chervilwall_standins/users/process_fleet.py
+++ b/packages/standins/chervilwall_standins/users/process_fleet.py
@@ -8,7 +8,11 @@
 import tempfile
 
 import msgspec
-from chervilwall_router.edge.settings import EdgeSettings, StoreSettings
+from chervilwall_router.edge.settings import (
+    EdgeSettings,
+    RetrySettings,
+    StoreSettings,
+)
 
 from chervilwall_standins.users.fleet import make_config
 from chervilwall_standins.users.flood import make_settings, start_process
@@ -26,6 +30,7 @@
         name (str): Name of the router.
         store (FakeStore): The store, at which it gets an address of its own.
         folder (pathlib.Path): Folder for its settings and its log.
+        retries (RetrySettings): Retry budget of the fleet.
 
     Attributes:
         log (pathlib.Path): Its log.
@@ -33,7 +38,11 @@
     """
 
     def __init__(
-        self, name: str, store: FakeStore, folder: pathlib.Path
+        self,
+        name: str,
+        store: FakeStore,
+        folder: pathlib.Path,
+        retries: RetrySettings,
     ) -> None:
         self._store = store
         self._store_address = store.add_address()
@@ -41,9 +50,12 @@
         self.log = folder / f"{name}.log"
         self._process: subprocess.Popen[bytes] | None = None
         self.starts = 0
-        self.settings: EdgeSettings = make_settings(
+        cfg = make_settings(
             name, StoreSettings(self._store_address, CALL_TIMEOUT_S, WATCH_S)
         )
+        self.settings: EdgeSettings = msgspec.structs.replace(
+            cfg, retries=retries
+        )
         self._path.write_bytes(msgspec.json.encode(self.settings))
 
     def __repr__(self) -> str:
@@ -92,13 +104,21 @@
     Args:
         *targets (FakeTarget): Targets to start and register in the store.
         routers (int): Number of routers.
+        retries (RetrySettings): Retry budget of the fleet. Defaults to that of
+            RetrySettings.
     """
 
-    def __init__(self, *targets: FakeTarget, routers: int) -> None:
+    def __init__(
+        self,
+        *targets: FakeTarget,
+        routers: int,
+        retries: RetrySettings | None = None,
+    ) -> None:
         self.store = FakeStore()
         self.targets = list(targets)
         self.routers: list[RouterProcess] = []
         self._router_count = routers
+        self._retries = retries or RetrySettings()
         self._stack = contextlib.AsyncExitStack()
 
     def __repr__(self) -> str:
@@ -112,7 +132,10 @@
             await self.start_target(target)
         for number in range(self._router_count):
             router = RouterProcess(
-                f"router{number}", self.store, pathlib.Path(folder)
+                f"router{number}",
+                self.store,
+                pathlib.Path(folder),
+                self._retries,
             )
             router.start()
             self._stack.callback(router.kill)
