--- a/packages/standins/chervilwall_standins/users/process_fleet.py
+++ b/packages/standins/chervilwall_standins/users/process_fleet.py
@@ -10,6 +10,7 @@
 import msgspec
 from chervilwall_router.edge.settings import (
     EdgeSettings,
+    RetrySettings,
     ShutdownSettings,
     StoreSettings,
 )
@@ -24,6 +25,7 @@
 from chervilwall_standins.users.target import FakeTarget
 
 CALL_TIMEOUT_S = 0.5
+DEFAULT_RETRIES = RetrySettings()
 WATCH_S = 2.0
 EXIT_POLL_S = 0.02
 
@@ -36,6 +38,8 @@
         store (FakeStore): The store, at which it gets an address of its own.
         folder (pathlib.Path): Folder for its settings and its log.
         stop (ShutdownSettings): How it stops. Defaults to SHORT_STOP.
+        retries (RetrySettings): Retry budget of the fleet. Defaults to
+            DEFAULT_RETRIES.
 
     Attributes:
         log (pathlib.Path): Its log.
@@ -48,6 +52,7 @@
         store: FakeStore,
         folder: pathlib.Path,
         stop: ShutdownSettings = SHORT_STOP,
+        retries: RetrySettings = DEFAULT_RETRIES,
     ) -> None:
         self._store = store
         self._store_address = store.add_address()
@@ -55,11 +60,14 @@
         self.log = folder / f"{name}.log"
         self._process: subprocess.Popen[bytes] | None = None
         self.starts = 0
-        self.settings: EdgeSettings = make_settings(
+        cfg = make_settings(
             name,
             StoreSettings(self._store_address, CALL_TIMEOUT_S, WATCH_S),
             stop,
         )
+        self.settings: EdgeSettings = msgspec.structs.replace(
+            cfg, retries=retries
+        )
         self._path.write_bytes(msgspec.json.encode(self.settings))
 
     def __repr__(self) -> str:
@@ -133,6 +141,8 @@
         *targets (FakeTarget): Targets to start and register in the store.
         routers (int): Number of routers.
         stop (ShutdownSettings): How they stop. Defaults to SHORT_STOP.
+        retries (RetrySettings): Retry budget of the fleet. Defaults to
+            DEFAULT_RETRIES.
     """
 
     def __init__(
@@ -140,12 +150,14 @@
         *targets: FakeTarget,
         routers: int,
         stop: ShutdownSettings = SHORT_STOP,
+        retries: RetrySettings = DEFAULT_RETRIES,
     ) -> None:
         self.store = FakeStore()
         self.targets = list(targets)
         self.routers: list[RouterProcess] = []
         self._router_count = routers
         self._stop = stop
+        self._retries = retries
         self._stack = contextlib.AsyncExitStack()
 
     def __repr__(self) -> str:
@@ -163,6 +175,7 @@
                 self.store,
                 pathlib.Path(folder),
                 self._stop,
+                self._retries,
             )
             router.start()
             self._stack.callback(router.kill)
