Do not take a target for silent while this router does not read

A caller that read slowly, or the bound on what is kept, pauses the reading of a response. After a second the sound target behind it counted as silent: it got a failure, and a stream that may be resumed ran a second time elsewhere.

Time in which reading is paused is no silence, and ends no search.

--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -1,6 +1,7 @@
 """A single attempt to run a request on a target."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Protocol
 
 from chervilwall import cell_messages
@@ -234,7 +235,9 @@
         )
         work = exchange.start(admitted.req, headers)
         try:
-            if await self._wait_for_end(work, relay):
+            if await self._wait_for_end(
+                work, relay, lambda: exchange.is_paused
+            ):
                 return self._classify(exchange, relay)
         finally:
             work.cancel()
@@ -245,12 +248,19 @@
         self,
         work: "asyncio.Future[None]",
         relay: BufferedRelay | StreamRelay,
+        is_paused: Callable[[], bool],
     ) -> bool:
         """Waits until the exchange ends or is abandoned.
 
         It is abandoned after the deadline of the request or, if the request
         may be retried, after too long a silence of the target, as soon as
-        another target has room.
+        another target has room. Time in which this router reads nothing is no
+        silence of the target.
+
+        Args:
+            work (asyncio.Future): Done when the exchange ends.
+            relay (BufferedRelay | StreamRelay): Receives the answer.
+            is_paused (Callable): Returns whether reading is paused.
 
         Returns:
             Whether the exchange has ended.
@@ -261,7 +271,7 @@
         while True:
             now = clock()
             event_count = getattr(relay, "events", 0)
-            if event_count != last_events:
+            if event_count != last_events or is_paused():
                 last_events, last_progress_at = event_count, now
             if now >= admitted.deadline_at:
                 return False
@@ -272,7 +282,7 @@
                 left_s = last_progress_at + max_silence_s - now
                 if left_s > 0:
                     pause_s = min(pause_s, left_s)
-                elif await self._find_replacement(work, relay):
+                elif await self._find_replacement(work, relay, is_paused):
                     return False
                 else:
                     left_s = max(0.0, admitted.deadline_at - clock())
@@ -285,6 +295,7 @@
         self,
         work: "asyncio.Future[None]",
         relay: BufferedRelay | StreamRelay,
+        is_paused: Callable[[], bool],
     ) -> bool:
         """Asks for another target while the current one may be replaced.
 
@@ -301,7 +312,7 @@
 
         def is_replaceable() -> bool:
             has_event = getattr(relay, "events", 0) != event_count
-            if work.done() or has_event:
+            if work.done() or has_event or is_paused():
                 return False
             return self._replacements.may_replace()
 
--- a/packages/router/chervilwall_router/edge/exchange.py
+++ b/packages/router/chervilwall_router/edge/exchange.py
@@ -232,6 +232,11 @@
         self._finish(reason)
         self._conn.close()
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether this router reads no further for now."""
+        return self._awaits_caller or self._is_held
+
     # Callbacks of KeptResponses.
 
     def hold(self) -> None:
@@ -470,12 +475,11 @@
             self._set_paused(awaits_caller=False, is_held=self._is_held)
 
     def _set_paused(self, *, awaits_caller: bool, is_held: bool) -> None:
-        was_paused = self._awaits_caller or self._is_held
+        was_paused = self.is_paused
         self._awaits_caller, self._is_held = awaits_caller, is_held
-        is_paused = awaits_caller or is_held
-        if is_paused and not was_paused:
+        if self.is_paused and not was_paused:
             self._conn.pause()
-        elif was_paused and not is_paused:
+        elif was_paused and not self.is_paused:
             self._conn.resume()
 
     def _count_kept(self, kept: KeptResponses) -> None:
--- a/packages/router/tests/test_edge_flow.py
+++ b/packages/router/tests/test_edge_flow.py
@@ -232,7 +232,26 @@
         runner._grant = mock.MagicMock()
         work = asyncio.get_running_loop().create_future()
         relay = mock.Mock(events=0, sent_bytes=0)
-        self.assertFalse(await runner._find_replacement(work, relay))
+        self.assertFalse(
+            await runner._find_replacement(work, relay, lambda: False)
+        )
+
+    async def test_a_target_that_is_not_read_is_not_silent(self):
+        now = time.monotonic()
+        replacements = mock.Mock()
+        replacements.may_replace.return_value = True
+        runner = AttemptRunner(
+            SimpleNamespace(clock=time.monotonic),
+            SimpleNamespace(deadline_at=now + MIN_SILENCE_S + 0.5, route=ROUTE),
+            replacements,
+        )
+        runner._grant = mock.MagicMock()
+        runner._grant.choice.first_token_s = 0.0
+        work = asyncio.get_running_loop().create_future()
+        relay = mock.Mock(events=0)
+        await runner._wait_for_end(work, relay, lambda: True)
+        replacements.acquire_replacement.assert_not_called()
+        runner._grant.record_silence.assert_not_called()
 
     async def test_the_search_for_another_target_ends_in_time(self):
         now = time.monotonic()
@@ -245,5 +264,6 @@
         runner._grant = mock.MagicMock()
         runner._grant.choice.first_token_s = 0.0
         work = asyncio.get_running_loop().create_future()
-        self.assertFalse(await runner._wait_for_end(work, mock.Mock(events=0)))
+        relay = mock.Mock(events=0)
+        self.assertFalse(await runner._wait_for_end(work, relay, lambda: False))
         self.assertLess(time.monotonic() - deadline_at, 0.2)
