Spend no retry where no other target is left, and none past the time limit

Two decisions that were taken before what they rest on was known, found by a review. A retry of the budget was spent after a failure although no other target was left, so that retries of others were withheld. And the verdict on a target that had closed its connection was waited for past the time limit of the request: 1.75 s with a limit of 0.8 s and two probes that were not answered.

Whether another target is left is asked before a retry is spent; verdicts are waited for until the time limit.

test_edge_late_verdicts: 2 of 2 failed before, pass after; test_edge_flow 10, test_edge_answers 29, test_edge_broken_off 29, test_edge_crashing_request 12, test_edge_retry_budget 3, test_edge_silent_targets 6 and test_edge_repeated_answers 16 passed. Both faults in one commit, as the same lines change.

--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -11,6 +11,7 @@
 from chervilwall.registry import RegisteredTarget
 
 from chervilwall_router.edge.connections import max_idle_connections
+from chervilwall_router.edge.crash_evidence import WatchedAttempt
 from chervilwall_router.edge.exchange import Ending, Exchange
 from chervilwall_router.edge.relay import BufferedRelay, StreamRelay, may_relay
 from chervilwall_router.edge.request_types import (
@@ -158,7 +159,7 @@
                 if (
                     result is AttemptResult.ANSWERED
                     and exchange.ending is Ending.CLOSED
-                    and not await crashes.confirm_serving(target, watched)
+                    and not await self._confirm(target, watched)
                 ):
                     exchange.reason = "target ended with its answer"
                     result = AttemptResult.BROKEN
@@ -173,7 +174,7 @@
             # request, which rules out a retry. Otherwise nothing depends on
             # the verdict.
             if self._replacements.may_replace():
-                await examined
+                await asyncio.wait((examined,), timeout=self._left_s())
         attempt = Attempt(
             result,
             target,
@@ -190,6 +191,21 @@
             crashes.record_success(fingerprints)
         return attempt
 
+    async def _confirm(
+        self, target: RegisteredTarget, watched: WatchedAttempt
+    ) -> bool:
+        """Returns whether a target is known in time to outlive its answer."""
+        try:
+            async with asyncio.timeout(self._left_s()):
+                return await self._parts.crashes.confirm_serving(
+                    target, watched
+                )
+        except TimeoutError:
+            return False
+
+    def _left_s(self) -> float:
+        return max(0.0, self._admitted.deadline_at - self._parts.clock())
+
     def _withdrawal_reason(
         self, target: RegisteredTarget, status: QuarantineStatus
     ) -> str:
--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -319,6 +319,7 @@
             self._not_executed += 1
             will_retry = (
                 self._not_executed <= MAX_NOT_EXECUTED_RETRIES
+                and self._has_other_target()
                 and self._spend_retry(attempt.result.value)
             )
             if not will_retry and not answer.started:
@@ -328,7 +329,11 @@
             return not will_retry
         if attempt.result is AttemptResult.SILENT:
             return False
-        if self._may_retry() and self._spend_retry(attempt.result.value):
+        if (
+            self._may_retry()
+            and self._has_other_target()
+            and self._spend_retry(attempt.result.value)
+        ):
             return False
         self._fail(answer, attempt, 502, "broken_answer")
         return True
@@ -359,6 +364,7 @@
             failed
             and not answer.started
             and self._may_retry()
+            and self._has_other_target()
             and self._spend_retry(CAUSE_FAILED)
         ):
             self._keep_failure(attempt, relay)
@@ -417,8 +423,11 @@
 
     def may_replace(self) -> bool:
         """Returns whether another target may take over the request now."""
-        if not (self._may_retry(in_progress=1) and self._has_budget()):
-            return False
+        may_retry = self._may_retry(in_progress=1) and self._has_budget()
+        return may_retry and self._has_other_target()
+
+    def _has_other_target(self) -> bool:
+        """Returns whether a target is left that may take over the request."""
         version, relay = None, self._relay
         if self._stream is not None:
             version = self._stream.version
