Test that a silent target is kept until its replacement has answered

No retry was left, and the stream was cut after five of its six events. What was given up was not yet replaced.

--- a/packages/standins/tests/test_edge_silent_targets.py
+++ b/packages/standins/tests/test_edge_silent_targets.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from chervilwall_standins.users import target as t
 from chervilwall_standins.users.fleet import EdgeFleet, make_route
 from chervilwall_standins.users.target import FakeTarget
 
@@ -56,6 +57,30 @@
         self.assertEqual(sum(len(x.executed) for x in targets), 1)
 
 
+class RefusedReplacementTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_stream_is_not_lost_to_a_target_that_refuses(self):
+        silent = FakeTarget(
+            "m0", "svc", events=EVENTS, event_interval_s=SILENCE_S
+        )
+        refusing = FakeTarget("m1", "svc", events=EVENTS)
+        route = make_route(
+            "job",
+            "svc",
+            kind="streaming",
+            resumable=True,
+            max_attempts=3,
+            timeout_ms=8000,
+        )
+        async with EdgeFleet(silent, refusing, routes=[route]) as fleet:
+            refusing.mode = t.OVERLOADED
+            response = await fleet.call(
+                "/job/x", timeout_remaining="8000", token_usage="100,40"
+            )
+        self.assertEqual(silent.executed, ["r1"])
+        self.assertEqual(response.status, 200)
+        self.assertTrue(response.is_complete)
+
+
 class FullTargetsTest(unittest.IsolatedAsyncioTestCase):
     """Tests of silent targets while all places of the others are taken."""
 
