--- a/packages/standins/chervilwall_standins/loopback.py
+++ b/packages/standins/chervilwall_standins/loopback.py
@@ -12,15 +12,15 @@
 def unique_loopback_address() -> str:
     """Returns a loopback IP address that this process has not returned before.
 
-    Other processes get other addresses, unless their IDs are equal modulo 2048;
-    after 4000 calls, addresses repeat. The addresses are the source of no other
+    Other processes get other addresses, unless their IDs are equal modulo 1024;
+    after 8000 calls, addresses repeat. The addresses are the source of no other
     connections, so a fixed port on them stays free, whereas a port that was
     just free on 127.0.0.1 can be taken by any outgoing connection.
     """
     pid, number = os.getpid(), next(_ADDRESS_NUMBERS)
-    # Each process ID, modulo 2048, maps to 4000 addresses of its own, so that a
+    # Each process ID, modulo 1024, maps to 8000 addresses of its own, so that a
     # long test run repeats none.
-    third_octet = 16 * ((pid >> 7) % 16) + (number // 250) % 16
+    third_octet = 32 * ((pid >> 7) % 8) + (number // 250) % 32
     return f"127.{64 + pid % 128}.{third_octet}.{1 + number % 250}"
 
 
