Evacuate zones: set of evacuated zones, its watch, reports, and effects

Cause: while an object evacuations/ZONE exists, no new request may reach the targets of that zone; routers did not read it. Reports carry revision and zones. The registry leaves targets in evacuated zones out of serving_targets; grants there are returned, and requests whose connection was being opened are withdrawn.

--- a/packages/core/chervilwall/edge_messages.py
+++ b/packages/core/chervilwall/edge_messages.py
@@ -97,6 +97,10 @@
             router watches the store itself.
         leaving (tuple): Targets that recently announced their shutdown.
         limits (tuple): Limits of targets, those that changed first.
+        evacuations_revision (StoreRevision): Revision at which its set of
+            evacuated zones was read, (0, 0) if it knows none.
+        evacuated_zones (tuple): Names of the evacuated zones, at most
+            `evacuations.MAX_ZONES`.
     """
 
     sequence: int
@@ -117,6 +121,8 @@
     store_reachable: bool = False
     leaving: tuple[TargetStart, ...] = ()
     limits: tuple[StatedLimit, ...] = ()
+    evacuations_revision: StoreRevision = StoreRevision()
+    evacuated_zones: tuple[str, ...] = ()
 
 
 class LivePeer(NamedTuple):
--- a/packages/core/chervilwall/events.py
+++ b/packages/core/chervilwall/events.py
@@ -57,6 +57,17 @@
 )
 STORE_READ_AGAIN = Event(406, logging.INFO, "older copy of the store read")
 WATCH_LOST = Event(407, logging.WARNING, "response to a store watch was lost")
+ZONE_EVACUATED = Event(440, logging.WARNING, "zone evacuated")
+ZONE_RETURNED = Event(441, logging.INFO, "zone returned to service")
+EVACUATIONS_CUT = Event(
+    442, logging.ERROR, "evacuations of some zones are ignored"
+)
+EVACUATIONS_UNKNOWN = Event(
+    443, logging.ERROR, "router is ready without knowing the evacuated zones"
+)
+RETURNED_TARGETS_COLD = Event(
+    444, logging.INFO, "targets of returned zones may be cold"
+)
 CELL_SCHEDULING_STARTED = Event(500, logging.INFO, "started scheduling a cell")
 CELL_SCHEDULING_STOPPED = Event(501, logging.INFO, "stopped scheduling a cell")
 TARGET_EJECTED = Event(502, logging.WARNING, "target ejected")
--- a/packages/core/chervilwall/protocol.py
+++ b/packages/core/chervilwall/protocol.py
@@ -284,11 +284,14 @@
         config_kind (str): Kind of the object that holds the configuration.
         config_name (str): Name of that object.
         target_kind (str): Kind of the objects that register targets.
+        evacuation_kind (str): Kind of the objects that evacuate zones, each
+            named after its zone.
     """
 
     config_kind: str
     config_name: str
     target_kind: str
+    evacuation_kind: str
 
     def decode_configuration(self, value: bytes) -> RoutingTable:
         """Decodes the configuration.
--- a/packages/core/chervilwall/registry.py
+++ b/packages/core/chervilwall/registry.py
@@ -1,6 +1,6 @@
 """Registry of the targets that registered on the deployment platform."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
 # Grace period from the end of an outage of the deployment platform: lapsed
@@ -72,12 +72,17 @@
     afterwards: a lapsed target is kept for a grace period.
 
     A target that announces in an answer that it is leaving gets no more
-    requests, whatever its registration says, until it is restarted.
+    requests, whatever its registration says, until it is restarted. Targets in
+    evacuated zones get none until their zone returns to service.
     """
 
     def __init__(self) -> None:
         self._targets: dict[str, RegisteredTarget] = {}
+        # Targets that are not draining, and those of them that are not in an
+        # evacuated zone.
+        self._undrained: dict[str, list[RegisteredTarget]] = {}
         self._by_service: dict[str, list[RegisteredTarget]] = {}
+        self._evacuated_zones: frozenset[str] | None = frozenset()
         self._lapsed_until: dict[str, float] = {}
         self._leaving_since: dict[TargetStart, float] = {}
         self.revision = 0
@@ -93,9 +98,42 @@
         return self._targets.get(target_id)
 
     def serving_targets(self, service: str) -> list[RegisteredTarget]:
-        """Returns the targets of a service that are not draining."""
+        """Returns the targets of a service that take new requests.
+
+        These are neither draining nor in an evacuated zone.
+        """
         return self._by_service.get(service, [])
 
+    def undrained_targets(self, service: str) -> list[RegisteredTarget]:
+        """Returns the targets that serve or will when their zone returns."""
+        return self._undrained.get(service, [])
+
+    def set_evacuated_zones(self, zones: frozenset[str] | None) -> None:
+        """Sets the zones whose targets get no new requests.
+
+        Args:
+            zones (frozenset | None): Names of all evacuated zones. None if they
+                are not known yet: every zone may be one of them.
+        """
+        self._evacuated_zones = zones
+        self._rebuild_index()
+
+    def is_evacuated(self, target: RegisteredTarget) -> bool:
+        """Returns whether a target is in an evacuated zone."""
+        zones = self._evacuated_zones
+        return zones is None or target.zone in zones
+
+    def all_with_evacuated_draining(self) -> Iterable[RegisteredTarget]:
+        """Returns all targets, those in evacuated zones marked as draining."""
+        if self._evacuated_zones == frozenset():
+            return self._targets.values()
+        return [
+            target._replace(draining=True)
+            if self.is_evacuated(target)
+            else target
+            for target in self._targets.values()
+        ]
+
     def all(self) -> Mapping[str, RegisteredTarget]:
         """Returns all targets by id, including those that are draining."""
         return self._targets
@@ -180,8 +218,14 @@
         return tuple(found)
 
     def _rebuild_index(self) -> None:
-        self._by_service = {}
+        self._undrained = {}
         for target in self._targets.values():
             if not target.draining:
-                found = self._by_service.setdefault(target.service, [])
+                found = self._undrained.setdefault(target.service, [])
                 found.append(target)
+        self._by_service = self._undrained
+        if self._evacuated_zones != frozenset():
+            self._by_service = {
+                service: [t for t in targets if not self.is_evacuated(t)]
+                for service, targets in self._undrained.items()
+            }
--- a/packages/operator/chervilwall_ctl/commands.py
+++ b/packages/operator/chervilwall_ctl/commands.py
@@ -22,7 +22,7 @@
 from chervilwall.sheet import diff_configs, parse_sheet
 from chervilwall_platform.client import HttpPlatform
 
-from chervilwall_ctl import fleet_view, log_summary
+from chervilwall_ctl import evacuation_view, fleet_view, log_summary
 from chervilwall_ctl.config_change import apply_config, read_stored_config
 from chervilwall_ctl.router_client import RouterClient
 from chervilwall_ctl.table import Column, Table
@@ -300,6 +300,18 @@
     return EXIT_OK
 
 
+async def evacuations(session: Session) -> int:
+    """Shows the evacuated zones as each edge router knows them."""
+    found = await evacuation_view.fetch(session.routers, session.args.router)
+    data = evacuation_view.to_data(found)
+    session.emit(data, evacuation_view.render(found))
+    for source in found.missing:
+        print(f"chervilctl: no answer from {source}", file=sys.stderr)
+    if not found.routers:
+        return EXIT_FAILED
+    return EXIT_PARTIAL if found.missing else EXIT_OK
+
+
 async def explain(session: Session) -> int:
     """Shows why a team waits or a request was refused, or sums up logs."""
     if session.args.logs:
--- a/packages/operator/chervilwall_ctl/main.py
+++ b/packages/operator/chervilwall_ctl/main.py
@@ -27,6 +27,7 @@
   chervilctl apply sheet.csv --operator ana
   chervilctl report --csv > service.csv
   python platform/ctl.py report --store 10.0.0.9:8781 --json
+  chervilctl evacuations --router 10.0.0.1:7415
   chervilctl explain --team traders
   chervilctl explain --request 1ba2f923300c07a1 edge-*.log
 
@@ -71,6 +72,7 @@
     sub = _add_command(subparsers, shared, "target", commands.mark_target)
     sub.add_argument("action", choices=("leave", "return"))
     sub.add_argument("target", help="name of the target")
+    _add_command(subparsers, shared, "evacuations", commands.evacuations)
     sub = _add_command(subparsers, shared, "explain", commands.explain)
     sub.add_argument("--team", help="name of a team whose requests wait")
     sub.add_argument("--request", help="id of a refused request")
--- a/packages/router/chervilwall_router/edge/dispatcher.py
+++ b/packages/router/chervilwall_router/edge/dispatcher.py
@@ -60,6 +60,7 @@
 # requests.
 PASS_PAUSE_FACTOR = 2.0
 REASON_CRASHES = "targets ended under it"
+REASON_NO_TARGET = "no target takes requests"
 # A pass moves on to the next queue after this many requests of a queue found no
 # target.
 MAX_MISSES_PER_QUEUE = 8
@@ -244,18 +245,23 @@
         request: GrantRequest,
         now: float,
     ) -> str:
-        targets = self._parts.registry.serving_targets(ticket.demand.service)
-        excluded = request.excluded
-        if request.is_bound_to_version:
-            excluded = self._binding.excluded(request, targets, now)
-        if all(target.id in excluded for target in targets):
-            return "no target takes requests"
+        if not self._has_target(request, now):
+            return REASON_NO_TARGET
         start_at = now + self._expected_wait_s(queue, ticket, now)
         limit = ticket.late_wait_limit_at()
         if queue.starts_late_requests():
             limit = ticket.give_up_at
         return "would wait too long" if start_at > limit else ""
 
+    def _has_target(self, request: GrantRequest, now: float) -> bool:
+        """Returns whether a target takes requests that is not excluded."""
+        service = request.demand.service
+        targets = self._parts.registry.serving_targets(service)
+        excluded = request.excluded
+        if request.is_bound_to_version:
+            excluded = self._binding.excluded(request, targets, now)
+        return any(target.id not in excluded for target in targets)
+
     def _expected_wait_s(
         self, queue: WaitQueue, ticket: Ticket, now: float
     ) -> float:
@@ -461,6 +467,14 @@
                 refusal = self._crash_refusal(waiter.request, now)
                 waiter.future.set_exception(refusal)
 
+    def refuse_waiting_without_target(self) -> None:
+        """Refuses the waiting requests that no target is left for."""
+        now = self._clock()
+        for waiter in list(self._waiters.values()):
+            if not self._has_target(waiter.request, now):
+                queue = self._queue_of(waiter.request.demand.service)
+                self._refuse_waiter(queue, waiter.ticket, now, REASON_NO_TARGET)
+
     def _refuse_waiting_lost_versions(self) -> None:
         """Refuses waiting streams whose version has left the service."""
         for waiter in list(self._waiters.values()):
@@ -555,12 +569,16 @@
                 self._refuse_waiter(queue, ticket, now)
 
     def _refuse_waiter(
-        self, queue: WaitQueue, ticket: Ticket, now: float
+        self,
+        queue: WaitQueue,
+        ticket: Ticket,
+        now: float,
+        reason: str = "waited in vain",
     ) -> None:
         waiter = self._waiters.get(ticket.number)
         if waiter is None or waiter.future.done():
             return
         self._record_unserved(queue, ticket, waiter.request, now)
-        refusal = self._build_refusal(queue, ticket, "waited in vain", now)
+        refusal = self._build_refusal(queue, ticket, reason, now)
         waiter.future.set_exception(refusal)
         queue.discard(ticket.number)
--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -31,6 +31,15 @@
 from chervilwall_router.edge.crash_watch import CrashWatch
 from chervilwall_router.edge.directory import Directory, DirectoryParts
 from chervilwall_router.edge.dispatcher import Dispatcher, DispatcherParts
+from chervilwall_router.edge.evacuation_pages import (
+    EVACUATIONS_PATH,
+    EvacuationPages,
+)
+from chervilwall_router.edge.evacuation_state import (
+    EvacuationParts,
+    EvacuationState,
+    log_returned_zones,
+)
 from chervilwall_router.edge.fleet_membership import FleetMembership
 from chervilwall_router.edge.fleet_view import FleetParts, FleetView
 from chervilwall_router.edge.housekeeping import (
@@ -211,11 +220,36 @@
                 check_interval_s=CHECK_INTERVAL_S,
             ),
         ]
+        self._watch_evacuations(decoder.evacuation_kind)
         self._crash_record_watch = self._make_watch(
             CRASH_KIND, self.stored_crashes
         )
         self._store.era.subscribe(self._store_restored)
 
+    def _watch_evacuations(self, kind: str) -> None:
+        """Adds the watch of evacuated zones if the settings enable it."""
+        self.evacuations = EvacuationState(
+            EvacuationParts(
+                registry=self.registry,
+                evacuate_ms=self._cfg.evacuate_ms,
+                on_change=self._zones_changed,
+                on_zones_returned=log_returned_zones,
+                is_hub=lambda: self._cfg.name in self.fleet.hubs(),
+                send_reports_now=lambda: self.link.send_reports_now(),
+                learn_era=self._store.era.learn,
+                metrics=self.metrics,
+                clock=self._clock,
+                wall_clock=time.time,
+            )
+        )
+        if self.evacuations.is_enabled:
+            interval_s = self.evacuations.check_interval_s(CHECK_INTERVAL_S)
+            self._watches.append(
+                self._make_watch(
+                    kind, self.evacuations, check_interval_s=interval_s
+                )
+            )
+
     def _make_watch(
         self,
         kind: str,
@@ -346,6 +380,7 @@
                 scheduling=self.scheduling,
                 dispatcher=self.dispatcher,
                 crashes=self.crashes,
+                evacuations=self.evacuations,
                 is_ready=self._is_ready,
                 recipients=self.fleet.recipients,
                 store_reachable=self._is_store_reachable,
@@ -391,6 +426,15 @@
 
     def _build_page_servers(self) -> None:
         """Builds the HTTP servers other than the one for callers."""
+        self._evacuation_pages = EvacuationPages(
+            self._cfg.name,
+            self.evacuations,
+            self.registry,
+            self.running_requests,
+            self.peers,
+            self._clock,
+            time.time,
+        )
         self.directory = Directory(
             DirectoryParts(
                 ready=self._routers_open_to_callers,
@@ -410,11 +454,15 @@
                 {
                     snapshot_exchange.SNAPSHOT_PATH: (
                         self._snapshot_exchange.handle_pull
-                    )
+                    ),
+                    EVACUATIONS_PATH: self._evacuation_pages.handle,
                 }
             ),
             self._cfg.listen.metrics: PageServer(
-                {"/metrics": self._metrics_page}
+                {
+                    "/metrics": self._metrics_page,
+                    EVACUATIONS_PATH: self._evacuation_pages.handle,
+                }
             ),
         }
 
@@ -540,10 +588,15 @@
     def _targets_changed(self) -> None:
         targets = self.registry.all().values()
         self._health.set_targets(targets)
-        self.streams.services.observe(targets, self._clock())
+        observed = self.registry.all_with_evacuated_draining()
+        self.streams.services.observe(observed, self._clock())
         self.stream_records.check_versions()
         self.dispatcher.schedule_pass()
 
+    def _zones_changed(self) -> None:
+        self._targets_changed()
+        self.dispatcher.refuse_waiting_without_target()
+
     def _store_restored(self) -> None:
         """Reads and writes again what the store may have lost."""
         self.metrics.count("store_era_rose")
@@ -573,7 +626,9 @@
         has_config_and_targets = self.config.table is not None and bool(
             self.targets.revision
         )
-        return has_config_and_targets and not self._shutdown.has_started()
+        if not has_config_and_targets or not self.evacuations.is_known():
+            return False
+        return not self._shutdown.has_started()
 
     async def _join(self) -> None:
         while True:
@@ -601,4 +656,5 @@
     def _metrics_page(self, _: HTTPServerRequest) -> Reply:
         text = render_text(self.metrics.view())
         text += render_limits(self._state.limits, self._pacer, self._clock())
+        text += self._evacuation_pages.render_metrics()
         return Reply(200, text.encode(), "text/plain")
--- a/packages/router/chervilwall_router/edge/reports.py
+++ b/packages/router/chervilwall_router/edge/reports.py
@@ -27,6 +27,7 @@
 
 from chervilwall_router.edge.crash_watch import CrashWatch
 from chervilwall_router.edge.dispatcher import Dispatcher
+from chervilwall_router.edge.evacuation_state import EvacuationState
 from chervilwall_router.edge.peer_grants import SchedulerPeer
 from chervilwall_router.edge.peer_link import Outgoing
 from chervilwall_router.edge.router_state import RouterState
@@ -54,6 +55,8 @@
         scheduling (Scheduling): Grants to and from peers.
         dispatcher (Dispatcher): Queue of waiting requests.
         crashes (CrashWatch): Receives the peers' updates about crashes.
+        evacuations (EvacuationState): Evacuated zones, reported to peers and
+            taken from them.
         is_ready (Callable): Returns whether this router accepts callers.
         recipients (Callable): Returns the recipients of reports.
         store_reachable (Callable): Returns whether the object store answers
@@ -74,6 +77,7 @@
     scheduling: Scheduling
     dispatcher: Dispatcher
     crashes: CrashWatch
+    evacuations: EvacuationState
     is_ready: Callable[[], bool]
     recipients: Callable[[], Recipients]
     store_reachable: Callable[[], bool]
@@ -179,6 +183,8 @@
             store_reachable=self._parts.store_reachable(),
             leaving=self._state.registry.recently_leaving(self._parts.clock()),
             limits=self._state.limits.take_report(self._parts.clock()),
+            evacuations_revision=parts.evacuations.revision,
+            evacuated_zones=tuple(parts.evacuations.zones),
         )
 
     def receive_frame(self, frame: Frame, address: str) -> None:
@@ -216,6 +222,7 @@
             self._parts.scheduling.drop_peer(name)
             self._parts.stream_records.record_router_lost()
         self._parts.learn_era(report.registry_revision.era, name)
+        self._parts.evacuations.receive(report, name)
         self._parts.scheduling.reconcile_grants(name, report.loads)
         self._parts.crashes.apply_updates(name, report.crashes)
         self._record_leaving(name, report, now)
--- a/packages/router/chervilwall_router/edge/scheduling.py
+++ b/packages/router/chervilwall_router/edge/scheduling.py
@@ -45,6 +45,9 @@
 # Distance between the first numbers of requests of two incarnations, and the
 # number of such ranges.
 NUMBER_RANGE = 1 << 16
+# Targets in evacuated zones that are excluded at once, so that the request to
+# the scheduler fits a datagram.
+MAX_EXCLUDED_TOGETHER = 512
 # Time for which a scheduler that did not answer is not used.
 AVOID_DURATION_S = 0.5
 
@@ -175,7 +178,9 @@
                 self._start_avoiding(scheduler)
             except UnusableTargetError as exc:
                 request = request._replace(
-                    excluded=request.excluded | {exc.target_id}
+                    excluded=request.excluded
+                    | {exc.target_id}
+                    | self._excluded_with(exc.target_id)
                 )
 
     def has_target(
@@ -260,6 +265,24 @@
             )
         return request._replace(excluded=request.excluded | paused)
 
+    def _excluded_with(self, target_id: str) -> frozenset[str]:
+        """Returns the targets to exclude together with an unusable one.
+
+        A scheduler that grants a target in an evacuated zone does not know of
+        the evacuation yet, and would grant the other targets there one after
+        the other.
+
+        Args:
+            target_id (str): The unusable target.
+        """
+        registry = self._parts.registry
+        unusable = registry.get(target_id)
+        if unusable is None or not registry.is_evacuated(unusable):
+            return frozenset()
+        targets = registry.undrained_targets(unusable.service)
+        evacuated = (t.id for t in targets if registry.is_evacuated(t))
+        return frozenset(itertools.islice(evacuated, MAX_EXCLUDED_TOGETHER))
+
     def takes_requests(self, target: RegisteredTarget) -> bool:
         """Returns whether a target that was granted may still be used.
 
@@ -269,6 +292,8 @@
         known = self._parts.registry.get(target.id)
         if known is None or known.draining:
             return False
+        if self._parts.registry.is_evacuated(known):
+            return False
         # A later start under the same id serves as well.
         if (known.address, known.version) != (target.address, target.version):
             return False
@@ -285,10 +310,10 @@
             version (str): Its software version, as the scheduler knows it.
 
         Raises:
-            UnusableTargetError: The target is not registered, is draining,
-                asked this router to pause or, for a resumable stream, has
-                another version. The scheduler that granted it may not know this
-                yet.
+            UnusableTargetError: The target is not registered, is draining, is
+                in an evacuated zone, asked this router to pause or, for a
+                resumable stream, has another version. The scheduler that
+                granted it may not know this yet.
         """
         parts = self._parts
         target = parts.registry.get(target_id)
@@ -296,6 +321,7 @@
         is_usable = (
             target is not None
             and not target.draining
+            and not parts.registry.is_evacuated(target)
             and (request.stream is None or target.version == version)
             and target_id not in paused
         )
--- a/packages/router/chervilwall_router/edge/settings.py
+++ b/packages/router/chervilwall_router/edge/settings.py
@@ -125,6 +125,9 @@
             that no earlier routers have written to the object store.
         event_delay_ms (float): Maximum time in milliseconds that this host may
             take to relay an event of a stream.
+        evacuate_ms (float | None): Maximum time in milliseconds until no
+            request is sent to a zone that operators evacuate. Defaults to None:
+            zones cannot be evacuated, and the store is not asked about it.
         log (LogSettings): Logging.
         waiting (WaitSettings): Limits on waiting, and weights of its order.
         placement (PlacementSettings): Limits and weights of the choice of a
@@ -143,6 +146,7 @@
     memory_mb: Megabytes = 150.0
     bootstrap: bool = False
     event_delay_ms: Milliseconds = 200.0
+    evacuate_ms: Milliseconds | None = None
     log: LogSettings = LogSettings(format="json")
     waiting: WaitSettings = WaitSettings()
     placement: PlacementSettings = PlacementSettings()
--- a/packages/router/chervilwall_router/edge/stream_binding.py
+++ b/packages/router/chervilwall_router/edge/stream_binding.py
@@ -86,11 +86,14 @@
         return request
 
     def has_lost_version(self, request: GrantRequest) -> bool:
-        """Returns whether a stream is bound to a version without targets."""
+        """Returns whether a stream is bound to a version without targets.
+
+        Targets in evacuated zones count: the stream can go on there later.
+        """
         stream = request.stream
         if stream is None or stream.version is None:
             return False
-        targets = self._registry.serving_targets(request.demand.service)
+        targets = self._registry.undrained_targets(request.demand.service)
         return all(t.version != stream.version for t in targets)
 
     def excluded(
