--- a/packages/router/chervilwall_router/edge/evacuation_state.py
+++ b/packages/router/chervilwall_router/edge/evacuation_state.py
@@ -140,14 +140,19 @@
 
         Raises:
             RevisionExpiredError: A new list is needed, as the known set may
-                have been cut off.
+                have been cut off, or a change does not tell whether its object
+                was deleted.
         """
         del lapse_grace_until
         exists = {item.name: not item.deleted for item in changes.objects}
         removed = [name for name, is_there in exists.items() if not is_there]
-        if not self._evacuations.can_update(removed):
-            reason = "names beyond the known ones are needed"
-            raise RevisionExpiredError(reason, step="update evacuated zones")
+        # Only a malformed change has no value. It may be a deletion.
+        is_readable = all(x.deleted or x.value for x in changes.objects)
+        if not is_readable or not self._evacuations.can_update(removed):
+            raise RevisionExpiredError(
+                "the changes do not tell which zones are evacuated",
+                step="update evacuated zones",
+            )
         change = self._evacuations.update(
             changes.position, exists, self._parts.wall_clock()
         )
--- a/packages/router/tests/test_edge_settings.py
+++ b/packages/router/tests/test_edge_settings.py
@@ -24,6 +24,7 @@
     "bounds.budget_slack": "56",
     "bounds.grace_s": "8",
     "bounds.pass_ms": "120",
+    "bounds.evacuate_ms": "5000",
     "limits.cpu_share": "0.537",
     "limits.memory_mb": "300",
     "bootstrap": "true",
@@ -62,6 +63,7 @@
         self.assertEqual((cfg.retries.ratio, cfg.retries.slack), (0.2, 56))
         self.assertEqual(cfg.stop.grace_s, 8)
         self.assertEqual(cfg.event_delay_ms, 120)
+        self.assertEqual(cfg.evacuate_ms, 5000)
         self.assertTrue(cfg.bootstrap)
         self.assertEqual(cfg.memory_mb, 300)
         self.assertEqual(cfg.kept_bytes, 60 << 20)
@@ -71,6 +73,8 @@
         self.assertGreater(cfg.event_delay_ms, 0)
         cfg = self.read(render_template(**{"limits.memory_mb": ""}))
         self.assertEqual(cfg.kept_bytes, 30 << 20)
+        cfg = self.read(render_template(**{"bounds.evacuate_ms": ""}))
+        self.assertIsNone(cfg.evacuate_ms)
         cfg = self.read(render_template(bootstrap=""))
         self.assertFalse(cfg.bootstrap)
 
--- a/packages/standins/chervilwall_standins/users/fleet.py
+++ b/packages/standins/chervilwall_standins/users/fleet.py
@@ -252,6 +252,8 @@
             AMPLE_RETRIES.
         memory_mb (float): Memory of each router. Defaults to that of its
             settings.
+        evacuate_ms (float | None): Time until an evacuation takes effect.
+            Defaults to None, zones cannot be evacuated.
     """
 
     def __init__(
@@ -262,6 +264,7 @@
         routes: list[dict] | None = None,
         retries: RetrySettings = AMPLE_RETRIES,
         memory_mb: float = 150.0,
+        evacuate_ms: float | None = None,
     ) -> None:
         self.store = FakeStore()
         self.targets = targets
@@ -272,6 +275,7 @@
         self._mesh_most = mesh_most
         self._retries = retries
         self._memory_mb = memory_mb
+        self._evacuate_ms = evacuate_ms
         self._stack = contextlib.AsyncExitStack()
 
     def __repr__(self) -> str:
@@ -420,6 +424,7 @@
             retries=self._retries,
             mesh_most=self._mesh_most,
             memory_mb=self._memory_mb,
+            evacuate_ms=self._evacuate_ms,
             bootstrap=bootstrap,
         )
         store = self._clients[name] = ObjectClient(cfg.store)
--- a/packages/standins/chervilwall_standins/users/target.py
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -218,6 +218,8 @@
     ) -> None:
         self.id = id
         self.version = version
+        # Availability zone that it registers.
+        self.zone = "z1"
         # Requests that it says that it processes concurrently.
         self.slots = 8
         # Time that a response takes that is not a stream.
@@ -377,7 +379,7 @@
         spec: dict[str, object] = {
             "backend": self.service,
             "address": self.address,
-            "zone": "z1",
+            "zone": self.zone,
             "slots": self.slots,
             "state": "ready",
             "cold_remaining_ms": 0,
