Send trailing fields of messages only where they differ from their defaults

Cause: msgspec refuses an array with more fields than a NamedTuple has, so that a router of the previous version refuses whole frames with a message that has new trailing fields. Change: trailing fields with their defaults are not sent, and a decoder leaves out fields that a later version has added. A fleet without the setting evacuate_ms sends reports that the previous version reads; with it, it does not while it is being updated.

--- a/packages/core/chervilwall/codec.py
+++ b/packages/core/chervilwall/codec.py
@@ -8,7 +8,7 @@
 import hmac
 import zlib
 from collections.abc import Iterable, Sequence
-from typing import NamedTuple
+from typing import Any, NamedTuple, cast
 
 import msgspec
 
@@ -61,6 +61,13 @@
 _DECODERS: tuple[msgspec.msgpack.Decoder, ...] = tuple(
     msgspec.msgpack.Decoder(cls) for cls in _TYPES
 )
+_FIELDS: dict[type, tuple[str, ...]] = {
+    cls: cast(Any, cls)._fields for cls in _TYPES
+}
+# Defaults of the trailing fields that have one.
+_DEFAULTS: dict[type, tuple[object, ...]] = {
+    cls: tuple(cast(Any, cls)._field_defaults.values()) for cls in _TYPES
+}
 _ENCODER = msgspec.msgpack.Encoder()
 
 
@@ -126,7 +133,10 @@
         Returns:
             The frame, including its MAC.
         """
-        items = [(_CODE_BY_TYPE[type(msg)], msg) for msg in messages]
+        items = [
+            (_CODE_BY_TYPE[type(msg)], _without_defaults(msg))
+            for msg in messages
+        ]
         body = _ENCODER.encode((sender, incarnation, items))
         return _compute_mac(self._keys[0], body) + body
 
@@ -153,13 +163,39 @@
         try:
             wire = _FRAME_DECODER.decode(body)
             messages = tuple(
-                _DECODERS[code].decode(raw) for code, raw in wire.items
+                _decode_message(code, raw) for code, raw in wire.items
             )
         except (msgspec.MsgspecError, IndexError, RecursionError) as exc:
             raise CodecError(str(exc), step="decode frame") from exc
         return Frame(wire.sender, wire.incarnation, messages)
 
 
+def _without_defaults(message: AnyMessage) -> tuple[object, ...]:
+    """Returns a message without the trailing fields that have their defaults.
+
+    Routers of an earlier version refuse messages with more fields than they
+    know, so fields that they lack are sent only if they say something.
+    """
+    defaults = _DEFAULTS[type(message)]
+    count, least = len(message), len(message) - len(defaults)
+    while count > least and message[count - 1] == defaults[count - 1 - least]:
+        count -= 1
+    return message if count == len(message) else message[:count]
+
+
+def _decode_message(code: int, raw: msgspec.Raw) -> AnyMessage:
+    """Decodes a message; fields that a later version added are left out."""
+    try:
+        return _DECODERS[code].decode(raw)
+    except msgspec.ValidationError:
+        cls = _TYPES[code]
+        values = msgspec.msgpack.decode(raw)
+        count = len(_FIELDS[cls])
+        if not isinstance(values, list) or len(values) <= count:
+            raise
+        return msgspec.convert(values[:count], cls)
+
+
 def _compute_mac(key: bytes, body: bytes) -> bytes:
     return hashlib.blake2b(body, key=key, digest_size=MAC_BYTES).digest()
 
--- a/packages/core/tests/test_codec.py
+++ b/packages/core/tests/test_codec.py
@@ -8,7 +8,13 @@
 
 import msgspec
 from chervilwall import cell_messages
-from chervilwall.codec import FrameCodec, pack_config, unpack_config
+from chervilwall import codec as codec_module
+from chervilwall.codec import (
+    MAC_BYTES,
+    FrameCodec,
+    pack_config,
+    unpack_config,
+)
 from chervilwall.config import Config, Team, VersionedConfig
 from chervilwall.crash_updates import CrashUpdate, CrashUpdates
 from chervilwall.edge_messages import EdgeReport
@@ -80,6 +86,40 @@
             decode(encode(earlier), type=cell_messages.MemberUpdate).is_ready
         )
 
+    def test_an_earlier_version_reads_reports_without_new_facts(self):
+        # It refuses whole frames with messages that have more fields.
+        codec = FrameCodec([NEW])
+        report = EdgeReport(
+            1, "a:1", "a:1", "a:1", "z", True, 1, StoreRevision(1, 9)
+        )
+        for sent, count in (
+            (report, 8),
+            (report._replace(hub=True, cpu=2.0), 15),
+            (report._replace(evacuated_zones=("z",)), 20),
+        ):
+            frame = codec.encode("r1", 1, [sent])
+            _, _, items = msgspec.msgpack.decode(frame[MAC_BYTES:])
+            self.assertEqual(len(items[0][1]), count)
+            self.assertEqual(codec.decode(frame).messages, (sent,))
+
+    def test_fields_that_a_later_version_adds_are_left_out(self):
+        codec = FrameCodec([NEW])
+        start = TargetStart("t", 1, "127.0.0.1:1")
+        report = EdgeReport(
+            1, "a:1", "a:1", "a:1", "z", True, 1, StoreRevision()
+        )._replace(
+            crashes=CrashUpdates((CrashUpdate(start, 1.0, True, "r", (b"f",)),))
+        )
+        code = codec_module._CODE_BY_TYPE[EdgeReport]
+        items = [(code, (*report, "added", {"also": 1}))]
+        body = msgspec.msgpack.encode(("r1", 1, items))
+        frame = codec.decode(_prepend_mac(body))
+        self.assertEqual(frame.messages, (report,))
+        items = [(code, (*report[:-1], 5, "added"))]
+        body = msgspec.msgpack.encode(("r1", 1, items))
+        with self.assertRaises(CodecError):
+            codec.decode(_prepend_mac(body))
+
     @settings(derandomize=True, max_examples=300, deadline=None)
     @given(st.binary(max_size=300), st.booleans())
     def test_any_bytes_decode_or_are_refused(self, blob, signed):
