--- a/packages/core/chervilwall/load_view.py
+++ b/packages/core/chervilwall/load_view.py
@@ -177,6 +177,18 @@
             if not reporting_peers:
                 del self._peers_by_target[target_id]
 
+    def oldest_report_s(self, target_id: str, now: float) -> float | None:
+        """Returns the age of the oldest report in a target's load.
+
+        Returns:
+            Seconds, None if only requests of this router count.
+        """
+        ages = [
+            now - self._peers[peer][0]
+            for peer in self._peers_by_target.get(target_id, ())
+        ]
+        return max((age for age in ages if age <= PEER_TTL_S), default=None)
+
     def total(self, target_id: str, now: float) -> TargetLoad:
         """Returns the load of a target, summed over all routers."""
         if not 0.0 <= now - self._totals_computed_at < TOTALS_TTL_S:
--- a/packages/core/chervilwall/request_pacer.py
+++ b/packages/core/chervilwall/request_pacer.py
@@ -1,8 +1,9 @@
 """Spacing of the requests to targets that name a limit."""
 
+import contextlib
 import math
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 from chervilwall.registry import RegisteredTarget, TargetStart
 from chervilwall.target_limits import TargetLimits
@@ -93,6 +94,18 @@
         self._asked_at[target.start] = now
         return max(0.0, taken_at - (MAX_BURST - 1) / rate - now)
 
+    @contextlib.contextmanager
+    def unrecorded(self) -> Iterator[None]:
+        """Undoes at its end what asking for waits records.
+
+        Meanwhile nothing may be sent.
+        """
+        taken_at, asked_at = dict(self._taken_at), dict(self._asked_at)
+        try:
+            yield
+        finally:
+            self._taken_at, self._asked_at = taken_at, asked_at
+
     def idle_s(
         self, target: RegisteredTarget, work_s: float, now: float
     ) -> float:
--- a/packages/operator/chervilwall_ctl/commands.py
+++ b/packages/operator/chervilwall_ctl/commands.py
@@ -22,7 +22,12 @@
 from chervilwall.sheet import diff_configs, parse_sheet
 from chervilwall_platform.client import HttpPlatform
 
-from chervilwall_ctl import evacuation_view, fleet_view, log_summary
+from chervilwall_ctl import (
+    evacuation_view,
+    fleet_view,
+    log_summary,
+    route_explanation,
+)
 from chervilwall_ctl.config_change import apply_config, read_stored_config
 from chervilwall_ctl.router_client import RouterClient
 from chervilwall_ctl.table import Column, Table
@@ -313,10 +318,16 @@
 
 
 async def explain(session: Session) -> int:
-    """Shows why a team waits or a request was refused, or sums up logs."""
+    """Shows where a request would go, why it was refused, or sums up logs."""
     if session.args.logs:
         return _explain_logs(session)
     client = session.routers
+    if session.args.path:
+        answer = await route_explanation.fetch(
+            client, session.args.router, session.args
+        )
+        session.emit(answer, route_explanation.render(answer))
+        return EXIT_OK
     routers = await fleet_view.find_routers(client, session.args.router)
     team, request = session.args.team or "", session.args.request or ""
     path = f"/v1/admin/explain?team={team}&request={request}"
--- a/packages/operator/chervilwall_ctl/main.py
+++ b/packages/operator/chervilwall_ctl/main.py
@@ -13,7 +13,7 @@
 from chervilwall.sheet import InvalidSheetError
 from chervilwall_platform.client import HttpPlatform
 
-from chervilwall_ctl import commands
+from chervilwall_ctl import commands, route_explanation
 from chervilwall_ctl.router_client import RouterClient
 
 KEY_VARIABLE = "CHERVILWALL_OPERATOR_KEY"
@@ -29,6 +29,7 @@
   python platform/ctl.py report --store 10.0.0.9:8781 --json
   chervilctl evacuations --router 10.0.0.1:7415
   chervilctl explain --team traders
+  chervilctl explain --router 10.0.0.1:7415 --host a.example --path /chat/x
   chervilctl explain --request 1ba2f923300c07a1 edge-*.log
 
 The environment variables {PLATFORM_VARIABLE}, {ROUTERS_VARIABLE}
@@ -83,6 +84,7 @@
         help="logs of edge routers; read these instead of asking routers, and "
         "show the decisions on --request, or a summary of all requests",
     )
+    route_explanation.add_options(sub)
     _add_command(subparsers, shared, "key", commands.make_key)
     return parser
 
--- a/packages/router/chervilwall_router/edge/dispatcher.py
+++ b/packages/router/chervilwall_router/edge/dispatcher.py
@@ -120,6 +120,25 @@
     clock: Callable[[], float]
 
 
+class Preview(NamedTuple):
+    """What acquire() would do with a request.
+
+    Args:
+        choice (Choice | None): Target that it would be granted at once, None if
+            it would wait or be refused.
+        wait_s (float): Expected wait in seconds.
+        refusal (str): Why it would be refused, "" if it would not.
+        retry_after_s (float): Retry-After of the refusal in seconds.
+        waiting (int): Requests of the service that wait here.
+    """
+
+    choice: Choice | None = None
+    wait_s: float = 0.0
+    refusal: str = ""
+    retry_after_s: float = 0.0
+    waiting: int = 0
+
+
 class Dispatcher:
     """Grant targets to requests, which wait while no target can take them.
 
@@ -192,6 +211,33 @@
         self._parts.pacer.record_waiting(service, targets, now)
         return await self._wait_for_grant(queue, ticket, request)
 
+    def preview(self, request: GrantRequest) -> Preview:
+        """Returns what acquire() would do with a request, without doing it.
+
+        Args:
+            request (GrantRequest): The request.
+        """
+        parts, now = self._parts, self._clock()
+        service = request.demand.service
+        queue = self._queues.get(service) or WaitQueue(parts.settings)
+        status = parts.crashes.combined_status(request.fingerprints)
+        if status.is_refused(now):
+            return Preview(
+                refusal=REASON_CRASHES,
+                retry_after_s=status.retry_after_s(now),
+                waiting=len(queue),
+            )
+        with parts.pacer.unrecorded():
+            ticket = self._tickets.make(request, now)
+            if not self._is_outranked(queue, ticket, now):
+                choice = self._choose(request, ticket, status, now)
+                if choice is not None:
+                    return Preview(choice, waiting=len(queue))
+            wait_s = self._expected_wait_s(queue, ticket, now)
+            refusal = self._refusal_reason(queue, ticket, request, now)
+        retry_after_s = queue.retry_after_s(wait_s) if refusal else 0.0
+        return Preview(None, wait_s, refusal, retry_after_s, len(queue))
+
     def _restore_due_time(
         self, request: GrantRequest, now: float
     ) -> GrantRequest:
--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -40,6 +40,11 @@
     EvacuationState,
     log_returned_zones,
 )
+from chervilwall_router.edge.explanation import (
+    EXPLAIN_PATH,
+    Explainer,
+    ExplainParts,
+)
 from chervilwall_router.edge.fleet_membership import FleetMembership
 from chervilwall_router.edge.fleet_view import FleetParts, FleetView
 from chervilwall_router.edge.housekeeping import (
@@ -443,6 +448,18 @@
                 clock=self._clock,
             )
         )
+        explainer = Explainer(
+            ExplainParts(
+                name=self._cfg.name,
+                table=lambda: self.config.table,
+                state=self._state,
+                dispatcher=self.dispatcher,
+                is_usable=self._health.is_usable,
+                find_scheduler=self.fleet.find_scheduler,
+                tokens_per_s=self._tokens_per_s,
+                clock=self._clock,
+            )
+        )
         self._page_servers = {
             self._cfg.listen.readiness: PageServer(
                 {"/ready": self._readiness_page}
@@ -461,6 +478,7 @@
             self._cfg.listen.metrics: PageServer(
                 {
                     "/metrics": self._metrics_page,
+                    EXPLAIN_PATH: explainer.handle,
                     EVACUATIONS_PATH: self._evacuation_pages.handle,
                 }
             ),
