Space requests to cold targets by the scheduler's share of a bound

Targets that come back cold were overloaded by all routers at once, as neither their registrations' cold time nor Cold-Remaining was used. Cold times are tracked by target id, RequestPacer takes several sources of rates, and grants of cold targets expire.

--- a/packages/core/chervilwall/edge_messages.py
+++ b/packages/core/chervilwall/edge_messages.py
@@ -11,12 +11,13 @@
 from typing import NamedTuple
 
 from chervilwall.cell_messages import Message
+from chervilwall.cold_targets import StatedCold
 from chervilwall.crash_updates import CrashUpdates
 from chervilwall.registry import TargetStart
 from chervilwall.store_era import StoreRevision
 from chervilwall.stream_origins import StreamDemand
 from chervilwall.target_limits import StatedLimit
-from chervilwall.untrusted import Finite
+from chervilwall.untrusted import Count, Finite
 
 
 class TargetLoadItem(NamedTuple):
@@ -97,6 +98,8 @@
             router watches the store itself.
         leaving (tuple): Targets that recently announced their shutdown.
         limits (tuple): Limits of targets, those that changed first.
+        cold (tuple): Cold times of targets that responses or failed
+            connections have changed recently.
     """
 
     sequence: int
@@ -117,6 +120,7 @@
     store_reachable: bool = False
     leaving: tuple[TargetStart, ...] = ()
     limits: tuple[StatedLimit, ...] = ()
+    cold: tuple[StatedCold, ...] = ()
 
 
 class LivePeer(NamedTuple):
@@ -231,6 +235,8 @@
         first_token_ms (int): Predicted milliseconds to the first token.
         version (str): Software version of the target, as far as the scheduler
             knows.
+        send_within_ms (int): Milliseconds after which the request must not be
+            sent to the target on this grant, 0 for no limit.
     """
 
     number: int
@@ -239,6 +245,7 @@
     prefill_ms: int
     first_token_ms: int
     version: str = ""
+    send_within_ms: Count = 0
 
 
 class PlacementRefused(NamedTuple):
--- a/packages/core/chervilwall/events.py
+++ b/packages/core/chervilwall/events.py
@@ -57,6 +57,8 @@
 )
 STORE_READ_AGAIN = Event(406, logging.INFO, "older copy of the store read")
 WATCH_LOST = Event(407, logging.WARNING, "response to a store watch was lost")
+TARGET_COLD = Event(450, logging.INFO, "target is cold")
+TARGET_WARM = Event(451, logging.INFO, "target is warm")
 CELL_SCHEDULING_STARTED = Event(500, logging.INFO, "started scheduling a cell")
 CELL_SCHEDULING_STOPPED = Event(501, logging.INFO, "stopped scheduling a cell")
 TARGET_EJECTED = Event(502, logging.WARNING, "target ejected")
--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -1,6 +1,7 @@
 """A single attempt to run a request on a target."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Protocol
 
@@ -128,16 +129,30 @@
         target = grant.choice.target
         crashes, fingerprints = self._parts.crashes, self._admitted.fingerprints
         status = crashes.status(fingerprints)
+        if not math.isinf(grant.send_within_s):
+            # Lets the event loop measure its lag, which counts for the age of
+            # the grant.
+            await asyncio.sleep(0)
         try:
             conn = await self._parts.connections.acquire(target)
         except DialError as exc:
-            if exc.refused:
-                crashes.record_connection_refused(target)
-            return Attempt(AttemptResult.NOT_SENT, target, reason=exc.reason)
+            return self._record_unreachable(target, exc)
         reason = self._withdrawal_reason(target, status)
         if reason:
             conn.close()
             return Attempt(AttemptResult.WITHDRAWN, target, reason=reason)
+        reason = self._parts.cold.withdrawal_reason(
+            target, grant.started_at, grant.send_within_s
+        )
+        if reason:
+            # The next grant finds an open connection.
+            self._keep_connection(target, conn, None)
+            return Attempt(
+                AttemptResult.WITHDRAWN,
+                target,
+                reason=reason,
+                may_try_again=True,
+            )
         request_id = self._admitted.req.id
         with crashes.attempt(target, request_id, fingerprints) as watched:
 
@@ -191,6 +206,17 @@
             crashes.record_success(fingerprints)
         return attempt
 
+    def _record_unreachable(
+        self, target: RegisteredTarget, exc: DialError
+    ) -> Attempt:
+        """Records a failure to connect to a target; returns the attempt."""
+        if self._parts.cold.is_own_fault(exc):
+            return Attempt(AttemptResult.WITHDRAWN, target, reason=exc.reason)
+        self._parts.cold.record_unreachable(target)
+        if exc.refused:
+            self._parts.crashes.record_connection_refused(target)
+        return Attempt(AttemptResult.NOT_SENT, target, reason=exc.reason)
+
     async def _confirm(
         self, target: RegisteredTarget, watched: WatchedAttempt
     ) -> bool:
@@ -399,14 +425,30 @@
         exchange.close()
         if not exchange.reusable:
             return
+        head = exchange.head
+        self._keep_connection(target, conn, head.idle_limit_s if head else None)
+
+    def _keep_connection(
+        self,
+        target: RegisteredTarget,
+        conn: TargetConnection,
+        idle_limit_s: float | None,
+    ) -> None:
+        """Keeps an idle connection to a target for the next request.
+
+        Args:
+            target (RegisteredTarget): The target.
+            conn (TargetConnection): The connection.
+            idle_limit_s (float | None): Idle timeout that the target announced,
+                in seconds, or None.
+        """
         table = self._parts.table()
         service = table.services.get(target.service) if table else None
         limit = service.max_connections if service else 0
-        head = exchange.head
         self._parts.connections.release(
             target,
             conn,
-            idle_limit_s=head.idle_limit_s if head else None,
+            idle_limit_s=idle_limit_s,
             max_idle_connections=max_idle_connections(
                 limit, self._parts.known_router_count()
             ),
--- a/packages/router/chervilwall_router/edge/dispatcher.py
+++ b/packages/router/chervilwall_router/edge/dispatcher.py
@@ -25,7 +25,7 @@
 from chervilwall.prefill import PrefillModel
 from chervilwall.prefix import PrefixMap, PromptPart
 from chervilwall.quarantine_status import QuarantineStatus
-from chervilwall.registry import TargetRegistry
+from chervilwall.registry import RegisteredTarget, TargetRegistry
 from chervilwall.request_pacer import RequestPacer
 from chervilwall.stream_versions import StreamVersions
 from chervilwall.unserved_requests import UnservedRequests
@@ -98,8 +98,12 @@
         streams (StreamVersions): Keeps resumable streams at the software
             version that began them.
         agreement (VersionAgreement): Versions that routers have agreed on.
-        pacer (RequestPacer): Spaces the requests to targets that name limits.
+        pacer (RequestPacer): Spaces the requests to targets that name limits or
+            are cold.
         clock (Callable): Returns the monotonic time in seconds.
+        on_unreachable (Callable): Called with each target that was granted and
+            to which no connection could be opened. Defaults to a function
+            without effect.
     """
 
     settings: WaitSettings
@@ -117,6 +121,7 @@
     agreement: VersionAgreement
     pacer: RequestPacer
     clock: Callable[[], float]
+    on_unreachable: Callable[[RegisteredTarget], None] = lambda target: None
 
 
 class Dispatcher:
@@ -322,6 +327,7 @@
         if choice is None:
             return None
         target_id = choice.target.id
+        send_within_s = parts.pacer.max_send_delay_s(choice.target, now)
         parts.pacer.record_sent(choice.target, now)
         if status.is_quarantined:
             parts.crashes.record_trial(status.causes, now)
@@ -350,6 +356,7 @@
             on_release,
             self._stream_listener(request, choice),
         )
+        grant.send_within_s = send_within_s
         if status.is_quarantined:
             grant.trial_fingerprints = status.causes
         if request.stream is not None:
@@ -441,6 +448,8 @@
             cell_messages.OUTCOME_WITHDRAWN,
         ):
             self._parts.pacer.record_not_sent(grant.choice.target, now)
+        if outcome == cell_messages.OUTCOME_NOT_SENT:
+            self._parts.on_unreachable(grant.choice.target)
         if outcome == cell_messages.OUTCOME_COMPLETED:
             self._parts.crashes.record_parts_answered(
                 grant.part_fingerprints, now
--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -9,13 +9,14 @@
 import msgspec
 from chervilwall import events
 from chervilwall.address_list import CallerAddress
+from chervilwall.cold_rates import ColdRates
 from chervilwall.edge_messages import EdgeMessage, RecentPrefix
 from chervilwall.hubs import HubCandidate
 from chervilwall.placement import Placement
 from chervilwall.prefix import PromptPart
 from chervilwall.protocol import ObjectStore, PlatformDecoder, WireFormat
 from chervilwall.quarantine_status import QuarantineChange
-from chervilwall.request_pacer import RequestPacer
+from chervilwall.request_pacer import RequestPacer, RequestSpacing
 from chervilwall.routing import RoutingTable
 from chervilwall.running_requests import Granter
 from chervilwall.service_totals import ServiceTotals
@@ -26,6 +27,8 @@
 from chervilwall_router.edge.admission import RequestAdmission
 from chervilwall_router.edge.background_tasks import BackgroundTasks
 from chervilwall_router.edge.clock import elapsed_s
+from chervilwall_router.edge.cold_metrics import render_cold
+from chervilwall_router.edge.cold_notices import ColdNotices
 from chervilwall_router.edge.connections import TargetConnectionPool
 from chervilwall_router.edge.crash_evidence import CrashWatchParts
 from chervilwall_router.edge.crash_watch import CrashWatch
@@ -131,6 +134,13 @@
             state.running_requests,
             state.host_load,
         )
+        self.cold = ColdNotices(
+            state.cold,
+            lambda: self.link.send_reports_now(),
+            self.metrics,
+            lambda: state.host_load.lag_s(self._clock()),
+            self._clock,
+        )
         self._health = ServiceHealth(self._state.load, self._clock)
         self._membership = FleetMembership(
             self._store,
@@ -245,8 +255,17 @@
         return not any(state.report.store_reachable for state in recent)
 
     def _build_scheduling(self) -> None:
+        self._cold_spacing: RequestSpacing | None = None
+        if self._cfg.cold is not None:
+            self._cold_spacing = RequestSpacing(
+                ColdRates(
+                    self._state.cold, self._cfg.cold, self.fleet.cold_fraction
+                )
+            )
         self._pacer = RequestPacer(
-            self._state.limits, self.fleet.limit_fraction
+            self._state.limits,
+            self.fleet.limit_fraction,
+            [self._cold_spacing] if self._cold_spacing else [],
         )
         self.placement = Placement(
             self._cfg.placement,
@@ -274,6 +293,7 @@
                 agreement=self.stream_records,
                 pacer=self._pacer,
                 clock=self._clock,
+                on_unreachable=self.cold.record_unreachable,
             )
         )
         self.scheduling = Scheduling(
@@ -296,6 +316,7 @@
                 registry=self.registry,
                 pauses=self._state.pauses,
                 limits=self._state.limits,
+                cold=self.cold,
                 send_reports_now=lambda: self.link.send_reports_now(),
                 metrics=self.metrics,
                 clock=self._clock,
@@ -322,6 +343,7 @@
                 kept=KeptResponses(
                     self._cfg.kept_bytes, self.metrics, self._clock
                 ),
+                cold=self.cold,
             )
         )
 
@@ -351,6 +373,7 @@
                 store_reachable=self._is_store_reachable,
                 learn_era=self._store.era.learn,
                 stream_records=self.stream_records,
+                cold=self.cold,
                 metrics=self.metrics,
                 send_reports_now=lambda: self.link.send_reports_now(),
                 clock=self._clock,
@@ -381,6 +404,7 @@
                 state=self._state,
                 scheduling=self.scheduling,
                 stream_records=self.stream_records,
+                cold=self.cold,
                 snapshot_exchange=self._snapshot_exchange,
                 is_store_away=self._is_store_away,
                 metrics=self.metrics,
@@ -527,6 +551,7 @@
             self._recent_prefixes.append(RecentPrefix(target_id, pairs))
 
     def _config_changed(self, table: RoutingTable) -> None:
+        self.cold.configure(table.services)
         self.ingress.update_limits()
         tokens = [s.kv_tokens for s in table.services.values() if s.kv_tokens]
         if tokens:
@@ -538,6 +563,7 @@
         self.link.send_reports_now()
 
     def _targets_changed(self) -> None:
+        self.cold.apply_registrations(self.registry.all())
         targets = self.registry.all().values()
         self._health.set_targets(targets)
         self.streams.services.observe(targets, self._clock())
@@ -600,5 +626,9 @@
 
     def _metrics_page(self, _: HTTPServerRequest) -> Reply:
         text = render_text(self.metrics.view())
-        text += render_limits(self._state.limits, self._pacer, self._clock())
+        now = self._clock()
+        text += render_limits(self._state.limits, self._pacer, now)
+        text += render_cold(
+            self._state.cold, self.registry, self._cold_spacing, now
+        )
         return Reply(200, text.encode(), "text/plain")
--- a/packages/router/chervilwall_router/edge/fleet_view.py
+++ b/packages/router/chervilwall_router/edge/fleet_view.py
@@ -21,6 +21,15 @@
 # Fraction of a target's limit that all routers together may use that place
 # requests while the scheduler does not answer them.
 STAND_IN_FRACTION = 0.5
+# Routers of which each may send requests to cold targets, as each of them uses
+# at most half of the bound.
+FEW_ROUTERS = 2
+# Time for which a router must have been the scheduler of a service before it
+# sends requests to cold targets. The reports of routers that were cut off count
+# for up to PEER_TTL_S, so another one may still send for the whole fleet up to
+# two report intervals longer than this router heard from it; the rest is the
+# second in which requests are counted.
+TAKEOVER_S = 1.5
 
 
 class FleetParts(NamedTuple):
@@ -68,6 +77,8 @@
         self._known_count = 0
         self._hubs: frozenset[str] = frozenset()
         self._large = False
+        # Monotonic times since which this router schedules a service.
+        self._scheduler_since: dict[str, float] = {}
 
     def __repr__(self) -> str:
         return f"FleetView(name={self._parts.name!r})"
@@ -105,6 +116,7 @@
         parts, now = self._parts, self._parts.clock()
         alive = parts.peers.alive(now)
         self._count_known(now)
+        self._check_scheduled_services()
         addresses = dict(parts.addresses)
         addresses.update(
             (n, s.report.datagram_address) for n, s in alive.items()
@@ -202,6 +214,46 @@
             return 1.0 / known
         return 1.0 if 2 * alive > known else alive / known
 
+    def cold_fraction(self, service: str) -> float:
+        """Returns the fraction of the rate for cold targets that may be used.
+
+        Only the scheduler of a service sends requests to cold targets, and only
+        from TAKEOVER_S after it became the scheduler on. It uses the whole rate
+        if it hears more than half of the known routers, and otherwise the
+        fraction that it hears. No router sends any before it knows the fleet.
+        In a fleet of FEW_ROUTERS each one may.
+
+        Args:
+            service (str): Service of the target.
+        """
+        known = self.known_router_count()
+        if known is None:
+            return 0.0
+        now = self._parts.clock()
+        known = max(known, self.router_count())
+        if known <= FEW_ROUTERS:
+            return 1.0
+        if not self._schedules(service):
+            self._scheduler_since.pop(service, None)
+            return 0.0
+        since = self._scheduler_since.setdefault(service, now)
+        if now - since < TAKEOVER_S:
+            return 0.0
+        # What hubs list may be older than what a scheduler hears itself.
+        heard = 1 + len(self._parts.peers.recent_reports(now))
+        return 1.0 if 2 * heard > known else heard / known
+
+    def _schedules(self, service: str) -> bool:
+        """Returns whether this router is the scheduler of a service."""
+        is_sole = self.find_scheduler(service, ()) is None
+        return is_sole and self._is_candidate()
+
+    def _check_scheduled_services(self) -> None:
+        """Notes for which services another router has become the scheduler."""
+        for service in list(self._scheduler_since):
+            if not self._schedules(service):
+                del self._scheduler_since[service]
+
     def find_scheduler(
         self, service: str, avoided: Collection[str]
     ) -> SchedulerPeer | None:
--- a/packages/router/chervilwall_router/edge/grants.py
+++ b/packages/router/chervilwall_router/edge/grants.py
@@ -1,5 +1,6 @@
 """Requests for a target and the capacity granted to them."""
 
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -115,6 +116,8 @@
         self.trial_fingerprints: Fingerprints = ()
         # The resumable stream that the request begins or resumes.
         self.stream: StreamDemand | None = None
+        # Time from the grant in which the request must be sent.
+        self.send_within_s = math.inf
         self.part_fingerprints = part_fingerprints(demand.service, demand.parts)
         self._model = model
         self.choice = choice
--- a/packages/router/chervilwall_router/edge/housekeeping.py
+++ b/packages/router/chervilwall_router/edge/housekeeping.py
@@ -8,6 +8,7 @@
 from chervilwall import events
 from chervilwall.protocol import Metrics
 
+from chervilwall_router.edge.cold_notices import ColdNotices
 from chervilwall_router.edge.connections import TargetConnectionPool
 from chervilwall_router.edge.crash_watch import CrashWatch
 from chervilwall_router.edge.dispatcher import Dispatcher
@@ -35,6 +36,7 @@
             which the event loop lag is recorded.
         scheduling (Scheduling): Grants; those of a lost router are ended.
         stream_records (StreamRecords): Told of lost routers.
+        cold (ColdNotices): Logs targets that are no longer cold.
         snapshot_exchange (SnapshotExchange): Pulls newer snapshots of the
             object store from peers.
         is_store_away (Callable): Returns whether the object store answers
@@ -50,6 +52,7 @@
     state: RouterState
     scheduling: Scheduling
     stream_records: StreamRecords
+    cold: ColdNotices
     snapshot_exchange: SnapshotExchange
     is_store_away: Callable[[], bool]
     metrics: Metrics
@@ -87,6 +90,7 @@
         parts.targets.expire(is_store_away=parts.is_store_away())
         parts.connections.close_expired()
         parts.crashes.sweep()
+        parts.cold.log_changes()
         parts.dispatcher.schedule_pass()
         for name in parts.state.peers.expire(parts.clock()):
             parts.state.load.drop_peer(name)
--- a/packages/router/chervilwall_router/edge/peer_grants.py
+++ b/packages/router/chervilwall_router/edge/peer_grants.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable, Collection
 from typing import NamedTuple
 
@@ -239,9 +240,20 @@
             round(choice.prefill_s * 1000),
             round(choice.first_token_s * 1000),
             choice.target.version,
+            self._send_within_ms(grant),
         )
         self._parts.send(sender.address, answer)
 
+    def _send_within_ms(self, grant: Grant) -> int:
+        """Returns the time that is left to send a request, 0 for no limit.
+
+        A grant that is repeated has become older meanwhile.
+        """
+        if math.isinf(grant.send_within_s):
+            return 0
+        age_s = self._parts.clock() - grant.started_at
+        return max(1, round((grant.send_within_s - age_s) * 1000))
+
     def _make_request(
         self, item: edge_messages.PlacementRequest
     ) -> GrantRequest:
--- a/packages/router/chervilwall_router/edge/reports.py
+++ b/packages/router/chervilwall_router/edge/reports.py
@@ -25,6 +25,7 @@
 from chervilwall.protocol import Metrics
 from chervilwall.running_requests import Granter
 
+from chervilwall_router.edge.cold_notices import ColdNotices
 from chervilwall_router.edge.crash_watch import CrashWatch
 from chervilwall_router.edge.dispatcher import Dispatcher
 from chervilwall_router.edge.peer_grants import SchedulerPeer
@@ -61,6 +62,7 @@
         learn_era (Callable): Called with the era of the store that a peer
             knows, and the peer's name.
         stream_records (StreamRecords): Exchanges the origins of streams.
+        cold (ColdNotices): Receives the cold times that peers state.
         metrics (Metrics): Counts the changes of limits that peers report.
         send_reports_now (Callable): Called to send reports at once.
         clock (Callable): Returns the monotonic time in seconds.
@@ -79,6 +81,7 @@
     store_reachable: Callable[[], bool]
     learn_era: Callable[[int, str], None]
     stream_records: StreamRecords
+    cold: ColdNotices
     metrics: Metrics
     send_reports_now: Callable[[], None]
     clock: Callable[[], float]
@@ -138,6 +141,7 @@
             granted_tokens={},
             crashes=updates,
             limits=(),
+            cold=(),
         )
         yield Outgoing(recipients.short_report, (short_report,))
         digests = self._digests.build(
@@ -179,6 +183,7 @@
             store_reachable=self._parts.store_reachable(),
             leaving=self._state.registry.recently_leaving(self._parts.clock()),
             limits=self._state.limits.take_report(self._parts.clock()),
+            cold=self._state.cold.take_report(self._parts.clock()),
         )
 
     def receive_frame(self, frame: Frame, address: str) -> None:
@@ -210,6 +215,8 @@
             # It may schedule as soon as it is ready.
             self._state.limits.report_all()
             self._parts.send_reports_now()
+        if known_incarnation != incarnation:
+            self._state.cold.report_all(now)
         if known_incarnation is None:
             events.log_event(LOG, events.PEER_REPORTING, peer=name)
         elif known_incarnation != incarnation:
@@ -220,6 +227,8 @@
         self._parts.crashes.apply_updates(name, report.crashes)
         self._record_leaving(name, report, now)
         self._record_limits(name, report, now)
+        if report.cold:
+            self._parts.cold.apply_stated(report.cold)
         self._state.load.set_peer(name, self._load_from_others(report), now)
         self._state.shares.set_peer(
             name, report.requested_tokens, report.granted_tokens, now
--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -59,6 +59,10 @@
 LEAVING_RETRY_S = 0.1
 _NOT_SENT_RESULTS = (AttemptResult.NOT_SENT, AttemptResult.WITHDRAWN)
 OUTCOME_ANSWERED = "answered"
+# Times that a request may return the grant of a cold target, and be granted the
+# same one again. A scheduler that does not know that the target is cold would
+# grant it again and again.
+MAX_RETURNED_GRANTS = 2
 # Cause of a retry after an answer that says that its target failed.
 CAUSE_FAILED = "failed"
 
@@ -104,6 +108,8 @@
         # Attempts that may have been executed.
         self._executed_attempts = 0
         self._not_executed = 0
+        # Grants that were withdrawn although their targets may be asked again.
+        self._returned_grants = 0
         self._stream_events = 0
         self._first_data_at = 0.0
         self._grant: PlacedRequest | None = None
@@ -183,6 +189,7 @@
                 finally:
                     self._bind_version(grant, relay)
                 grant.outcome = outcome_of(attempt)
+            self._readmit_target(attempt)
             if self._handle_result(attempt, relay, answer):
                 return
             last = attempt
@@ -191,6 +198,15 @@
             else:
                 relay = self._relay = self._make_relay(answer)
 
+    def _readmit_target(self, attempt: Attempt) -> None:
+        """Lets a target be asked again if it was only sent nothing yet."""
+        if (
+            attempt.may_try_again
+            and self._returned_grants < MAX_RETURNED_GRANTS
+        ):
+            self._returned_grants += 1
+            self._tried.discard(attempt.target.id)
+
     def _bind_version(
         self, grant: PlacedRequest, relay: BufferedRelay | StreamRelay
     ) -> None:
@@ -273,7 +289,7 @@
             deadline_at=self._admitted.deadline_at,
             arrived_at=req.received_at,
             excluded=frozenset(self._tried),
-            is_first_attempt=not self._tried,
+            is_first_attempt=not (self._tried or self._returned_grants),
             route=route.name,
             size_class=self._statistics.size_class(req, route),
             fingerprint=self._admitted.fingerprints[0],
--- a/packages/router/chervilwall_router/edge/request_types.py
+++ b/packages/router/chervilwall_router/edge/request_types.py
@@ -16,6 +16,7 @@
 from chervilwall.service_totals import ServiceTotals
 from chervilwall.stream_versions import StreamVersions
 
+from chervilwall_router.edge.cold_notices import ColdNotices
 from chervilwall_router.edge.connections import TargetConnectionPool
 from chervilwall_router.edge.crash_watch import CrashWatch
 from chervilwall_router.edge.exchange import Ending, SkippedResponse
@@ -81,6 +82,8 @@
             Defaults to 0.
         silent_bytes (int): Those that the caller had when another target was
             last asked for in place of this one. Defaults to 0.
+        may_try_again (bool): Whether the same target may be asked for again, as
+            it was only sent nothing yet. Defaults to False.
     """
 
     result: AttemptResult
@@ -93,6 +96,7 @@
     skipped: tuple[SkippedResponse, ...] = ()
     sent_bytes: int = 0
     silent_bytes: int = 0
+    may_try_again: bool = False
 
 
 class AdmittedRequest(NamedTuple):
@@ -145,6 +149,7 @@
         host_load (HostLoad): Sheds load while this host is overloaded.
         streams (StreamVersions): Software versions that began streams.
         kept (KeptResponses): Bounds what is kept for all responses.
+        cold (ColdNotices): Decides whether a cold target may be sent a request.
     """
 
     table: Callable[[], RoutingTable | None]
@@ -164,6 +169,7 @@
     host_load: HostLoad
     streams: StreamVersions
     kept: KeptResponses
+    cold: ColdNotices
 
 
 def outcome_of(attempt: Attempt) -> str:
--- a/packages/router/chervilwall_router/edge/router_state.py
+++ b/packages/router/chervilwall_router/edge/router_state.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from chervilwall.cold_targets import ColdTargets
 from chervilwall.crash_ledger import CrashLedger
 from chervilwall.fair_share import FairShare
 from chervilwall.host_load import HostLoad
@@ -27,6 +28,7 @@
         registry (TargetRegistry): Registered targets.
         pauses (TargetPauses): Targets that asked this router to pause.
         limits (TargetLimits): Limits that targets name on requests.
+        cold (ColdTargets): Targets that are cold.
         load (LoadView): Load of the targets.
         prefixes (PrefixMap): Prompt prefixes that the targets cache.
         model (PrefillModel): Estimated prefill speed of the targets.
@@ -40,6 +42,7 @@
     registry: TargetRegistry
     pauses: TargetPauses
     limits: TargetLimits
+    cold: ColdTargets
     load: LoadView
     prefixes: PrefixMap
     model: PrefillModel
@@ -56,6 +59,7 @@
         registry=TargetRegistry(),
         pauses=TargetPauses(),
         limits=TargetLimits(),
+        cold=ColdTargets(settings.cold is not None),
         load=LoadView(),
         prefixes=PrefixMap(),
         model=PrefillModel(),
--- a/packages/router/chervilwall_router/edge/scheduling.py
+++ b/packages/router/chervilwall_router/edge/scheduling.py
@@ -9,6 +9,7 @@
 import asyncio
 import itertools
 import logging
+import math
 from collections.abc import Callable, Collection
 
 from chervilwall import cell_messages, edge_messages, events
@@ -72,6 +73,8 @@
             seconds since the grant and whether it is an event of a stream.
         record_silence (Callable): Called if the target is silent for too long.
         end (Callable): Called with the outcome when the context ends.
+        send_within_s (float): Time from the grant in which the request must be
+            sent. Defaults to infinity.
     """
 
     def __init__(
@@ -82,7 +85,9 @@
         record_first_token: Callable[[float, bool], None],
         record_silence: Callable[[], None],
         end: Callable[[str], None],
+        send_within_s: float = math.inf,
     ) -> None:
+        self.send_within_s = send_within_s
         self.number = number
         self.choice = choice
         self.started_at = started_at
@@ -350,6 +355,7 @@
             record_first_token,
             report_silence,
             end,
+            grant.send_within_s,
         )
 
     def _add_running(
@@ -498,6 +504,7 @@
             record_first_token,
             report_silence,
             end,
+            answer.send_within_ms / 1000 or math.inf,
         )
 
     def _send_ended(
--- a/packages/router/chervilwall_router/edge/settings.py
+++ b/packages/router/chervilwall_router/edge/settings.py
@@ -4,6 +4,7 @@
 from typing import Annotated
 
 import msgspec
+from chervilwall.cold_rates import ColdSettings
 from chervilwall.errors import SettingsError
 from chervilwall.placement import PlacementSettings
 from chervilwall.wait_queue import WaitSettings
@@ -129,6 +130,8 @@
         waiting (WaitSettings): Limits on waiting, and weights of its order.
         placement (PlacementSettings): Limits and weights of the choice of a
             target.
+        cold (ColdSettings | None): Bound on the requests to cold targets.
+            Without it, targets are never treated as cold.
     """
 
     name: Name
@@ -146,6 +149,7 @@
     log: LogSettings = LogSettings(format="json")
     waiting: WaitSettings = WaitSettings()
     placement: PlacementSettings = PlacementSettings()
+    cold: ColdSettings | None = None
 
     @property
     def kept_bytes(self) -> int:
--- a/packages/router/chervilwall_router/edge/target_notices.py
+++ b/packages/router/chervilwall_router/edge/target_notices.py
@@ -14,6 +14,8 @@
 from chervilwall.registry import RegisteredTarget, TargetRegistry
 from chervilwall.target_limits import LimitChange, TargetLimits
 
+from chervilwall_router.edge.cold_notices import ColdNotices
+
 LOG = logging.getLogger(__name__)
 # Targets whose malformed limits are remembered, so that each is logged once.
 MAX_MALFORMED = 1024
@@ -26,6 +28,7 @@
         registry (TargetRegistry): Records targets that are shutting down.
         pauses (TargetPauses): Records the pauses that targets ask for.
         limits (TargetLimits): Records the limits that targets name.
+        cold (ColdNotices): Records which targets are cold.
         send_reports_now (Callable): Called when a target announces its
             shutdown or changes its limit, to send reports to peers at once.
         metrics (Metrics): Counts the changes of limits.
@@ -35,6 +38,7 @@
     registry: TargetRegistry
     pauses: TargetPauses
     limits: TargetLimits
+    cold: ColdNotices
     send_reports_now: Callable[[], None]
     metrics: Metrics
     clock: Callable[[], float]
@@ -69,6 +73,7 @@
         if head.target_leaving:
             self._record_leaving(target)
         self._record_limit(target, head.rate_limit, sent_at)
+        self._parts.cold.apply_head(target, head, sent_at)
 
     def _record_limit(
         self, target: RegisteredTarget, stated: RateLimit, sent_at: float
--- a/packages/router/chervilwall_router/edge/wait_estimate.py
+++ b/packages/router/chervilwall_router/edge/wait_estimate.py
@@ -78,7 +78,7 @@
     ) -> float:
         """Returns the prefill time per second that targets can take.
 
-        It is one second for each target, less for one that names a limit.
+        It is one second for each target, less for one that is limited.
         """
         pacer = self._parts.pacer
         if pacer.is_idle:
@@ -90,7 +90,7 @@
     def _paced_wait_s(
         self, ahead: int, targets: list[RegisteredTarget], now: float
     ) -> float:
-        """Returns the expected wait where all targets name limits, else 0.
+        """Returns the expected wait where all targets are limited, else 0.
 
         Args:
             ahead (int): Requests that rank before this one.
@@ -103,4 +103,6 @@
         if not limits or len(limits) < len(rates):
             return 0.0
         first_s = min(pacer.wait_s(target, now) for target in targets)
-        return first_s + ahead / sum(limits)
+        # Cold targets that this router may send nothing are used once warm.
+        wait_s = first_s + ahead / sum(limits) if sum(limits) else first_s
+        return min(wait_s, *(pacer.ends_in_s(t, now) for t in targets))
