--- a/packages/core/chervilwall/cold_rates.py
+++ b/packages/core/chervilwall/cold_rates.py
@@ -77,6 +77,8 @@
         settings (ColdSettings): Bound on the requests in any one second.
         fraction (Callable): Returns the fraction that this router may use for
             the targets of a service, see FleetView.cold_fraction.
+        resumes_in_s (Callable): Returns the seconds until a fraction of 0 is
+            expected to end for a service, infinity if that is not known.
     """
 
     max_burst = 1
@@ -89,7 +91,9 @@
         cold: ColdTargets,
         settings: ColdSettings,
         fraction: Callable[[str], float],
+        resumes_in_s: Callable[[str], float] = lambda service: math.inf,
     ) -> None:
+        self._resumes_in_s = resumes_in_s
         self._cold = cold
         self._settings = settings
         self._fraction = CachedFraction(fraction)
@@ -128,6 +132,11 @@
         until = self._cold.cold_end(target)
         return 0.0 if until is None else max(0.0, until + RISE_S - now)
 
+    def resumes_in_s(self, target: RegisteredTarget, now: float) -> float:
+        """Returns the seconds until this router is expected to send again."""
+        del now
+        return self._resumes_in_s(target.service)
+
     def max_send_delay_s(self, target: RegisteredTarget, now: float) -> float:
         """Returns GRANT_TTL_S for a cold target, else infinity."""
         is_cold = self._cold.is_cold(target, now)
--- a/packages/core/chervilwall/cold_targets.py
+++ b/packages/core/chervilwall/cold_targets.py
@@ -21,7 +21,7 @@
 
 import enum
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from chervilwall.registry import RegisteredTarget, TargetStart
@@ -180,6 +180,10 @@
             i for i in self._states if self._is_limited(self._states[i], now)
         }
 
+    def services(self) -> Collection[str]:
+        """Returns the services whose targets may be cold."""
+        return [n for n, s in self._services.items() if s.cold_per_s > 0]
+
     def record_registrations(
         self, targets: Mapping[str, RegisteredTarget], now: float
     ) -> None:
--- a/packages/core/chervilwall/rate_sources.py
+++ b/packages/core/chervilwall/rate_sources.py
@@ -47,6 +47,13 @@
         """Returns the seconds until a limit ends at the latest, or infinity."""
         ...
 
+    def resumes_in_s(self, target: RegisteredTarget, now: float) -> float:
+        """Returns the seconds until a rate of 0 is expected to end.
+
+        It is infinite if that is not known.
+        """
+        ...
+
     def max_send_delay_s(self, target: RegisteredTarget, now: float) -> float:
         """Returns the longest time from a grant until the request is sent.
 
@@ -128,6 +135,11 @@
         del target, now
         return math.inf
 
+    def resumes_in_s(self, target: RegisteredTarget, now: float) -> float:
+        """Returns infinity: no rate is 0."""
+        del target, now
+        return math.inf
+
     def max_send_delay_s(self, target: RegisteredTarget, now: float) -> float:
         """Returns infinity: limits are averages over several seconds."""
         del target, now
--- a/packages/core/chervilwall/request_pacer.py
+++ b/packages/core/chervilwall/request_pacer.py
@@ -14,6 +14,8 @@
 # Time without a placement after which a router may not have been the one that
 # places the requests of a service.
 RESUME_S = 1.0
+# Least wait for a target that may be sent nothing now.
+MIN_WAIT_S = 0.01
 # Period over which the use of a rate is shown, and requests in it that are
 # counted at most.
 USE_WINDOW_S = 1.0
@@ -57,7 +59,8 @@
             return 0.0
         ends_in_s = source.ends_in_s(target, now)
         if rate <= 0:
-            return ends_in_s
+            resumes_in_s = source.resumes_in_s(target, now)
+            return max(MIN_WAIT_S, min(ends_in_s, resumes_in_s))
         key = source.key(target)
         taken_at = self._taken_at.get(key)
         if taken_at is None:
--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -207,6 +207,7 @@
                 has_joined=lambda: self._membership.has_joined,
                 is_ready=self._is_ready,
                 clock=self._clock,
+                services_with_cold_targets=state.cold.services,
             )
         )
         self._watches = [
@@ -259,7 +260,10 @@
         if self._cfg.cold is not None:
             self._cold_spacing = RequestSpacing(
                 ColdRates(
-                    self._state.cold, self._cfg.cold, self.fleet.cold_fraction
+                    self._state.cold,
+                    self._cfg.cold,
+                    self.fleet.cold_fraction,
+                    self.fleet.cold_resumes_in_s,
                 )
             )
         self._pacer = RequestPacer(
--- a/packages/router/chervilwall_router/edge/fleet_view.py
+++ b/packages/router/chervilwall_router/edge/fleet_view.py
@@ -8,12 +8,13 @@
 changed or stopped reporting. A short report omits what only schedulers need.
 """
 
+import math
 from collections.abc import Callable, Collection, Mapping
 from typing import NamedTuple
 
 from chervilwall.hubs import HubCandidate, HubSelector, Recipients, digest_hubs
 from chervilwall.known_routers import KnownRouters
-from chervilwall.peers import PeerState, PeerTable
+from chervilwall.peers import REPORT_INTERVAL_S, PeerState, PeerTable
 from chervilwall.rendezvous import owner
 
 from chervilwall_router.edge.peer_grants import SchedulerPeer
@@ -25,11 +26,11 @@
 # at most half of the bound.
 FEW_ROUTERS = 2
 # Time for which a router must have been the scheduler of a service before it
-# sends requests to cold targets. The reports of routers that were cut off count
-# for up to PEER_TTL_S, so another one may still send for the whole fleet up to
-# two report intervals longer than this router heard from it; the rest is the
-# second in which requests are counted.
-TAKEOVER_S = 1.5
+# sends requests to cold targets. In a partition, reports of routers that were
+# cut off count for PEER_TTL_S after they arrived. With report intervals of up
+# to 0.5 s, the former scheduler may therefore use the rate of the whole fleet
+# for 0.5 s after others have taken over.
+TAKEOVER_S = 0.75
 
 
 class FleetParts(NamedTuple):
@@ -48,6 +49,8 @@
             start.
         is_ready (Callable): Returns whether this router accepts callers.
         clock (Callable): Returns the monotonic time in seconds.
+        services_with_cold_targets (Callable): Returns the names of the services
+            whose targets may be cold. Defaults to none.
     """
 
     name: str
@@ -59,6 +62,7 @@
     has_joined: Callable[[], bool]
     is_ready: Callable[[], bool]
     clock: Callable[[], float]
+    services_with_cold_targets: Callable[[], Collection[str]] = tuple
 
 
 class FleetView:
@@ -116,7 +120,8 @@
         parts, now = self._parts, self._parts.clock()
         alive = parts.peers.alive(now)
         self._count_known(now)
-        self._check_scheduled_services()
+        for service in parts.services_with_cold_targets():
+            self._check_scheduler(service, now)
         addresses = dict(parts.addresses)
         addresses.update(
             (n, s.report.datagram_address) for n, s in alive.items()
@@ -233,26 +238,41 @@
         known = max(known, self.router_count())
         if known <= FEW_ROUTERS:
             return 1.0
-        if not self._schedules(service):
-            self._scheduler_since.pop(service, None)
-            return 0.0
-        since = self._scheduler_since.setdefault(service, now)
-        if now - since < TAKEOVER_S:
+        self._check_scheduler(service, now)
+        since = self._scheduler_since.get(service)
+        if since is None or now - since < TAKEOVER_S:
             return 0.0
         # What hubs list may be older than what a scheduler hears itself.
         heard = 1 + len(self._parts.peers.recent_reports(now))
         return 1.0 if 2 * heard > known else heard / known
 
+    def cold_resumes_in_s(self, service: str) -> float:
+        """Returns the seconds until cold_fraction() is expected to be above 0.
+
+        It is infinite for a router that is not the scheduler.
+
+        Args:
+            service (str): Service of the target.
+        """
+        if self.known_router_count() is None:
+            return REPORT_INTERVAL_S
+        since = self._scheduler_since.get(service)
+        if since is None:
+            return math.inf
+        left_s = since + TAKEOVER_S - self._parts.clock()
+        return left_s if left_s > 0 else math.inf
+
     def _schedules(self, service: str) -> bool:
         """Returns whether this router is the scheduler of a service."""
         is_sole = self.find_scheduler(service, ()) is None
         return is_sole and self._is_candidate()
 
-    def _check_scheduled_services(self) -> None:
-        """Notes for which services another router has become the scheduler."""
-        for service in list(self._scheduler_since):
-            if not self._schedules(service):
-                del self._scheduler_since[service]
+    def _check_scheduler(self, service: str, now: float) -> None:
+        """Notes since when this router schedules a service, if it does."""
+        if self._schedules(service):
+            self._scheduler_since.setdefault(service, now)
+        else:
+            self._scheduler_since.pop(service, None)
 
     def find_scheduler(
         self, service: str, avoided: Collection[str]
--- a/packages/router/tests/test_edge_settings.py
+++ b/packages/router/tests/test_edge_settings.py
@@ -24,6 +24,8 @@
     "bounds.budget_slack": "56",
     "bounds.grace_s": "8",
     "bounds.pass_ms": "120",
+    "bounds.cold_over": "1.5",
+    "bounds.cold_slack": "5",
     "limits.cpu_share": "0.537",
     "limits.memory_mb": "300",
     "bootstrap": "true",
@@ -65,12 +67,15 @@
         self.assertTrue(cfg.bootstrap)
         self.assertEqual(cfg.memory_mb, 300)
         self.assertEqual(cfg.kept_bytes, 60 << 20)
+        self.assertEqual((cfg.cold.rate_factor, cfg.cold.slack), (1.5, 5))
 
     def test_what_a_deployment_does_not_say_has_a_default(self):
         cfg = self.read(render_template(**{"bounds.pass_ms": ""}))
         self.assertGreater(cfg.event_delay_ms, 0)
         cfg = self.read(render_template(**{"limits.memory_mb": ""}))
         self.assertEqual(cfg.kept_bytes, 30 << 20)
+        cfg = self.read(render_template(**{"bounds.cold_over": ""}))
+        self.assertIsNone(cfg.cold)
         cfg = self.read(render_template(bootstrap=""))
         self.assertFalse(cfg.bootstrap)
 
--- a/packages/standins/chervilwall_standins/users/fleet.py
+++ b/packages/standins/chervilwall_standins/users/fleet.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from chervilwall.cold_rates import ColdSettings
 from chervilwall_router.edge.edge_router import EdgeRouter
 from chervilwall_router.edge.settings import (
     EdgeListen,
@@ -73,20 +74,26 @@
 ]
 
 
-def make_config(version: int, routes: list[dict] | None = None) -> dict:
+def make_config(
+    version: int,
+    routes: list[dict] | None = None,
+    service_fields: dict | None = None,
+) -> dict:
     """Returns a configuration as stored in the object store.
 
     Args:
         version (int): Version of the configuration.
         routes (list): Its routes. Defaults to ROUTES.
+        service_fields (dict): Further fields of each service. Defaults to none.
     """
+    more = service_fields or {}
     engine = {"slots": 8, "kv_capacity": 100_000, "stride": 5}
     return {
         "version": version,
         "routes": ROUTES if routes is None else routes,
         "services": [
-            {"name": "plain", "health_path": "/h", "max_conns": 100},
-            {"name": "model", "health_path": "/h", "engine": engine},
+            {"name": "plain", "health_path": "/h", "max_conns": 100} | more,
+            {"name": "model", "health_path": "/h", "engine": engine} | more,
         ],
         "limits": {
             "max_header_bytes": 4096,
@@ -252,6 +259,9 @@
             AMPLE_RETRIES.
         memory_mb (float): Memory of each router. Defaults to that of its
             settings.
+        service_fields (dict): Further fields of each service in the
+            configuration. Defaults to none.
+        cold (ColdSettings): Setting `cold` of each router. Defaults to none.
     """
 
     def __init__(
@@ -262,7 +272,11 @@
         routes: list[dict] | None = None,
         retries: RetrySettings = AMPLE_RETRIES,
         memory_mb: float = 150.0,
+        service_fields: dict | None = None,
+        cold: ColdSettings | None = None,
     ) -> None:
+        self._service_fields = service_fields
+        self._cold = cold
         self.store = FakeStore()
         self.targets = targets
         self.routers: list[EdgeRouter] = []
@@ -279,7 +293,8 @@
 
     async def __aenter__(self) -> "EdgeFleet":
         await self._stack.enter_async_context(self.store)
-        await self.store.put("config", "main", make_config(1, self._routes))
+        config = make_config(1, self._routes, self._service_fields)
+        await self.store.put("config", "main", config)
         for target in self.targets:
             await self._start_target(target)
         for number in range(self._initial_count):
@@ -387,7 +402,10 @@
 
     async def _register_restart(self, target: FakeTarget, old_id: str) -> None:
         """Registers a restarted target and later removes its old entry."""
+        await asyncio.sleep(target.registration_delay_s)
         await self.store.put("servers", target.id, target.spec())
+        if target.id == old_id:
+            return
         await asyncio.sleep(REGISTRATION_EXPIRY_S)
         await self.store.delete("servers", old_id)
 
@@ -421,6 +439,7 @@
             mesh_most=self._mesh_most,
             memory_mb=self._memory_mb,
             bootstrap=bootstrap,
+            cold=self._cold,
         )
         store = self._clients[name] = ObjectClient(cfg.store)
         router = EdgeRouter(cfg, store, StoreDecoder(), HeaderFormat())
--- a/packages/standins/chervilwall_standins/users/target.py
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -253,6 +253,16 @@
         self.leaving = False
         # Server-Limit of its responses; empty for none.
         self.limit = ""
+        # Loop time until which it says that it is cold; 0 if it is warm. A
+        # restart makes it cold for `cold_start_s`.
+        self.cold_until = 0.0
+        self.cold_start_s = 0.0
+        # Whether its responses say how long it stays cold.
+        self.states_cold = True
+        # Whether it has the same id after a restart, and the seconds after
+        # which that is registered.
+        self.keeps_id = False
+        self.registration_delay_s = 0.0
         # Retry-After of its refusals in mode OVERLOADED; 0 leaves it out.
         self.retry_after_s = 0.0
         # Events after which a stream breaks off in modes TRUNCATED and
@@ -328,6 +338,18 @@
         listening = self._server is not None and self._server.is_serving()
         return listening and not self._is_unresponsive
 
+    def become_cold(self, duration_s: float) -> None:
+        """Is cold for a time from now on."""
+        self.cold_until = asyncio.get_running_loop().time() + duration_s
+
+    @property
+    def cold_remaining_ms(self) -> int:
+        """Milliseconds for which it stays cold, negative once it is warm."""
+        if not self.cold_until:
+            return 0
+        now = asyncio.get_running_loop().time()
+        return round((self.cold_until - now) * 1000)
+
     def fall_silent(self, duration_s: float) -> None:
         """Sends nothing for a time, and then goes on."""
         now = asyncio.get_running_loop().time()
@@ -364,7 +386,10 @@
         self._server = await asyncio.start_server(self._serve, host, int(port))
         old_id = self.id
         self.born_ms += 1
-        self.id = f"{old_id.partition('+')[0]}+{self.born_ms}"
+        if not self.keeps_id:
+            self.id = f"{old_id.partition('+')[0]}+{self.born_ms}"
+        if self.cold_start_s:
+            self.become_cold(self.cold_start_s)
         if self.on_restart is not None:
             await self.on_restart(self, old_id)
 
@@ -380,7 +405,7 @@
             "zone": "z1",
             "slots": self.slots,
             "state": "ready",
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": self.cold_remaining_ms,
             "sequence": 1,
             "born": self.born_ms,
         }
@@ -477,6 +502,9 @@
         }
         if self.limit:
             identity["Server-Limit"] = self.limit
+        if self.cold_until and self.states_cold:
+            remaining_ms = max(0, self.cold_remaining_ms)
+            identity["Cold-Remaining"] = str(remaining_ms)
         return identity
 
     async def _run(
