--- a/packages/operator/chervilwall_ctl/commands.py
+++ b/packages/operator/chervilwall_ctl/commands.py
@@ -22,7 +22,7 @@
 from chervilwall.sheet import diff_configs, parse_sheet
 from chervilwall_platform.client import HttpPlatform
 
-from chervilwall_ctl import fleet_view, log_summary
+from chervilwall_ctl import cold_view, fleet_view, log_summary
 from chervilwall_ctl.config_change import apply_config, read_stored_config
 from chervilwall_ctl.router_client import RouterClient
 from chervilwall_ctl.table import Column, Table
@@ -300,6 +300,15 @@
     return EXIT_OK
 
 
+async def show_cold_targets(session: Session) -> int:
+    """Show the targets that edge routers treat as cold."""
+    view = await cold_view.fetch_cold_targets(
+        session.routers, session.args.metrics
+    )
+    session.emit(view._asdict(), view.to_text())
+    return EXIT_PARTIAL if view.missing else EXIT_OK
+
+
 async def explain(session: Session) -> int:
     """Shows why a team waits or a request was refused, or sums up logs."""
     if session.args.logs:
--- a/packages/operator/chervilwall_ctl/main.py
+++ b/packages/operator/chervilwall_ctl/main.py
@@ -81,6 +81,10 @@
         help="logs of edge routers; read these instead of asking routers, and "
         "show the decisions on --request, or a summary of all requests",
     )
+    sub = _add_command(subparsers, shared, "cold", commands.show_cold_targets)
+    sub.add_argument(
+        "metrics", nargs="+", help="IP:port of an edge router's metrics page"
+    )
     _add_command(subparsers, shared, "key", commands.make_key)
     return parser
 
--- a/packages/operator/chervilwall_ctl/router_client.py
+++ b/packages/operator/chervilwall_ctl/router_client.py
@@ -39,6 +39,18 @@
         """
         return await self._call(address, path, "GET", None)
 
+    async def get_text(self, address: str, path: str) -> str:
+        """Sends a GET request to a router and returns the text of the answer.
+
+        Args:
+            address (str): "IP:port" or URL of the router.
+            path (str): Path and query.
+
+        Raises:
+            RouterError: The call failed or the answer is not UTF-8.
+        """
+        return (await self._fetch(address, path, "GET", None)).decode()
+
     async def post(self, address: str, path: str) -> Any:
         """Sends an empty POST request to a router and returns the decoded JSON.
 
@@ -54,6 +66,15 @@
     async def _call(
         self, address: str, path: str, method: str, body: bytes | None
     ) -> Any:
+        answer = await self._fetch(address, path, method, body)
+        try:
+            return msgspec.json.decode(answer)
+        except (msgspec.MsgspecError, RecursionError) as exc:
+            raise RouterError(str(exc), step=path, peer=address) from exc
+
+    async def _fetch(
+        self, address: str, path: str, method: str, body: bytes | None
+    ) -> bytes:
         url = address if "://" in address else f"http://{address}"
         try:
             response = await self._client.fetch(
@@ -63,11 +84,6 @@
                 headers={"Authorization": f"Bearer {self._key}"},
                 request_timeout=self._timeout_s,
             )
-            return msgspec.json.decode(response.body)
-        except (
-            HTTPError,
-            OSError,
-            msgspec.MsgspecError,
-            RecursionError,
-        ) as exc:
+            return response.body
+        except (HTTPError, OSError) as exc:
             raise RouterError(str(exc), step=path, peer=address) from exc
