--- a/packages/core/chervilwall/edge_messages.py
+++ b/packages/core/chervilwall/edge_messages.py
@@ -11,12 +11,13 @@
 from typing import NamedTuple
 
 from chervilwall.cell_messages import Message
+from chervilwall.cold_targets import StatedCold
 from chervilwall.crash_updates import CrashUpdates
 from chervilwall.registry import TargetStart
 from chervilwall.store_era import StoreRevision
 from chervilwall.stream_origins import StreamDemand
 from chervilwall.target_limits import StatedLimit
-from chervilwall.untrusted import Finite
+from chervilwall.untrusted import Count, Finite
 
 
 class TargetLoadItem(NamedTuple):
@@ -101,6 +102,8 @@
             evacuated zones was read, (0, 0) if it knows none.
         evacuated_zones (tuple): Names of the evacuated zones, at most
             `evacuations.MAX_ZONES`.
+        cold (tuple): Cold times of targets that responses or failed
+            connections have changed recently.
     """
 
     sequence: int
@@ -123,6 +126,7 @@
     limits: tuple[StatedLimit, ...] = ()
     evacuations_revision: StoreRevision = StoreRevision()
     evacuated_zones: tuple[str, ...] = ()
+    cold: tuple[StatedCold, ...] = ()
 
 
 class LivePeer(NamedTuple):
@@ -237,6 +241,8 @@
         first_token_ms (int): Predicted milliseconds to the first token.
         version (str): Software version of the target, as far as the scheduler
             knows.
+        send_within_ms (int): Milliseconds after which the request must not be
+            sent to the target on this grant, 0 for no limit.
     """
 
     number: int
@@ -245,6 +251,7 @@
     prefill_ms: int
     first_token_ms: int
     version: str = ""
+    send_within_ms: Count = 0
 
 
 class PlacementRefused(NamedTuple):
--- a/packages/core/chervilwall/events.py
+++ b/packages/core/chervilwall/events.py
@@ -68,6 +68,8 @@
 RETURNED_TARGETS_COLD = Event(
     444, logging.INFO, "targets of returned zones may be cold"
 )
+TARGET_COLD = Event(450, logging.INFO, "target is cold")
+TARGET_WARM = Event(451, logging.INFO, "target is warm")
 CELL_SCHEDULING_STARTED = Event(500, logging.INFO, "started scheduling a cell")
 CELL_SCHEDULING_STOPPED = Event(501, logging.INFO, "stopped scheduling a cell")
 TARGET_EJECTED = Event(502, logging.WARNING, "target ejected")
--- a/packages/operator/chervilwall_ctl/commands.py
+++ b/packages/operator/chervilwall_ctl/commands.py
@@ -23,6 +23,7 @@
 from chervilwall_platform.client import HttpPlatform
 
 from chervilwall_ctl import (
+    cold_view,
     evacuation_view,
     fleet_view,
     log_summary,
@@ -317,6 +318,15 @@
     return EXIT_PARTIAL if found.missing else EXIT_OK
 
 
+async def show_cold_targets(session: Session) -> int:
+    """Show the targets that edge routers treat as cold."""
+    view = await cold_view.fetch_cold_targets(
+        session.routers, session.args.metrics
+    )
+    session.emit(view._asdict(), view.to_text())
+    return EXIT_PARTIAL if view.missing else EXIT_OK
+
+
 async def explain(session: Session) -> int:
     """Shows where a request would go, why it was refused, or sums up logs."""
     if session.args.logs:
