--- a/packages/core/chervilwall/prefill.py
+++ b/packages/core/chervilwall/prefill.py
@@ -7,6 +7,8 @@
 import math
 from collections import Counter
 
+from chervilwall.start_latency import StartLatency
+
 # Nominal speed: that of a target with factor 1. Both values are only a starting
 # point, as the factors of the targets are learned within seconds.
 TOKENS_PER_S = 60_000.0
@@ -14,9 +16,6 @@
 # Attention relates each processed token to all tokens before it, so its cost
 # grows with the number of such pairs.
 TOKEN_PAIR_S = 2.5e-10
-# Part of the time to the first token that is not prefill: a network round trip
-# and one decoding step.
-START_LATENCY_S = 0.012
 # Weight of a new sample in the moving average of a target's factor. The first
 # samples weigh more, as the nominal speed says little about a target.
 SAMPLE_WEIGHT = 0.08
@@ -26,8 +25,8 @@
 # faults, not by a target's speed.
 MIN_FACTOR = 0.2
 MAX_FACTOR = 8.0
-# Shorter predictions are not used as samples: the network and the decoding step
-# take most of the observed time.
+# Shorter predictions are samples of the start latency, which takes most of the
+# observed time then, and not of a target's factor.
 MIN_SAMPLE_S = 0.03
 
 
@@ -37,9 +36,14 @@
     The prediction is a fixed time, a time for each uncached token and a time
     for attention, multiplied by a factor for each target. The factors are
     moving averages of the ratio of observed to predicted times, on a log scale.
+
+    Attributes:
+        start_latency (StartLatency): Part of the time to the first token that
+            is not prefill, by service.
     """
 
     def __init__(self) -> None:
+        self.start_latency = StartLatency()
         self._log_factors: dict[str, float] = {}
         self._samples: Counter[str] = Counter()
         self._factors: dict[str, float] = {}
@@ -84,8 +88,10 @@
         predicted_s: float,
         first_token_s: float,
         predicted_factor: float,
+        *,
+        service: str = "",
     ) -> None:
-        """Updates a target's factor by an observed time to first token.
+        """Updates a target's factor, or the start latency of its service.
 
         Args:
             target_id (str): Target that ran the request.
@@ -94,9 +100,13 @@
             first_token_s (float): Observed time to the first token.
             predicted_factor (float): Factor that the prediction used, which
                 may have changed since.
+            service (str): Service of the target. Defaults to "".
         """
-        first_token_s -= START_LATENCY_S
-        if predicted_s < MIN_SAMPLE_S or first_token_s <= 0:
+        if predicted_s < MIN_SAMPLE_S:
+            self.start_latency.observe(service, first_token_s - predicted_s)
+            return
+        first_token_s -= self.start_latency.seconds(service)
+        if first_token_s <= 0:
             return
         known = self._log_factors.get(target_id, self._mean_log)
         observed = math.log(predicted_factor * first_token_s / predicted_s)
--- a/packages/core/tests/test_prefill.py
+++ b/packages/core/tests/test_prefill.py
@@ -2,11 +2,8 @@
 
 import unittest
 
-from chervilwall.prefill import (
-    MAX_FACTOR,
-    START_LATENCY_S,
-    PrefillModel,
-)
+from chervilwall.prefill import MAX_FACTOR, PrefillModel
+from chervilwall.start_latency import START_LATENCY_S
 
 
 class PrefillModelTest(unittest.TestCase):
--- a/packages/router/chervilwall_router/edge/grants.py
+++ b/packages/router/chervilwall_router/edge/grants.py
@@ -168,5 +168,6 @@
             choice.first_token_s,
             first_token_s,
             choice.factor,
+            service=choice.target.service,
         )
         self._on_capacity_freed()
