--- a/packages/core/chervilwall/placement.py
+++ b/packages/core/chervilwall/placement.py
@@ -303,6 +303,19 @@
         uncached = max(1, demand.prompt_tokens - cached)
         return self._model.mean_work_s(uncached, cached)
 
+    def start_delay_s(self, demand: Demand) -> float:
+        """Returns by how much engines start a request later than usual ones.
+
+        Args:
+            demand (Demand): Resources that the request needs.
+
+        Returns:
+            Seconds; 0 for a plain request.
+        """
+        if not demand.is_generation:
+            return 0.0
+        return self._model.start_latency.excess_s(demand.service)
+
     def _choose_plain_target(
         self, targets: list[RegisteredTarget], now: float
     ) -> Choice | None:
@@ -337,7 +350,8 @@
         best, idle = self._find_cheapest(demand, targets, now, urgency)
         if best.wait_s <= 0:
             return best.to_choice()
-        if best.wait_s + best.queued_s + best.prefill_s <= slack_s:
+        first_token_s = best.wait_s + best.queued_s + best.prefill_s
+        if first_token_s + self.start_delay_s(demand) <= slack_s:
             return None
         # The best engine has no free capacity in time. Another one may
         # recompute the prefix only if it is idle: otherwise the recomputation
--- a/packages/core/chervilwall/wait_queue.py
+++ b/packages/core/chervilwall/wait_queue.py
@@ -83,6 +83,8 @@
             already. Defaults to False.
         is_exempt (bool): Whether it is not put behind because its team is
             beyond its share. Defaults to False.
+        start_delay_s (float): Time by which the engines of its service start
+            requests later than usual ones, in seconds. Defaults to 0.
     """
 
     number: int
@@ -96,6 +98,7 @@
     group: str = ""
     is_resumption: bool = False
     is_exempt: bool = False
+    start_delay_s: float = 0.0
 
     @property
     def benefit_per_s(self) -> float:
@@ -106,7 +109,7 @@
 
     def latest_start_at(self) -> float:
         """Returns the monotonic time by which it must start to be in time."""
-        return self.due_at - self.work_s
+        return self.due_at - self.work_s - self.start_delay_s
 
     def late_wait_limit_at(self) -> float:
         """Returns the time until which it may wait while late ones are refused.
--- a/packages/router/chervilwall_router/edge/tickets.py
+++ b/packages/router/chervilwall_router/edge/tickets.py
@@ -62,6 +62,7 @@
             is_resumption=request.is_resumption,
             is_exempt=stream is not None
             and self._streams.is_exempt(demand.service, stream),
+            start_delay_s=self._placement.start_delay_s(demand),
         )
 
     def _give_up_at(self, request: GrantRequest, now: float) -> float:
