Relay connections of an overloaded host to idle peers of its zone

Cause: a flood of one team's requests at a single small host made its event loop late while the other hosts of the zone were nearly idle. Change: the host relays a growing share of its new connections, unparsed, to ready routers of its zone, after a preamble with the fleet's key. The setting `relay` is on by default only above mesh_most.

--- a/packages/core/chervilwall/codec.py
+++ b/packages/core/chervilwall/codec.py
@@ -56,6 +56,7 @@
     edge_messages.PeerDigest,
     edge_messages.StreamOriginsUpdate,
     edge_messages.PlacementSilent,
+    edge_messages.ConnectionPreamble,
 )
 _CODE_BY_TYPE = {cls: code for code, cls in enumerate(_TYPES)}
 _DECODERS: tuple[msgspec.msgpack.Decoder, ...] = tuple(
--- a/packages/core/chervilwall/edge_messages.py
+++ b/packages/core/chervilwall/edge_messages.py
@@ -317,6 +317,20 @@
     predecessor: tuple[str, float] | None = None
 
 
+class ConnectionPreamble(NamedTuple):
+    """First message of a connection that an overloaded router relays.
+
+    Args:
+        version (int): Version of the exchange.
+        receiver (str): Name of the router that it is sent to.
+        caller (str): "IP:port" of the caller.
+    """
+
+    version: int
+    receiver: str
+    caller: str
+
+
 class SnapshotPull(NamedTuple):
     """Request for a peer's copy of the deployment platform's objects.
 
@@ -364,6 +378,7 @@
     | StreamOriginsUpdate
     | SnapshotPull
     | StoreSnapshot
+    | ConnectionPreamble
 )
 
 AnyMessage = Message | EdgeMessage
--- a/packages/core/chervilwall/events.py
+++ b/packages/core/chervilwall/events.py
@@ -57,6 +57,17 @@
 )
 STORE_READ_AGAIN = Event(406, logging.INFO, "older copy of the store read")
 WATCH_LOST = Event(407, logging.WARNING, "response to a store watch was lost")
+RELAYING_STARTED = Event(470, logging.INFO, "started relaying connections")
+RELAYING_ENDED = Event(471, logging.INFO, "stopped relaying connections")
+RELAY_PEER_FAILED = Event(
+    472, logging.INFO, "peer does not answer a relayed connection"
+)
+RELAY_PREAMBLE_REFUSED = Event(
+    473, logging.WARNING, "preamble of a relayed connection refused"
+)
+RELAY_LISTEN_FAILED = Event(
+    474, logging.WARNING, "failed to listen for relayed connections"
+)
 CELL_SCHEDULING_STARTED = Event(500, logging.INFO, "started scheduling a cell")
 CELL_SCHEDULING_STOPPED = Event(501, logging.INFO, "stopped scheduling a cell")
 TARGET_EJECTED = Event(502, logging.WARNING, "target ejected")
--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -43,6 +43,7 @@
 from chervilwall_router.edge.page_server import PageServer, Reply
 from chervilwall_router.edge.peer_grants import SchedulingParts
 from chervilwall_router.edge.peer_link import PeerLink
+from chervilwall_router.edge.relaying.relays import Relaying, RelayingParts
 from chervilwall_router.edge.reports import (
     MAX_REPORTED_PREFIXES,
     ReportParts,
@@ -363,6 +364,21 @@
             self.reports.outgoing,
             self.reports.receive_frame,
         )
+        self.relaying = Relaying(
+            RelayingParts(
+                self._cfg,
+                self._me.incarnation,
+                self.ingress,
+                self.peers,
+                self.fleet.hubs,
+                self.host_load,
+                lambda: self.link.codec,
+                self._is_ready,
+                self.metrics,
+                self._clock,
+                self._rng,
+            )
+        )
         self._snapshot_exchange = snapshot_exchange.SnapshotExchange(
             self._cfg.name,
             self._cfg.zone,
@@ -424,6 +440,7 @@
         for address, server in self._page_servers.items():
             server.listen(address)
         await self.link.open(self._cfg.listen.peers)
+        self.relaying.start()
         for watch in (*self._watches, self._crash_record_watch):
             self._tasks.start(f"watch_{watch.kind}", watch.run)
         self._tasks.start("crash_records", self.stored_crashes.run)
@@ -443,6 +460,7 @@
     async def __aexit__(self, *exc_info: object) -> None:
         await self._tasks.stop()
         self.link.close()
+        self.relaying.close()
         self.ingress.stop()
         for server in self._page_servers.values():
             server.stop()
@@ -601,4 +619,5 @@
     def _metrics_page(self, _: HTTPServerRequest) -> Reply:
         text = render_text(self.metrics.view())
         text += render_limits(self._state.limits, self._pacer, self._clock())
+        text += self.relaying.render()
         return Reply(200, text.encode(), "text/plain")
--- a/packages/router/chervilwall_router/edge/ingress.py
+++ b/packages/router/chervilwall_router/edge/ingress.py
@@ -4,7 +4,7 @@
 import logging
 import socket
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from chervilwall import events
 from chervilwall.limit_history import LimitHistory
@@ -25,11 +25,24 @@
 ACCEPT_BACKOFF_S = 0.1
 
 
+class ConnectionRelays(Protocol):
+    """Relay connections of callers to other routers."""
+
+    def offer(self, sock: socket.socket) -> bool:
+        """Returns whether an accepted socket was taken over to be relayed."""
+        ...
+
+    def count(self) -> int:
+        """Returns the number of open connections that were taken over."""
+        ...
+
+
 class IngressStats(NamedTuple):
     """Numbers of open connections and requests of callers.
 
     Args:
         connections (int): Open connections, except those being accepted.
+            Relayed ones are included.
         connecting (int): Connections being accepted.
         requests (int): Requests being served.
         unsent_connections (int): Connections whose write buffer holds bytes.
@@ -49,6 +62,10 @@
         wire (WireFormat): Decodes the heads of requests.
         clock (Callable): Returns the monotonic time.
         metrics (Metrics): Counts the connections that are closed here.
+
+    Attributes:
+        relays (ConnectionRelays | None): Relays connections while this host is
+            overloaded. Defaults to None, for none.
     """
 
     def __init__(
@@ -59,6 +76,7 @@
         metrics: Metrics,
     ) -> None:
         self.is_shutting_down = False
+        self.relays: ConnectionRelays | None = None
         self.request_tasks: set[asyncio.Task[None]] = set()
         self._connections: set[CallerConnection] = set()
         self._context = ConnectionContext(
@@ -83,8 +101,9 @@
         unsent_connections = sum(
             conn.has_unsent_data() for conn in self._connections
         )
+        relayed = self.relays.count() if self.relays is not None else 0
         return IngressStats(
-            len(self._connections),
+            len(self._connections) + relayed,
             len(self._connect_tasks),
             len(self.request_tasks),
             unsent_connections,
@@ -107,6 +126,11 @@
         host, port = self._listener.getsockname()
         return host, port
 
+    @property
+    def context(self) -> ConnectionContext:
+        """What all connections of callers share."""
+        return self._context
+
     def update_limits(self) -> None:
         """Notes the limits in force; called after each change of them."""
         context = self._context
@@ -146,7 +170,6 @@
         Returns:
             Whether more may be pending.
         """
-        loop = asyncio.get_running_loop()
         for _ in range(MAX_ACCEPTS_PER_WAKEUP):
             if self._listener is None:
                 return False
@@ -158,11 +181,20 @@
                 self._pause_accepting(self._listener, exc)
                 return False
             sock.setblocking(False)
-            task = loop.create_task(self._connect(sock))
-            self._connect_tasks.add(task)
-            task.add_done_callback(self._connect_tasks.discard)
+            if self.is_shutting_down or not self._offer(sock):
+                self.serve(sock)
         return True
 
+    def _offer(self, sock: socket.socket) -> bool:
+        return self.relays is not None and self.relays.offer(sock)
+
+    def serve(self, sock: socket.socket) -> None:
+        """Serves an accepted socket on this host."""
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(self._connect(sock))
+        self._connect_tasks.add(task)
+        task.add_done_callback(self._connect_tasks.discard)
+
     def _pause_accepting(self, listener: socket.socket, exc: OSError) -> None:
         """Pauses accepting after the host ran out of descriptors or memory."""
         events.log_event(LOG, events.ACCEPT_FAILED, reason=exc)
--- /dev/null
+++ b/packages/router/chervilwall_router/edge/relaying/__init__.py
@@ -0,0 +1,1 @@
+"""Relaying of callers' connections from an overloaded host to idle peers."""
--- /dev/null
+++ b/packages/router/chervilwall_router/edge/relaying/receiving.py
@@ -0,0 +1,241 @@
+"""Receiving side: serves the connections that overloaded peers relay."""
+
+import asyncio
+import logging
+from collections import Counter
+from collections.abc import Callable
+from typing import NamedTuple, cast
+
+from chervilwall import events
+from chervilwall.codec import FrameCodec
+from chervilwall.connection_relay import ConnectionRelay
+from chervilwall.errors import CodecError
+from chervilwall.protocol import Metrics
+
+from chervilwall_router.edge.caller_connection import CallerConnection
+from chervilwall_router.edge.caller_context import ConnectionContext
+from chervilwall_router.edge.relaying.preamble import (
+    ACCEPTED,
+    REFUSED,
+    Offer,
+    decode_preamble,
+    preamble_length,
+)
+
+LOG = logging.getLogger(__name__)
+LISTEN_BACKLOG = 128
+# Time for a peer to send its preamble. It comes with the connection, unless
+# the peer is lost.
+PREAMBLE_TIMEOUT_S = 1.0
+# Connections whose preamble is incomplete. Further ones are closed.
+MAX_PENDING = 64
+# Refused preambles that are logged; further ones are only counted until one is
+# valid.
+MAX_LOGGED_INVALID = 20
+
+
+class ReceiverParts(NamedTuple):
+    """Dependencies of a RelayReceiver.
+
+    Args:
+        name (str): Name of this router.
+        decision (ConnectionRelay): Decides whether this host accepts.
+        codec (Callable): Returns the codec of the fleet's key, None until the
+            key is known.
+        is_ready (Callable): Returns whether this router accepts callers.
+        is_stopping (Callable): Returns whether the peer of a name has announced
+            that it stops.
+        context (ConnectionContext): What all connections of callers share.
+        metrics (Metrics): Counts accepted and refused connections.
+    """
+
+    name: str
+    decision: ConnectionRelay
+    codec: Callable[[], FrameCodec | None]
+    is_ready: Callable[[], bool]
+    is_stopping: Callable[[str], bool]
+    context: ConnectionContext
+    metrics: Metrics
+
+
+class RelayReceiver:
+    """Accept connections that peers relay, and serve them as callers'.
+
+    Args:
+        parts (ReceiverParts): Dependencies.
+
+    Attributes:
+        connections (dict): Name of the sender of each open connection.
+        pending (int): Connections without a complete preamble.
+    """
+
+    def __init__(self, parts: ReceiverParts) -> None:
+        self._parts = parts
+        self._server: asyncio.Server | None = None
+        self._invalid = 0
+        self.connections: dict[RelayedCallerConnection, str] = {}
+        self.pending = 0
+
+    def __repr__(self) -> str:
+        return f"RelayReceiver(connections={len(self.connections)})"
+
+    @property
+    def is_listening(self) -> bool:
+        """Whether connections of peers are accepted."""
+        return self._server is not None
+
+    async def listen(self, host: str, port: int) -> None:
+        """Starts listening.
+
+        Raises:
+            OSError: The address is not free.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _PreambleReader(self), host, port, backlog=LISTEN_BACKLOG
+        )
+
+    def close(self) -> None:
+        """Stops listening. Accepted connections stay open."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def close_idle_of_stopping(self) -> None:
+        """Closes connections without a request whose senders are stopping.
+
+        The sender cannot tell whether a connection carries a request.
+        """
+        senders = Counter(self.connections.values())
+        stopping = {s for s in senders if self._parts.is_stopping(s)}
+        if not stopping:
+            return
+        for conn, sender in list(self.connections.items()):
+            if sender in stopping:
+                conn.close_if_idle()
+
+    def judge(self, data: bytes) -> str | None:
+        """Returns the sender of an accepted connection, None to refuse it.
+
+        Args:
+            data (bytes): A complete preamble.
+        """
+        parts = self._parts
+        codec = parts.codec()
+        if codec is None:
+            parts.metrics.count("relay_rejected")
+            return None
+        try:
+            offer = decode_preamble(codec, data)
+        except CodecError as exc:
+            self.record_invalid(exc)
+            return None
+        self._invalid = 0
+        if not self._accepts(offer):
+            parts.metrics.count("relay_rejected")
+            return None
+        return offer.sender
+
+    def _accepts(self, offer: Offer) -> bool:
+        parts = self._parts
+        return (
+            offer.preamble.receiver == parts.name
+            and parts.is_ready()
+            and parts.decision.accepts(len(self.connections))
+        )
+
+    def record_invalid(self, exc: CodecError) -> None:
+        """Logs and counts a preamble that cannot be read."""
+        self._invalid += 1
+        self._parts.metrics.count("relay_invalid")
+        if self._invalid <= MAX_LOGGED_INVALID:
+            events.log_event(
+                LOG, events.RELAY_PREAMBLE_REFUSED, reason=exc.reason
+            )
+
+    def adopt(self, transport: asyncio.Transport, sender: str) -> None:
+        """Serves a connection as if its caller had connected here."""
+        base = self._parts.context
+        context = base._replace(
+            is_shutting_down=lambda: (
+                base.is_shutting_down() or self._parts.is_stopping(sender)
+            )
+        )
+        conn = RelayedCallerConnection(context, self)
+        self.connections[conn] = sender
+        self._parts.metrics.count("relay_received")
+        transport.set_protocol(conn)
+        conn.connection_made(transport)
+
+
+class RelayedCallerConnection(CallerConnection):
+    """Serve a caller whose connection a peer relays.
+
+    Args:
+        context (ConnectionContext): Objects that all connections share.
+        receiver (RelayReceiver): Tracks the connection.
+    """
+
+    def __init__(
+        self, context: ConnectionContext, receiver: RelayReceiver
+    ) -> None:
+        super().__init__(context)
+        self._receiver = receiver
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the connection as that of any other caller."""
+        self._receiver.connections.pop(self, None)
+        super().connection_lost(exc)
+
+
+class _PreambleReader(asyncio.Protocol):
+    """Read the preamble of a relayed connection and answer it."""
+
+    def __init__(self, receiver: RelayReceiver) -> None:
+        self._receiver = receiver
+        self._transport: asyncio.Transport | None = None
+        self._data = b""
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Starts the time limit of the preamble."""
+        self._transport = tcp = cast(asyncio.Transport, transport)
+        if self._receiver.pending >= MAX_PENDING:
+            tcp.abort()
+            return
+        self._receiver.pending += 1
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(PREAMBLE_TIMEOUT_S, tcp.abort)
+
+    def data_received(self, data: bytes) -> None:
+        """Answers the preamble once it is complete."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        self._data += data
+        sender: str | None = None
+        try:
+            length = preamble_length(self._data)
+            if length is None or len(self._data) < length:
+                return
+            if len(self._data) == length:
+                sender = self._receiver.judge(self._data)
+        except CodecError as exc:
+            self._receiver.record_invalid(exc)
+        self._end()
+        if sender is None:
+            transport.write(REFUSED)
+            transport.close()
+            return
+        transport.write(ACCEPTED)
+        self._receiver.adopt(transport, sender)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the wait for the preamble."""
+        self._end()
+
+    def _end(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+            self._receiver.pending -= 1
--- a/packages/router/chervilwall_router/edge/settings.py
+++ b/packages/router/chervilwall_router/edge/settings.py
@@ -123,6 +123,10 @@
             to that of a small host, so that a larger one is safe without it.
         bootstrap (bool): Whether the whole system starts for the first time, so
             that no earlier routers have written to the object store.
+        relay (bool | None): Whether connections are relayed to idle routers of
+            the zone while this host is overloaded, and accepted from others on
+            the port after the one for datagrams. Defaults to None: only where
+            the fleet is larger than `mesh_most`.
         event_delay_ms (float): Maximum time in milliseconds that this host may
             take to relay an event of a stream.
         log (LogSettings): Logging.
@@ -142,6 +146,7 @@
     cpu: float = 1.0
     memory_mb: Megabytes = 150.0
     bootstrap: bool = False
+    relay: bool | None = None
     event_delay_ms: Milliseconds = 200.0
     log: LogSettings = LogSettings(format="json")
     waiting: WaitSettings = WaitSettings()
--- a/packages/standins/chervilwall_standins/users/fleet.py
+++ b/packages/standins/chervilwall_standins/users/fleet.py
@@ -24,6 +24,8 @@
 
 HOST = "a.example"
 FIRST_PORT = 21_000
+# The port after the one for datagrams is free for relayed connections.
+METRICS_PORT = FIRST_PORT + 15
 # Longest time that all routers may take to become ready.
 START_TIMEOUT_S = 20.0
 # Lets each request be retried: a router that has just started may retry few.
@@ -99,6 +101,16 @@
     }
 
 
+def make_listen(address: str) -> EdgeListen:
+    """Returns the addresses of a router at a loopback address of its own."""
+    listen = {
+        field: f"{address}:{port}"
+        for port, field in enumerate(EdgeListen.__struct_fields__, FIRST_PORT)
+    }
+    listen["metrics"] = f"{address}:{METRICS_PORT}"
+    return EdgeListen(**listen)
+
+
 class Response(NamedTuple):
     """A response received by a caller.
 
@@ -252,6 +264,8 @@
             AMPLE_RETRIES.
         memory_mb (float): Memory of each router. Defaults to that of its
             settings.
+        relay (bool | None): Whether overloaded routers relay connections.
+            Defaults to that of their settings.
     """
 
     def __init__(
@@ -262,6 +276,7 @@
         routes: list[dict] | None = None,
         retries: RetrySettings = AMPLE_RETRIES,
         memory_mb: float = 150.0,
+        relay: bool | None = None,
     ) -> None:
         self.store = FakeStore()
         self.targets = targets
@@ -272,6 +287,7 @@
         self._mesh_most = mesh_most
         self._retries = retries
         self._memory_mb = memory_mb
+        self._relay = relay
         self._stack = contextlib.AsyncExitStack()
 
     def __repr__(self) -> str:
@@ -405,21 +421,16 @@
         self, name: str, *, bootstrap: bool, **stop: float
     ) -> EdgeRouter:
         address = unique_loopback_address()
-        listen = {
-            field: f"{address}:{port}"
-            for port, field in enumerate(
-                EdgeListen.__struct_fields__, FIRST_PORT
-            )
-        }
         cfg = EdgeSettings(
             name=name,
             zone="z1",
-            listen=EdgeListen(**listen),
+            listen=make_listen(address),
             store=StoreSettings(self.store.address, 0.5, 1.0),
             stop=ShutdownSettings(**stop),
             retries=self._retries,
             mesh_most=self._mesh_most,
             memory_mb=self._memory_mb,
+            relay=self._relay,
             bootstrap=bootstrap,
         )
         store = self._clients[name] = ObjectClient(cfg.store)
--- a/packages/standins/chervilwall_standins/users/flood.py
+++ b/packages/standins/chervilwall_standins/users/flood.py
@@ -19,7 +19,6 @@
 
 import msgspec
 from chervilwall_router.edge.settings import (
-    EdgeListen,
     EdgeSettings,
     ShutdownSettings,
     StoreSettings,
@@ -27,9 +26,9 @@
 
 from chervilwall_standins.loopback import unique_loopback_address
 from chervilwall_standins.users.fleet import (
-    FIRST_PORT,
     CallerConnection,
     make_config,
+    make_listen,
 )
 from chervilwall_standins.users.store import FakeStore
 from chervilwall_standins.users.target import FakeTarget
@@ -161,15 +160,10 @@
     name: str, store: StoreSettings, stop: ShutdownSettings = SHORT_STOP
 ) -> EdgeSettings:
     """Returns the settings of a router at a loopback address of its own."""
-    address = unique_loopback_address()
-    listen = {
-        field: f"{address}:{port}"
-        for port, field in enumerate(EdgeListen.__struct_fields__, FIRST_PORT)
-    }
     return EdgeSettings(
         name=name,
         zone="z1",
-        listen=EdgeListen(**listen),
+        listen=make_listen(unique_loopback_address()),
         store=store,
         stop=stop,
     )
