Test relayed connections, and measure what relaying costs

Cause: relays have to keep every guarantee of a direct connection. Change: tests with routers on loopback and with router processes; the tool relay_flood measures both paths.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PKGS := packages/core:packages/router:packages/operator:packages/platform:packages/standins
 export PYTHONPATH := $(PKGS):platform
 
-.PHONY: demo test measure slopes flood format
+.PHONY: demo test measure slopes flood relay-flood format
 
 $(VENV)/.ready: requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -24,6 +24,9 @@
 flood: $(VENV)/.ready
 	@$(PY) -m chervilwall_standins.users.flood
 
+relay-flood: $(VENV)/.ready
+	@$(PY) -m chervilwall_standins.users.relay_flood
+
 slopes: $(VENV)/.ready
 	@$(PY) -m chervilwall_standins.slopes
 
--- a/packages/standins/chervilwall_standins/users/process_fleet.py
+++ b/packages/standins/chervilwall_standins/users/process_fleet.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import tempfile
+from collections.abc import Mapping, Sequence
 
 import msgspec
 from chervilwall_router.edge.settings import (
@@ -40,6 +41,7 @@
         stop (ShutdownSettings): How it stops. Defaults to SHORT_STOP.
         retries (RetrySettings): Retry budget of the fleet. Defaults to
             DEFAULT_RETRIES.
+        overrides (Mapping | None): Further settings. Defaults to none.
 
     Attributes:
         log (pathlib.Path): Its log.
@@ -53,6 +55,7 @@
         folder: pathlib.Path,
         stop: ShutdownSettings = SHORT_STOP,
         retries: RetrySettings = DEFAULT_RETRIES,
+        overrides: Mapping[str, object] | None = None,
     ) -> None:
         self._store = store
         self._store_address = store.add_address()
@@ -66,7 +69,7 @@
             stop,
         )
         self.settings: EdgeSettings = msgspec.structs.replace(
-            cfg, retries=retries
+            cfg, retries=retries, **(overrides or {})
         )
         self._path.write_bytes(msgspec.json.encode(self.settings))
 
@@ -143,6 +146,8 @@
         stop (ShutdownSettings): How they stop. Defaults to SHORT_STOP.
         retries (RetrySettings): Retry budget of the fleet. Defaults to
             DEFAULT_RETRIES.
+        overrides (Sequence): Further settings of each router, in order.
+            Defaults to none.
     """
 
     def __init__(
@@ -151,6 +156,7 @@
         routers: int,
         stop: ShutdownSettings = SHORT_STOP,
         retries: RetrySettings = DEFAULT_RETRIES,
+        overrides: Sequence[Mapping[str, object]] = (),
     ) -> None:
         self.store = FakeStore()
         self.targets = list(targets)
@@ -158,6 +164,7 @@
         self._router_count = routers
         self._stop = stop
         self._retries = retries
+        self._overrides = dict(enumerate(overrides))
         self._stack = contextlib.AsyncExitStack()
 
     def __repr__(self) -> str:
@@ -176,6 +183,7 @@
                 pathlib.Path(folder),
                 self._stop,
                 self._retries,
+                self._overrides.get(number),
             )
             router.start()
             self._stack.callback(router.kill)
