--- a/packages/standins/chervilwall_standins/users/fleet.py
+++ b/packages/standins/chervilwall_standins/users/fleet.py
@@ -25,6 +25,8 @@
 
 HOST = "a.example"
 FIRST_PORT = 21_000
+# The port after the one for datagrams is free for relayed connections.
+METRICS_PORT = FIRST_PORT + 15
 # Longest time that all routers may take to become ready.
 START_TIMEOUT_S = 20.0
 # Lets each request be retried: a router that has just started may retry few.
@@ -106,6 +108,16 @@
     }
 
 
+def make_listen(address: str) -> EdgeListen:
+    """Returns the addresses of a router at a loopback address of its own."""
+    listen = {
+        field: f"{address}:{port}"
+        for port, field in enumerate(EdgeListen.__struct_fields__, FIRST_PORT)
+    }
+    listen["metrics"] = f"{address}:{METRICS_PORT}"
+    return EdgeListen(**listen)
+
+
 class Response(NamedTuple):
     """A response received by a caller.
 
@@ -264,6 +276,8 @@
         service_fields (dict): Further fields of each service in the
             configuration. Defaults to none.
         cold (ColdSettings): Setting `cold` of each router. Defaults to none.
+        relay (bool | None): Whether overloaded routers relay connections.
+            Defaults to that of their settings.
     """
 
     def __init__(
@@ -277,6 +291,7 @@
         evacuate_ms: float | None = None,
         service_fields: dict | None = None,
         cold: ColdSettings | None = None,
+        relay: bool | None = None,
     ) -> None:
         self._service_fields = service_fields
         self._cold = cold
@@ -290,6 +305,7 @@
         self._retries = retries
         self._memory_mb = memory_mb
         self._evacuate_ms = evacuate_ms
+        self._relay = relay
         self._stack = contextlib.AsyncExitStack()
 
     def __repr__(self) -> str:
@@ -427,22 +443,17 @@
         self, name: str, *, bootstrap: bool, **stop: float
     ) -> EdgeRouter:
         address = unique_loopback_address()
-        listen = {
-            field: f"{address}:{port}"
-            for port, field in enumerate(
-                EdgeListen.__struct_fields__, FIRST_PORT
-            )
-        }
         cfg = EdgeSettings(
             name=name,
             zone="z1",
-            listen=EdgeListen(**listen),
+            listen=make_listen(address),
             store=StoreSettings(self.store.address, 0.5, 1.0),
             stop=ShutdownSettings(**stop),
             retries=self._retries,
             mesh_most=self._mesh_most,
             memory_mb=self._memory_mb,
             evacuate_ms=self._evacuate_ms,
+            relay=self._relay,
             bootstrap=bootstrap,
             cold=self._cold,
         )
--- a/packages/standins/chervilwall_standins/users/process_fleet.py
+++ b/packages/standins/chervilwall_standins/users/process_fleet.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import tempfile
+from collections.abc import Mapping, Sequence
 
 import msgspec
 from chervilwall_router.edge.settings import (
@@ -42,6 +43,7 @@
             DEFAULT_RETRIES.
         evacuate_ms (float | None): Time until an evacuation takes effect.
             Defaults to None, zones cannot be evacuated.
+        overrides (Mapping | None): Further settings. Defaults to none.
 
     Attributes:
         log (pathlib.Path): Its log.
@@ -56,6 +58,7 @@
         stop: ShutdownSettings = SHORT_STOP,
         retries: RetrySettings = DEFAULT_RETRIES,
         evacuate_ms: float | None = None,
+        overrides: Mapping[str, object] | None = None,
     ) -> None:
         self._store = store
         self._store_address = store.add_address()
@@ -69,7 +72,10 @@
             stop,
         )
         self.settings: EdgeSettings = msgspec.structs.replace(
-            cfg, retries=retries, evacuate_ms=evacuate_ms
+            cfg,
+            retries=retries,
+            evacuate_ms=evacuate_ms,
+            **(overrides or {}),
         )
         self._path.write_bytes(msgspec.json.encode(self.settings))
 
@@ -148,6 +154,8 @@
             DEFAULT_RETRIES.
         evacuate_ms (float | None): Time until an evacuation takes effect.
             Defaults to None, zones cannot be evacuated.
+        overrides (Sequence): Further settings of each router, in order.
+            Defaults to none.
     """
 
     def __init__(
@@ -157,6 +165,7 @@
         stop: ShutdownSettings = SHORT_STOP,
         retries: RetrySettings = DEFAULT_RETRIES,
         evacuate_ms: float | None = None,
+        overrides: Sequence[Mapping[str, object]] = (),
     ) -> None:
         self.store = FakeStore()
         self.targets = list(targets)
@@ -165,6 +174,7 @@
         self._stop = stop
         self._retries = retries
         self._evacuate_ms = evacuate_ms
+        self._overrides = dict(enumerate(overrides))
         self._stack = contextlib.AsyncExitStack()
 
     def __repr__(self) -> str:
@@ -184,6 +194,7 @@
                 self._stop,
                 self._retries,
                 self._evacuate_ms,
+                self._overrides.get(number),
             )
             router.start()
             self._stack.callback(router.kill)
