Test crowds of callers against a bound on memory and descriptors

Neither the memory that requests of callers take nor the number of their connections is bounded. The new tests start a router process whose settings name 128 MB and, where descriptors are checked, 400 descriptors, and play a crowd of callers: heads of many short lines, bodies in one write, in pieces and in chunks, most of them stopping just short of their end, responses that are not read, and idle connections, at the listener for callers and at others. They check that the process lives, that the peak of its memory and the bytes that it has not read stay below the memory of the host, that its descriptors stay within the limit, and that an ordinary request is answered.

--- a/packages/standins/chervilwall_standins/users/flood.py
+++ b/packages/standins/chervilwall_standins/users/flood.py
@@ -73,12 +73,14 @@
         pid (int): Process id.
         models (list): Its targets that are model engines.
         plain (list): Its other targets.
+        listen (EdgeListen): All its addresses.
     """
 
     address: str
     pid: int
     models: list[FakeTarget]
     plain: list[FakeTarget]
+    listen: EdgeListen
 
 
 class Cost(NamedTuple):
@@ -118,6 +120,8 @@
     *,
     routes: list[dict] | None = None,
     stop: ShutdownSettings = SHORT_STOP,
+    limits: dict | None = None,
+    overrides: dict | None = None,
 ) -> AsyncIterator[RunningRouter]:
     """Runs a router with stand-ins for store and targets.
 
@@ -127,6 +131,9 @@
         routes (list): Routes of the configuration. Defaults to those of
             `make_config`.
         stop (ShutdownSettings): How it stops. Defaults to SHORT_STOP.
+        limits (dict): Limits of the configuration to replace. Defaults to none.
+        overrides (dict): Settings of the router to replace, as in its settings
+            file. Defaults to none.
     """
     plain = [FakeTarget(f"p{i}", "plain") for i in range(TARGETS)]
     models = [
@@ -142,6 +149,7 @@
             "backend": "nothing",
         }
         config["routes"] = [*config["routes"], unserved]
+        config["limits"] |= limits or {}
         await store.put("config", "main", config)
         for target in (*plain, *models):
             await stack.enter_async_context(target)
@@ -150,11 +158,14 @@
         cfg = make_settings("router0", StoreSettings(store.address), stop)
         folder = stack.enter_context(tempfile.TemporaryDirectory())
         path = pathlib.Path(folder) / "settings.json"
-        path.write_bytes(msgspec.json.encode(cfg))
+        fields = msgspec.to_builtins(cfg) | (overrides or {})
+        path.write_bytes(msgspec.json.encode(fields))
         process = stack.enter_context(start_process(path, profile))
         stack.callback(process.terminate)
         await _wait_until_ready(cfg.listen.callers)
-        yield RunningRouter(cfg.listen.callers, process.pid, models, plain)
+        yield RunningRouter(
+            cfg.listen.callers, process.pid, models, plain, cfg.listen
+        )
 
 
 def make_settings(
