Bound the memory and the descriptors that callers take

Cause: what requests of callers hold while they arrive, wait and run was bounded for each request, but not for all together, and the number of their connections was not bounded at all. 60 valid requests that stop just short of their end took a router of 36 MB to 278 MB and more.

Change: CallerMemory counts what each connection holds (head, body, pipelined bytes, unsent bytes) and decides, without I/O, which connections are paused and which requests are refused with 503 before they are sent to a target. A body is kept in one buffer, many header lines are kept packed, and at most 8 KiB are parsed at once, as short pipelined requests take many times their size. The kernel receives at most 32 KiB for a connection that is not read. DescriptorBudget bounds connections and requests by max_fds; idle connections are closed first, then requests that arrive slowest. The listeners for pages bound connections, heads, bodies and time.

--- a/packages/core/chervilwall/events.py
+++ b/packages/core/chervilwall/events.py
@@ -57,6 +57,18 @@
 )
 STORE_READ_AGAIN = Event(406, logging.INFO, "older copy of the store read")
 WATCH_LOST = Event(407, logging.WARNING, "response to a store watch was lost")
+CALLERS_PAUSED = Event(
+    460, logging.INFO, "reading from callers paused to bound memory"
+)
+CALLERS_REFUSED = Event(
+    461, logging.WARNING, "requests of callers refused to bound memory"
+)
+CALLERS_CLOSED = Event(
+    462, logging.WARNING, "callers' connections closed to bound descriptors"
+)
+PAGE_CONNECTIONS_CLOSED = Event(
+    463, logging.WARNING, "connections to a page closed to bound their number"
+)
 CELL_SCHEDULING_STARTED = Event(500, logging.INFO, "started scheduling a cell")
 CELL_SCHEDULING_STOPPED = Event(501, logging.INFO, "stopped scheduling a cell")
 TARGET_EJECTED = Event(502, logging.WARNING, "target ejected")
--- a/packages/core/chervilwall/http_messages.py
+++ b/packages/core/chervilwall/http_messages.py
@@ -9,6 +9,25 @@
 EVENT_STREAM_TYPE = "text/event-stream"
 
 
+def pack_headers(headers: Headers) -> bytes:
+    """Returns headers in a form that takes little memory.
+
+    Args:
+        headers (Headers): Names without ":", and values without line ends.
+    """
+    text = "\n".join([f"{name}:{value}" for name, value in headers])
+    return text.encode("latin1")
+
+
+def unpack_headers(packed: bytes) -> Headers:
+    """Returns the headers that `pack_headers` packed."""
+    if not packed:
+        return ()
+    lines = packed.decode("latin1").split("\n")
+    parts = [line.partition(":") for line in lines]
+    return tuple((name, value) for name, _, value in parts)
+
+
 class InboundRequest(NamedTuple):
     """A complete request of a caller.
 
@@ -37,6 +56,8 @@
             start from the beginning.
         resumes (str): Id of the attempt that brought the first event of the
             stream that is resumed, "" if not specified.
+        packed_headers (bytes): Further headers to forward, packed, as those of
+            a large head take many times their size.
     """
 
     id: str
@@ -55,6 +76,14 @@
     prompt_parts: tuple[PromptPart, ...] = ()
     last_event_id: int = 0
     resumes: str = ""
+    packed_headers: bytes = b""
+
+    @property
+    def forwarded_headers(self) -> Headers:
+        """All headers to forward."""
+        if not self.packed_headers:
+            return self.headers
+        return self.headers + unpack_headers(self.packed_headers)
 
     @property
     def path(self) -> str:
--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -242,14 +242,18 @@
         last_event_id = (
             relay.last_event_id if isinstance(relay, StreamRelay) else 0
         )
-        headers = self._parts.wire.encode_target_headers(
+        # The headers are not kept while the target works: many short ones take
+        # much memory.
+        work = exchange.start(
             admitted.req,
-            target,
-            team=admitted.team,
-            remaining_s=remaining_s - RETURN_MARGIN_S,
-            last_event_id=last_event_id,
+            self._parts.wire.encode_target_headers(
+                admitted.req,
+                target,
+                team=admitted.team,
+                remaining_s=remaining_s - RETURN_MARGIN_S,
+                last_event_id=last_event_id,
+            ),
         )
-        work = exchange.start(admitted.req, headers)
         try:
             if await self._wait_for_end(
                 work, relay, lambda: exchange.is_paused
--- a/packages/router/chervilwall_router/edge/caller_closes.py
+++ b/packages/router/chervilwall_router/edge/caller_closes.py
@@ -14,6 +14,8 @@
     """Why a router closed a connection; the values are logged."""
 
     IDLE = "idle"
+    # Idle while descriptors run short.
+    DESCRIPTORS = "descriptors"
     # Idle as the router stops.
     STOPPED = "stopped"
     # A complete response announced the close.
@@ -53,6 +55,7 @@
         """Whether the close affects no request."""
         return self.reason in (
             CloseReason.IDLE,
+            CloseReason.DESCRIPTORS,
             CloseReason.STOPPED,
             CloseReason.RESPONSE_SENT,
         ) and not (self.queued or self.unread_bytes)
--- a/packages/router/chervilwall_router/edge/caller_connection.py
+++ b/packages/router/chervilwall_router/edge/caller_connection.py
@@ -7,6 +7,7 @@
 
 import httptools
 from chervilwall import events
+from chervilwall.caller_memory import CallerUsage, Stage
 from chervilwall.http_messages import InboundRequest
 from chervilwall.limit_history import LimitHistory
 
@@ -31,6 +32,12 @@
 LOG = logging.getLogger(__name__)
 # Reading pauses once a caller has sent this much ahead of a pending response.
 MAX_PIPELINED_BYTES = 1 << 17
+# Bytes that are parsed at once: they may hold many requests, each of which
+# takes much more memory than its bytes.
+PARSED_BYTES = 1 << 13
+# What a connection holds counts in the sum over all from this size on, so that
+# most requests cost no accounting.
+MIN_COUNTED_BYTES = 1 << 13
 # Unsent bytes of a response at which the source of the response is paused.
 MAX_WRITE_BUFFER_BYTES = 1 << 16
 # Time for which a connection is still read after a response to a request that
@@ -60,8 +67,15 @@
         self._parser = httptools.HttpRequestParser(self)
         self._request: PartialRequest | None = None
         self._queue: deque[QueuedRequest] = deque()
-        self._pipelined: list[bytes] = []
+        self._pipelined: deque[bytes] = deque()
         self._pipelined_bytes = 0
+        self._queued_bytes = 0
+        # What is counted in the sum over all connections.
+        self._usage: CallerUsage | None = None
+        # Why reading is paused: too much is pipelined, or too much is held by
+        # all connections.
+        self._has_too_much_pipelined = False
+        self._is_held = False
         self._active: ActiveRequest | None = None
         self._drained: asyncio.Future[None] | None = None
         self._is_malformed = False
@@ -94,6 +108,7 @@
         tcp.set_write_buffer_limits(high=MAX_WRITE_BUFFER_BYTES)
         self._last_active_at = self._context.clock()
         self._context.connections.add(self)
+        self._context.bounds.add_connection()
 
     def data_received(self, data: bytes) -> None:
         """Parses bytes, or buffers them while a response is pending."""
@@ -103,14 +118,13 @@
         self._has_received = True
         if self._active is None and not self._queue and not self._pipelined:
             self._parse(data)
-            return
-        self._pipelined.append(data)
-        self._pipelined_bytes += len(data)
-        if (
-            self._pipelined_bytes > MAX_PIPELINED_BYTES
-            and self._transport is not None
-        ):
-            self._transport.pause_reading()
+        else:
+            self._pipelined.append(data)
+            self._pipelined_bytes += len(data)
+            if self._pipelined_bytes > MAX_PIPELINED_BYTES:
+                self._has_too_much_pipelined = True
+                self._update_reading()
+        self._count_held()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Drops the queue; cancels the active request if it may be."""
@@ -119,7 +133,10 @@
             self._linger_timer.cancel()
         self._context.connections.discard(self)
         self._queue.clear()
-        self._pipelined.clear()
+        self._clear_pipelined()
+        self._request = None
+        self._context.bounds.remove_connection(self._usage)
+        self._usage = None
         self.resume_writing()
         if self._active is not None:
             self._active.on_disconnect()
@@ -128,16 +145,128 @@
         """Records that the write buffer is full, as the caller reads slowly."""
         if self._drained is None:
             self._drained = asyncio.get_running_loop().create_future()
+        self._count_held()
 
     def resume_writing(self) -> None:
         """Wakes writers after the caller has caught up or disconnected."""
         drained, self._drained = self._drained, None
         if drained is not None and not drained.done():
             drained.set_result(None)
+        self._count_held()
         if self._closes_when_sent:
             self._closes_when_sent = False
             self._close_without_reset()
 
+    # Bounds over all connections.
+
+    def _count_held(self) -> None:
+        """Records what this connection holds, unless that is little."""
+        held, rest = self._pipelined_bytes + self._queued_bytes, 0
+        request, active = self._request, self._active
+        if request is not None:
+            held += request.held_bytes
+            rest = request.rest_bytes
+        if active is not None:
+            held += active.held_bytes
+            if self._pipelined:
+                rest += max(0, MAX_PIPELINED_BYTES - self._pipelined_bytes)
+        if self._drained is not None and self._transport is not None:
+            held += self._transport.get_write_buffer_size()
+        usage, bounds = self._usage, self._context.bounds
+        if held < MIN_COUNTED_BYTES or self._transport is None:
+            if usage is not None:
+                self._usage = None
+                bounds.remove(usage)
+                self.release()
+            return
+        if usage is None:
+            peername = self._transport.get_extra_info("peername")
+            usage = CallerUsage(peername[0] if peername else "")
+            self._usage = usage
+        is_reading = request is not None and not (active or self._queue)
+        stage = Stage.READING if is_reading else Stage.COMPLETE
+        bounds.update(usage, self, held, rest, stage)
+
+    def hold(self) -> None:
+        """Pauses reading until release() is called."""
+        self._is_held = True
+        self._update_reading()
+
+    def release(self) -> None:
+        """Ends hold()."""
+        if self._is_held:
+            self._is_held = False
+            self._update_reading()
+
+    def _update_reading(self) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if self._is_held or self._has_too_much_pipelined:
+            transport.pause_reading()
+        else:
+            transport.resume_reading()
+
+    def _clear_pipelined(self) -> None:
+        self._pipelined.clear()
+        self._pipelined_bytes = 0
+        self._has_too_much_pipelined = False
+
+    def give_up(self, problem: Problem, *, is_brief: bool = False) -> None:
+        """Refuses a request that has not arrived completely, and closes.
+
+        Does nothing if an earlier request is still being served.
+
+        Args:
+            problem (Problem): Why it is refused.
+            is_brief (bool): Whether the connection is to end soon, even if its
+                caller may miss the refusal. Defaults to False.
+        """
+        if self.closed() or self._active is not None or self._queue:
+            return
+        self._drop_request()
+        linger_s = TIMEOUT_LINGER_S if is_brief else LINGER_S
+        self._refuse(CallerResponse(self, lambda: True), problem, linger_s)
+
+    def _drop_request(self) -> None:
+        """Drops what was read of a request, and what the parser keeps of it."""
+        self._request = None
+        self._parser = httptools.HttpRequestParser(self)
+        if self._usage is not None:
+            usage, self._usage = self._usage, None
+            self._context.bounds.remove(usage)
+        self.release()
+
+    def _is_without_request(self) -> bool:
+        is_serving = self._active is not None or self._queue or self._pipelined
+        return not (self.closed() or is_serving or self._request is not None)
+
+    def idle_s(self, now: float) -> float | None:
+        """Returns the time without a request, in seconds, None if it has one.
+
+        Also None for a connection that is new or has unread or unsent bytes.
+        """
+        idle_s = now - self._last_active_at
+        is_new = not self._has_received and idle_s < FIRST_REQUEST_S
+        if is_new or not self._is_without_request() or self.has_unsent_data():
+            return None
+        assert self._transport is not None
+        sock = self._transport.get_extra_info("socket")
+        return None if unread_bytes(sock) else idle_s
+
+    def receive_rate(self, now: float) -> float | None:
+        """Returns the bytes per second of an incomplete request, or None."""
+        request = self._request
+        if request is None or self._active is not None or self.closed():
+            return None
+        # A request that has just begun counts as fast.
+        age_s = now - request.started_at
+        return request.received_bytes / age_s if age_s > 0 else None
+
+    def close_for_descriptor(self) -> None:
+        """Closes an idle connection without a reset."""
+        self._close_idle(CloseReason.DESCRIPTORS)
+
     # Methods for responses.
 
     def write(self, data: bytes) -> "asyncio.Future[None] | None":
@@ -148,6 +277,8 @@
         """
         if self._transport is not None:
             self._transport.write(data)
+        if self._drained is not None:
+            self._count_held()
         return self._drained
 
     def closed(self) -> bool:
@@ -175,7 +306,10 @@
         self._active = None
         if close:
             self._close_after_response()
+            self._count_held()
             return
+        if self._usage is not None:
+            self._count_held()
         self._last_active_at = self._context.clock()
         asyncio.get_running_loop().call_soon(self._process_pipelined)
 
@@ -189,6 +323,7 @@
         """
         self._record_close(CloseReason.RESPONSE_SENT)
         self._queue.clear()
+        self._queued_bytes = 0
         transport = self._transport
         if transport is None or transport.is_closing():
             return
@@ -212,9 +347,9 @@
         self._linger_timer = loop.call_later(
             self._linger_s or LINGER_S, transport.close
         )
-        if self._pipelined:
-            self._pipelined.clear()
-            transport.resume_reading()
+        self._clear_pipelined()
+        self._is_held = False
+        self._update_reading()
         transport.write_eof()
 
     def disconnect(self, reason: CloseReason, *, abort: bool) -> None:
@@ -283,7 +418,7 @@
         if request is None:
             self._close_idle(CloseReason.IDLE)
             return
-        self._request = None
+        self._drop_request()
         problem = request.timeout_problem()
         answer = CallerResponse(self, lambda: True)
         self._refuse(answer, problem, TIMEOUT_LINGER_S)
@@ -294,8 +429,7 @@
         Bytes that are unread may be a request, and the caller of a new
         connection is about to send one.
         """
-        is_serving = self._active is not None or self._queue or self._pipelined
-        if self.closed() or is_serving or self._request is not None:
+        if not self._is_without_request():
             return
         idle_s = self._context.clock() - self._last_active_at
         if not self._has_received and idle_s < FIRST_REQUEST_S:
@@ -399,7 +533,9 @@
             chunked=self._parser.get_http_version() == "1.1",
             bodiless=request.method == "HEAD",
         )
-        self._queue.append(QueuedRequest(request.build(), answer))
+        queued = QueuedRequest(request.build(), answer)
+        self._queued_bytes += queued.held_bytes
+        self._queue.append(queued)
 
     def _is_last_before_stop(self) -> bool:
         """Returns whether the router stops and no further request came.
@@ -419,6 +555,18 @@
     # Serving of requests in order.
 
     def _parse(self, data: bytes) -> None:
+        """Parses bytes up to the end of a request, and keeps the rest.
+
+        What follows a request within PARSED_BYTES is parsed with it.
+        """
+        for begin in range(0, len(data), PARSED_BYTES):
+            if self._active is not None or self._queue:
+                self._pipelined.appendleft(data[begin:])
+                self._pipelined_bytes += len(data) - begin
+                return
+            self._parse_part(data[begin : begin + PARSED_BYTES])
+
+    def _parse_part(self, data: bytes) -> None:
         if self._is_malformed or self.closed():
             return
         before = self._request
@@ -477,17 +625,18 @@
             self._serve_next()
         if self._active is None and self._pipelined:
             data = b"".join(self._pipelined)
-            self._pipelined.clear()
-            self._pipelined_bytes = 0
-            if self._transport is not None:
-                self._transport.resume_reading()
+            self._clear_pipelined()
+            self._update_reading()
             self._parse(data)
+            self._count_held()
 
     def _serve_next(self) -> None:
         if self._active is not None or self.closed():
             return
         if self._queue:
-            self._serve(self._queue.popleft())
+            queued = self._queue.popleft()
+            self._queued_bytes -= queued.held_bytes
+            self._serve(queued)
         elif self._is_malformed:
             problem = Problem(400, "malformed_request", "Not a request.")
             self._refuse(CallerResponse(self, lambda: True), problem)
@@ -497,10 +646,19 @@
         if isinstance(req, Problem):
             self._refuse(answer, req)
             return
+        context = self._context
+        problem = context.bounds.refusal(
+            context.connections, len(context.tasks)
+        )
+        if problem is not None:
+            self._refuse(answer, problem)
+            return
         coro = self._handle(req, answer)
         task = asyncio.get_running_loop().create_task(coro)
         may_cancel = self._context.handler.may_cancel(req)
-        self._active = ActiveRequest(req, task, may_cancel, answer)
+        self._active = ActiveRequest(
+            req, task, may_cancel, answer, queued.held_bytes
+        )
         self._context.tasks.add(task)
         task.add_done_callback(self._context.tasks.discard)
 
--- a/packages/router/chervilwall_router/edge/caller_context.py
+++ b/packages/router/chervilwall_router/edge/caller_context.py
@@ -8,6 +8,7 @@
 from chervilwall.protocol import WireFormat
 from chervilwall.routing import CallerLimits
 
+from chervilwall_router.edge.caller_bounds import CallerBounds
 from chervilwall_router.edge.caller_closes import CallerCloseLog
 from chervilwall_router.edge.caller_response import CallerResponse
 from chervilwall_router.problem import Problem
@@ -16,6 +17,10 @@
     from chervilwall_router.edge.caller_connection import CallerConnection
 
 
+# Memory of the objects of a request that was read, besides its body.
+QUEUED_REQUEST_BYTES = 4096
+
+
 class RequestHandler(Protocol):
     """Serve the requests of callers."""
 
@@ -46,6 +51,7 @@
         connections (set): All open connections.
         tasks (set): Tasks of the requests being served.
         closes (CallerCloseLog): Records the connections that are closed here.
+        bounds (CallerBounds): Bounds the memory of all connections.
     """
 
     handler: RequestHandler
@@ -55,6 +61,7 @@
     connections: "set[CallerConnection]"
     tasks: "set[asyncio.Task[None]]"
     closes: CallerCloseLog
+    bounds: CallerBounds
 
 
 class ActiveRequest(NamedTuple):
@@ -66,12 +73,14 @@
         may_cancel (bool): Whether to cancel it when its caller disconnects, by
             the configuration under which it began.
         answer (CallerResponse): The response to it.
+        held_bytes (int): Memory that it takes.
     """
 
     req: InboundRequest
     task: "asyncio.Task[None]"
     may_cancel: bool
     answer: CallerResponse
+    held_bytes: int = 0
 
     def on_disconnect(self) -> None:
         """Cancels the request if it may be cancelled or has not run."""
@@ -84,3 +93,11 @@
 
     req: InboundRequest | Problem
     answer: CallerResponse
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that it takes."""
+        held = QUEUED_REQUEST_BYTES
+        if isinstance(self.req, InboundRequest):
+            held += len(self.req.body) + len(self.req.packed_headers)
+        return held
--- a/packages/router/chervilwall_router/edge/connections.py
+++ b/packages/router/chervilwall_router/edge/connections.py
@@ -44,7 +44,10 @@
         clock (Callable): Returns the monotonic time.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, clock: Callable[[], float], max_idle: int | None = None
+    ) -> None:
+        self._max_idle = max_idle
         self._clock = clock
         self._idle: dict[str, list[IdleConnection]] = {}
         self.opened = 0
@@ -124,12 +127,18 @@
         if (
             len(idle) >= min(max_idle_connections, MAX_IDLE_CONNECTIONS)
             or idle_timeout_s <= 0
+            or self._has_enough_idle()
         ):
             conn.close()
             return
         expires_at = self._clock() + idle_timeout_s * IDLE_TIMEOUT_FRACTION
         idle.append(IdleConnection(conn, expires_at))
 
+    def _has_enough_idle(self) -> bool:
+        if self._max_idle is None:
+            return False
+        return sum(map(len, self._idle.values())) >= self._max_idle
+
     def close_expired(self) -> None:
         """Closes the connections whose idle time has expired."""
         now = self._clock()
--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -9,6 +9,8 @@
 import msgspec
 from chervilwall import events
 from chervilwall.address_list import CallerAddress
+from chervilwall.caller_memory import CallerMemory
+from chervilwall.descriptor_budget import DescriptorBudget
 from chervilwall.edge_messages import EdgeMessage, RecentPrefix
 from chervilwall.hubs import HubCandidate
 from chervilwall.placement import Placement
@@ -25,6 +27,7 @@
 from chervilwall_router.edge import snapshot_exchange
 from chervilwall_router.edge.admission import RequestAdmission
 from chervilwall_router.edge.background_tasks import BackgroundTasks
+from chervilwall_router.edge.caller_bounds import CallerBounds
 from chervilwall_router.edge.clock import elapsed_s
 from chervilwall_router.edge.connections import TargetConnectionPool
 from chervilwall_router.edge.crash_evidence import CrashWatchParts
@@ -140,7 +143,10 @@
             self.totals,
             self._rng,
         )
-        self.connections = TargetConnectionPool(self._clock)
+        self.descriptors = DescriptorBudget(self._cfg.max_descriptors)
+        self.connections = TargetConnectionPool(
+            self._clock, self.descriptors.max_idle_targets
+        )
         self.crashes = CrashWatch(
             CrashWatchParts(
                 name=self._cfg.name,
@@ -326,7 +332,21 @@
         )
 
     def _build_links(self, wire: WireFormat) -> None:
-        self.ingress = Ingress(self.flow, wire, self._clock, self.metrics)
+        callers = self._cfg.callers
+        self.caller_bounds = CallerBounds(
+            CallerMemory(self._cfg.caller_bytes, callers.receive_buffer_bytes),
+            self.descriptors,
+            self.metrics,
+            self._clock,
+        )
+        self.ingress = Ingress(
+            self.flow,
+            wire,
+            self._clock,
+            self.metrics,
+            self.caller_bounds,
+            callers.receive_buffer_bytes,
+        )
         self._shutdown = Shutdown(
             ShutdownParts(
                 settings=lambda: self._cfg.stop,
@@ -399,22 +419,24 @@
                 clock=self._clock,
             )
         )
+        limit = self.caller_bounds.page_limit(self._cfg.max_descriptors)
         self._page_servers = {
             self._cfg.listen.readiness: PageServer(
-                {"/ready": self._readiness_page}
+                {"/ready": self._readiness_page}, limit
             ),
             self._cfg.listen.directory: PageServer(
-                {"/routers": self.directory.handle}
+                {"/routers": self.directory.handle}, limit
             ),
             self._cfg.listen.peers: PageServer(
                 {
                     snapshot_exchange.SNAPSHOT_PATH: (
                         self._snapshot_exchange.handle_pull
                     )
-                }
+                },
+                limit,
             ),
             self._cfg.listen.metrics: PageServer(
-                {"/metrics": self._metrics_page}
+                {"/metrics": self._metrics_page}, limit
             ),
         }
 
--- a/packages/router/chervilwall_router/edge/exchange.py
+++ b/packages/router/chervilwall_router/edge/exchange.py
@@ -34,6 +34,8 @@
 # What is kept for a response counts in the sum from this size on, so that most
 # responses cost no accounting.
 MIN_COUNTED_BYTES = 4096
+# Bodies from this size on are written without a copy.
+MIN_SEPARATE_BYTES = 1 << 16
 _BODY_METHODS = frozenset(("POST", "PUT", "PATCH"))
 
 
@@ -213,7 +215,12 @@
         if self._conn.closed():
             self._finish("connection closed before the request")
             return self._done
-        self._conn.write(head + req.body)
+        if len(req.body) < MIN_SEPARATE_BYTES:
+            self._conn.write(head + req.body)
+        else:
+            # Joining would copy the body, which is kept until it is sent.
+            self._conn.write(head)
+            self._conn.write(req.body)
         return self._done
 
     def close(self) -> None:
--- a/packages/router/chervilwall_router/edge/ingress.py
+++ b/packages/router/chervilwall_router/edge/ingress.py
@@ -1,6 +1,7 @@
 """Listening socket for callers and the connections accepted on it."""
 
 import asyncio
+import contextlib
 import logging
 import socket
 from collections.abc import Callable
@@ -10,6 +11,7 @@
 from chervilwall.limit_history import LimitHistory
 from chervilwall.protocol import Metrics, WireFormat
 
+from chervilwall_router.edge.caller_bounds import CallerBounds
 from chervilwall_router.edge.caller_closes import CallerCloseLog
 from chervilwall_router.edge.caller_connection import CallerConnection
 from chervilwall_router.edge.caller_context import (
@@ -25,6 +27,12 @@
 ACCEPT_BACKOFF_S = 0.1
 
 
+_NO_ROOM_RESPONSE = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+
 class IngressStats(NamedTuple):
     """Numbers of open connections and requests of callers.
 
@@ -49,6 +57,10 @@
         wire (WireFormat): Decodes the heads of requests.
         clock (Callable): Returns the monotonic time.
         metrics (Metrics): Counts the connections that are closed here.
+        bounds (CallerBounds): Bounds the memory and the descriptors of all
+            connections.
+        receive_buffer_bytes (int): Bytes that the kernel may receive on a
+            connection before they are read.
     """
 
     def __init__(
@@ -57,7 +69,11 @@
         wire: WireFormat,
         clock: Callable[[], float],
         metrics: Metrics,
+        bounds: CallerBounds,
+        receive_buffer_bytes: int,
     ) -> None:
+        self._bounds = bounds
+        self._receive_buffer_bytes = receive_buffer_bytes
         self.is_shutting_down = False
         self.request_tasks: set[asyncio.Task[None]] = set()
         self._connections: set[CallerConnection] = set()
@@ -69,6 +85,7 @@
             self._connections,
             self.request_tasks,
             CallerCloseLog(metrics),
+            bounds,
         )
         self._limits = LimitHistory(handler.limits())
         self._listener: socket.socket | None = None
@@ -94,6 +111,10 @@
         """Starts accepting connections."""
         loop = asyncio.get_running_loop()
         self._listener = socket.create_server((host, port), backlog=backlog)
+        # Accepted connections inherit it.
+        self._listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer_bytes
+        )
         self._listener.setblocking(False)
         loop.add_reader(self._listener, self._accept)
         self._sweep_timer = loop.call_later(
@@ -150,22 +171,48 @@
         for _ in range(MAX_ACCEPTS_PER_WAKEUP):
             if self._listener is None:
                 return False
+            has_room = self._has_room()
+            if not has_room and self._bounds.awaits_room():
+                self._pause_accepting(self._listener)
+                return False
             try:
                 sock, _ = self._listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return False
             except OSError as exc:
-                self._pause_accepting(self._listener, exc)
+                events.log_event(LOG, events.ACCEPT_FAILED, reason=exc)
+                self._pause_accepting(self._listener)
                 return False
             sock.setblocking(False)
+            if not has_room:
+                self._refuse_connection(sock)
+                continue
             task = loop.create_task(self._connect(sock))
             self._connect_tasks.add(task)
             task.add_done_callback(self._connect_tasks.discard)
         return True
 
-    def _pause_accepting(self, listener: socket.socket, exc: OSError) -> None:
-        """Pauses accepting after the host ran out of descriptors or memory."""
-        events.log_event(LOG, events.ACCEPT_FAILED, reason=exc)
+    def _refuse_connection(self, sock: socket.socket) -> None:
+        """Closes a connection for which there is no descriptor.
+
+        Its caller learns more than from a connection that is never accepted.
+        """
+        self._bounds.count_unserved()
+        # The caller may have left.
+        with contextlib.suppress(OSError):
+            sock.send(_NO_ROOM_RESPONSE)
+        sock.close()
+
+    def _has_room(self) -> bool:
+        """Returns whether a connection may be accepted, closing others."""
+        return self._bounds.make_room(
+            self._connections,
+            len(self._connections) + len(self._connect_tasks),
+            len(self.request_tasks),
+        )
+
+    def _pause_accepting(self, listener: socket.socket) -> None:
+        """Pauses accepting while descriptors or memory run out."""
         loop = asyncio.get_running_loop()
         loop.remove_reader(listener)
         loop.call_later(ACCEPT_BACKOFF_S, self._resume_accepting)
@@ -198,4 +245,5 @@
         now = self._context.clock()
         for conn in list(self._connections):
             conn.close_if_timed_out(self._limits, now)
+        self._bounds.check()
         self._context.closes.log_idle(self._limits.since(now).idle_timeout_s)
--- a/packages/router/chervilwall_router/edge/settings.py
+++ b/packages/router/chervilwall_router/edge/settings.py
@@ -1,6 +1,7 @@
 """Settings of an edge router."""
 
 import pathlib
+import resource
 from typing import Annotated
 
 import msgspec
@@ -22,6 +23,10 @@
 KEPT_FRACTION = 0.2
 # Least limit on them, in bytes: some responses of the largest size.
 MIN_KEPT_BYTES = 4 << 20
+# Least limit on what callers hold, in bytes: some bodies of the largest size.
+MIN_CALLER_BYTES = 16 << 20
+# Descriptors of a process without a limit.
+MAX_DESCRIPTORS = 1 << 20
 Milliseconds = Annotated[float, msgspec.Meta(gt=0, le=86_400_000)]
 READ_STEP = "read settings"
 COMMENT_PREFIX = b"//"
@@ -102,6 +107,24 @@
     margin_s: Seconds = 0.4
 
 
+class CallerSettings(msgspec.Struct, frozen=True):
+    """Limits on what the connections of callers take together.
+
+    Args:
+        memory_fraction (float): Fraction of the memory of this process for what
+            callers hold. With KEPT_FRACTION and a process of 40 MB without
+            load, a quarter of a host of 128 MB is left for copies, and for
+            bytes that the kernel has received.
+        receive_buffer_bytes (int): Bytes that the kernel may receive on a
+            connection before they are read. Those count as memory of this
+            host, and with the kernel's own limits each connection may take
+            several megabytes of them.
+    """
+
+    memory_fraction: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.25
+    receive_buffer_bytes: Annotated[int, msgspec.Meta(ge=4096)] = 1 << 15
+
+
 class EdgeSettings(msgspec.Struct, frozen=True):
     """All settings of an edge router.
 
@@ -121,6 +144,9 @@
             uses at most one. Routers with more are preferred as hubs.
         memory_mb (float): Memory in MiB that this process may take. Defaults
             to that of a small host, so that a larger one is safe without it.
+        max_fds (int | None): Descriptors that this process may open. Defaults
+            to None, for the limit that the process was started with.
+        callers (CallerSettings): Limits on what callers take.
         bootstrap (bool): Whether the whole system starts for the first time, so
             that no earlier routers have written to the object store.
         event_delay_ms (float): Maximum time in milliseconds that this host may
@@ -141,6 +167,8 @@
     mesh_most: int = 16
     cpu: float = 1.0
     memory_mb: Megabytes = 150.0
+    max_fds: Annotated[int, msgspec.Meta(ge=64)] | None = None
+    callers: CallerSettings = CallerSettings()
     bootstrap: bool = False
     event_delay_ms: Milliseconds = 200.0
     log: LogSettings = LogSettings(format="json")
@@ -152,6 +180,20 @@
         """Limit on the bytes that are kept of all responses together."""
         return max(MIN_KEPT_BYTES, int(self.memory_mb * KEPT_FRACTION * 2**20))
 
+    @property
+    def caller_bytes(self) -> int:
+        """Limit on the memory that callers hold together."""
+        share = self.memory_mb * self.callers.memory_fraction
+        return max(MIN_CALLER_BYTES, int(share * 2**20))
+
+    @property
+    def max_descriptors(self) -> int:
+        """Descriptors that this process may open."""
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if soft == resource.RLIM_INFINITY:
+            soft = MAX_DESCRIPTORS
+        return soft if self.max_fds is None else min(soft, self.max_fds)
+
 
 def read_edge_settings(path: pathlib.Path) -> EdgeSettings:
     """Returns the settings in a JSON file with comments.
--- a/packages/router/tests/test_edge_ingress.py
+++ b/packages/router/tests/test_edge_ingress.py
@@ -8,9 +8,12 @@
 from unittest import mock
 
 import uvloop
+from chervilwall.caller_memory import CallerMemory
+from chervilwall.descriptor_budget import DescriptorBudget
 from chervilwall.limit_history import LimitHistory
 from chervilwall.routing import CallerLimits
 from chervilwall_router.edge import caller_connection
+from chervilwall_router.edge.caller_bounds import CallerBounds
 from chervilwall_router.edge.caller_closes import CallerCloseLog
 from chervilwall_router.edge.caller_connection import (
     CallerConnection,
@@ -46,6 +49,26 @@
         answer.send(200, (), req.id.encode(), has_known_end=known_end)
 
 
+def make_bounds(limit_bytes=1 << 25, descriptors=2000):
+    return CallerBounds(
+        CallerMemory(limit_bytes),
+        DescriptorBudget(descriptors),
+        RouterMetrics(),
+        time.monotonic,
+    )
+
+
+def make_ingress(handler):
+    return Ingress(
+        handler,
+        HeaderFormat(),
+        time.monotonic,
+        RouterMetrics(),
+        make_bounds(),
+        1 << 16,
+    )
+
+
 def request(number):
     return (
         f"POST /x HTTP/1.1\r\nHost: h\r\nAttempt-Id: r{number}\r\n"
@@ -64,6 +87,7 @@
             set(),
             set(),
             CallerCloseLog(RouterMetrics()),
+            make_bounds(),
         )
         self.conn = CallerConnection(parts)
         self.transport = mock.MagicMock()
@@ -233,9 +257,7 @@
         self.assertLess(turns, self.CONNECTIONS / 4)
 
     async def count_turns(self):
-        ingress = Ingress(
-            _Handler(), HeaderFormat(), time.monotonic, RouterMetrics()
-        )
+        ingress = make_ingress(_Handler())
         ingress.listen("127.0.0.1", 0, backlog=128)
         clients = [socket.socket() for _ in range(self.CONNECTIONS)]
         for client in clients:
@@ -276,9 +298,7 @@
 
     async def asyncSetUp(self):
         self.handler = _EchoHandler(grace_s=self.GRACE_S)
-        self.ingress = Ingress(
-            self.handler, HeaderFormat(), time.monotonic, RouterMetrics()
-        )
+        self.ingress = make_ingress(self.handler)
         self.ingress.listen("127.0.0.1", 0, backlog=128)
         self.addAsyncCleanup(self.stop)
         settings = ShutdownSettings(grace_s=self.GRACE_S)
--- a/packages/router/tests/test_edge_settings.py
+++ b/packages/router/tests/test_edge_settings.py
@@ -26,6 +26,7 @@
     "bounds.pass_ms": "120",
     "limits.cpu_share": "0.537",
     "limits.memory_mb": "300",
+    "limits.max_fds": "1638",
     "bootstrap": "true",
 }
 
@@ -65,12 +66,17 @@
         self.assertTrue(cfg.bootstrap)
         self.assertEqual(cfg.memory_mb, 300)
         self.assertEqual(cfg.kept_bytes, 60 << 20)
+        self.assertEqual(cfg.caller_bytes, 75 << 20)
+        self.assertEqual(cfg.max_descriptors, 1638)
 
     def test_what_a_deployment_does_not_say_has_a_default(self):
         cfg = self.read(render_template(**{"bounds.pass_ms": ""}))
         self.assertGreater(cfg.event_delay_ms, 0)
         cfg = self.read(render_template(**{"limits.memory_mb": ""}))
         self.assertEqual(cfg.kept_bytes, 30 << 20)
+        cfg = self.read(render_template(**{"limits.max_fds": ""}))
+        self.assertIsNone(cfg.max_fds)
+        self.assertGreater(cfg.max_descriptors, 0)
         cfg = self.read(render_template(bootstrap=""))
         self.assertFalse(cfg.bootstrap)
 
