--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -9,7 +9,9 @@
 import msgspec
 from chervilwall import events
 from chervilwall.address_list import CallerAddress
+from chervilwall.caller_memory import CallerMemory
 from chervilwall.cold_rates import ColdRates
+from chervilwall.descriptor_budget import DescriptorBudget
 from chervilwall.edge_messages import EdgeMessage, RecentPrefix
 from chervilwall.hubs import HubCandidate
 from chervilwall.placement import Placement
@@ -26,6 +28,7 @@
 from chervilwall_router.edge import snapshot_exchange
 from chervilwall_router.edge.admission import RequestAdmission
 from chervilwall_router.edge.background_tasks import BackgroundTasks
+from chervilwall_router.edge.caller_bounds import CallerBounds
 from chervilwall_router.edge.clock import elapsed_s
 from chervilwall_router.edge.cold_metrics import render_cold
 from chervilwall_router.edge.cold_notices import ColdNotices
@@ -165,7 +168,10 @@
             self.totals,
             self._rng,
         )
-        self.connections = TargetConnectionPool(self._clock)
+        self.descriptors = DescriptorBudget(self._cfg.max_descriptors)
+        self.connections = TargetConnectionPool(
+            self._clock, self.descriptors.max_idle_targets
+        )
         self.crashes = CrashWatch(
             CrashWatchParts(
                 name=self._cfg.name,
@@ -392,7 +398,21 @@
         )
 
     def _build_links(self, wire: WireFormat) -> None:
-        self.ingress = Ingress(self.flow, wire, self._clock, self.metrics)
+        callers = self._cfg.callers
+        self.caller_bounds = CallerBounds(
+            CallerMemory(self._cfg.caller_bytes, callers.receive_buffer_bytes),
+            self.descriptors,
+            self.metrics,
+            self._clock,
+        )
+        self.ingress = Ingress(
+            self.flow,
+            wire,
+            self._clock,
+            self.metrics,
+            self.caller_bounds,
+            callers.receive_buffer_bytes,
+        )
         self._shutdown = Shutdown(
             ShutdownParts(
                 settings=lambda: self._cfg.stop,
@@ -444,6 +464,7 @@
                 self.metrics,
                 self._clock,
                 self._rng,
+                self.caller_bounds.descriptors.register,
             )
         )
         self._snapshot_exchange = snapshot_exchange.SnapshotExchange(
@@ -504,12 +525,13 @@
                 clock=self._clock,
             )
         )
+        limit = self.caller_bounds.page_limit(self._cfg.max_descriptors)
         self._page_servers = {
             self._cfg.listen.readiness: PageServer(
-                {"/ready": self._readiness_page}
+                {"/ready": self._readiness_page}, limit
             ),
             self._cfg.listen.directory: PageServer(
-                {"/routers": self.directory.handle}
+                {"/routers": self.directory.handle}, limit
             ),
             self._cfg.listen.peers: PageServer(
                 {
@@ -517,14 +539,16 @@
                         self._snapshot_exchange.handle_pull
                     ),
                     EVACUATIONS_PATH: self._evacuation_pages.handle,
-                }
+                },
+                limit,
             ),
             self._cfg.listen.metrics: PageServer(
                 {
                     "/metrics": self._metrics_page,
                     EXPLAIN_PATH: explainer.handle,
                     EVACUATIONS_PATH: self._evacuation_pages.handle,
-                }
+                },
+                limit,
             ),
         }
 
--- a/packages/router/chervilwall_router/edge/relaying/relays.py
+++ b/packages/router/chervilwall_router/edge/relaying/relays.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import random
-import resource
 import time
 from collections.abc import Callable
 from typing import NamedTuple
@@ -27,16 +26,17 @@
     ReceiverParts,
     RelayReceiver,
 )
-from chervilwall_router.edge.relaying.sending import RelaySender, SenderParts
+from chervilwall_router.edge.relaying.sending import (
+    DESCRIPTORS_PER_RELAY,
+    RelaySender,
+    SenderParts,
+)
 from chervilwall_router.edge.settings import EdgeSettings
 
 LOG = logging.getLogger(__name__)
 # A relay takes two descriptors, so relays take at most half of those that the
 # process may open.
 MAX_DESCRIPTOR_FRACTION = 0.5
-DESCRIPTORS_PER_RELAY = 2
-# Stands for no limit.
-UNLIMITED_DESCRIPTORS = 1 << 16
 # Time until listening is tried again after the address was not free.
 LISTEN_RETRY_S = 10.0
 
@@ -57,6 +57,8 @@
         metrics (Metrics): Counts relays.
         clock (Callable): Returns the monotonic time in seconds.
         rng (random.Random): Selects connections and peers.
+        register_descriptors (Callable): Called with the number of descriptors
+            that relays have taken, negative once they are free.
         cpu_clock (Callable): Returns the processor time that this process has
             used, in seconds. Defaults to that of the process.
     """
@@ -72,6 +74,7 @@
     metrics: Metrics
     clock: Callable[[], float]
     rng: random.Random
+    register_descriptors: Callable[[int], None]
     cpu_clock: Callable[[], float] = time.process_time
 
 
@@ -97,7 +100,12 @@
         self._may_listen_at = 0.0
         self._relaying_since: float | None = None
         self.decision = ConnectionRelay(
-            cfg.event_delay_ms / 1000, _max_relays()
+            cfg.event_delay_ms / 1000,
+            int(
+                cfg.max_descriptors
+                * MAX_DESCRIPTOR_FRACTION
+                / DESCRIPTORS_PER_RELAY
+            ),
         )
         self.sender = RelaySender(
             SenderParts(
@@ -110,6 +118,7 @@
                 parts.metrics,
                 parts.clock,
                 parts.rng,
+                parts.register_descriptors,
             )
         )
         self.receiver = RelayReceiver(
@@ -262,11 +271,3 @@
     host, _, port = datagram_address.rpartition(":")
     is_valid = is_ip_address(host) and port.isdecimal()
     return f"{host}:{int(port) + 1}" if is_valid else ""
-
-
-def _max_relays() -> int:
-    """Returns the number of relays for which there are descriptors."""
-    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if limit == resource.RLIM_INFINITY:
-        limit = UNLIMITED_DESCRIPTORS
-    return int(limit * MAX_DESCRIPTOR_FRACTION / DESCRIPTORS_PER_RELAY)
--- a/packages/router/chervilwall_router/edge/relaying/sending.py
+++ b/packages/router/chervilwall_router/edge/relaying/sending.py
@@ -19,6 +19,8 @@
 from chervilwall_router.edge.relaying.preamble import ACCEPTED, encode_preamble
 
 LOG = logging.getLogger(__name__)
+# A relay takes one descriptor for each side.
+DESCRIPTORS_PER_RELAY = 2
 # Number of peers that are tried for one connection.
 MAX_ATTEMPTS = 2
 # A peer that is silent for SILENCE_STEPS steps is given up. A step that the
@@ -47,6 +49,8 @@
         metrics (Metrics): Counts relays, failures and bytes.
         clock (Callable): Returns the monotonic time in seconds.
         rng (random.Random): Selects connections and peers.
+        register_descriptors (Callable): Called with the number of descriptors
+            that relays have taken, negative once they are free.
     """
 
     name: str
@@ -58,6 +62,7 @@
     metrics: Metrics
     clock: Callable[[], float]
     rng: random.Random
+    register_descriptors: Callable[[int], None]
 
 
 class _PeerSide(RelaySide):
@@ -206,6 +211,7 @@
     async def _run(self, sock: socket.socket, codec: FrameCodec) -> None:
         """Relays a connection, or serves it here if no peer accepts it."""
         is_relayed = False
+        self._parts.register_descriptors(DESCRIPTORS_PER_RELAY)
         try:
             is_relayed = await self._find_peer(sock, codec)
         except asyncio.CancelledError:
@@ -213,6 +219,9 @@
             raise
         except Exception:
             events.log_failure(LOG, events.TASK_FAILED)
+        finally:
+            if not is_relayed:
+                self._parts.register_descriptors(-DESCRIPTORS_PER_RELAY)
         if not is_relayed:
             self._parts.metrics.count("relay_served_here")
             self._parts.serve(sock)
@@ -323,5 +332,6 @@
         name = self.relays.pop(relay, None)
         if name is None:
             return
+        self._parts.register_descriptors(-DESCRIPTORS_PER_RELAY)
         self._ended_bytes += relay.copied_bytes
         self._parts.decision.end(name)
--- a/packages/router/tests/test_edge_settings.py
+++ b/packages/router/tests/test_edge_settings.py
@@ -29,6 +29,7 @@
     "bounds.cold_slack": "5",
     "limits.cpu_share": "0.537",
     "limits.memory_mb": "300",
+    "limits.max_fds": "1638",
     "bootstrap": "true",
 }
 
@@ -70,6 +71,8 @@
         self.assertEqual(cfg.memory_mb, 300)
         self.assertEqual(cfg.kept_bytes, 60 << 20)
         self.assertEqual((cfg.cold.rate_factor, cfg.cold.slack), (1.5, 5))
+        self.assertEqual(cfg.caller_bytes, 75 << 20)
+        self.assertEqual(cfg.max_descriptors, 1638)
 
     def test_what_a_deployment_does_not_say_has_a_default(self):
         cfg = self.read(render_template(**{"bounds.pass_ms": ""}))
@@ -80,6 +83,9 @@
         self.assertIsNone(cfg.evacuate_ms)
         cfg = self.read(render_template(**{"bounds.cold_over": ""}))
         self.assertIsNone(cfg.cold)
+        cfg = self.read(render_template(**{"limits.max_fds": ""}))
+        self.assertIsNone(cfg.max_fds)
+        self.assertGreater(cfg.max_descriptors, 0)
         cfg = self.read(render_template(bootstrap=""))
         self.assertFalse(cfg.bootstrap)
 
--- a/packages/standins/chervilwall_standins/users/relay_flood.py
+++ b/packages/standins/chervilwall_standins/users/relay_flood.py
@@ -114,7 +114,9 @@
     sender, receiver = fleet.routers
     relayed = await read_metric(sender, "relay_sent")
     before = [process_cpu_s(r.pid) for r in (sender, receiver)]
-    running = RunningRouter(router.address, router.pid, fleet.targets, [])
+    running = RunningRouter(
+        router.address, router.pid, fleet.targets, [], router.settings.listen
+    )
     started = time.monotonic()
     cost = await measure(running, load)
     streams = sum(cost.responses.values())
