Keep routers of the evacuation tests from refusing beside a busy machine

Cause: beside other jobs, at load 14 on 7 processors, 7 of 120 runs of test_a_scheduler_that_knows_nothing_yet_sends_nothing_there got 503 host_behind: the routers refused because of the delay of their event loop, which has nothing to do with evacuations. Change: the fleets of these tests have an event_delay_ms of 10 s.

--- a/packages/standins/chervilwall_standins/users/evacuation_case.py
+++ b/packages/standins/chervilwall_standins/users/evacuation_case.py
@@ -11,6 +11,8 @@
 
 KIND = "evacuations"
 EVACUATE_MS = 5000.0
+# Routers on a busy machine refuse nothing because of their own delay.
+EVENT_DELAY_MS = 10_000.0
 CONCURRENT_CALLS = 9
 
 
@@ -29,8 +31,11 @@
             *targets (FakeTarget): Targets to start.
             **options (Any): Options of EdgeFleet.
         """
-        options = {"evacuate_ms": EVACUATE_MS} | options
-        self.fleet = EdgeFleet(*targets, **options)
+        defaults = {
+            "evacuate_ms": EVACUATE_MS,
+            "event_delay_ms": EVENT_DELAY_MS,
+        }
+        self.fleet = EdgeFleet(*targets, **(defaults | options))
         await self.fleet.__aenter__()
         self.addAsyncCleanup(self.fleet.__aexit__)
         self.count = 0
--- a/packages/standins/chervilwall_standins/users/fleet.py
+++ b/packages/standins/chervilwall_standins/users/fleet.py
@@ -254,6 +254,8 @@
             settings.
         evacuate_ms (float | None): Time until an evacuation takes effect.
             Defaults to None, zones cannot be evacuated.
+        event_delay_ms (float): Delay of events at which a router begins to
+            refuse requests. Defaults to that of its settings.
     """
 
     def __init__(
@@ -265,6 +267,7 @@
         retries: RetrySettings = AMPLE_RETRIES,
         memory_mb: float = 150.0,
         evacuate_ms: float | None = None,
+        event_delay_ms: float = 200.0,
     ) -> None:
         self.store = FakeStore()
         self.targets = targets
@@ -276,6 +279,7 @@
         self._retries = retries
         self._memory_mb = memory_mb
         self._evacuate_ms = evacuate_ms
+        self._event_delay_ms = event_delay_ms
         self._stack = contextlib.AsyncExitStack()
 
     def __repr__(self) -> str:
@@ -425,6 +429,7 @@
             mesh_most=self._mesh_most,
             memory_mb=self._memory_mb,
             evacuate_ms=self._evacuate_ms,
+            event_delay_ms=self._event_delay_ms,
             bootstrap=bootstrap,
         )
         store = self._clients[name] = ObjectClient(cfg.store)
