--- a/packages/standins/chervilwall_standins/users/fleet.py
+++ b/packages/standins/chervilwall_standins/users/fleet.py
@@ -278,6 +278,8 @@
         cold (ColdSettings): Setting `cold` of each router. Defaults to none.
         relay (bool | None): Whether overloaded routers relay connections.
             Defaults to that of their settings.
+        event_delay_ms (float): Delay of events at which a router begins to
+            refuse requests. Defaults to that of its settings.
     """
 
     def __init__(
@@ -292,6 +294,7 @@
         service_fields: dict | None = None,
         cold: ColdSettings | None = None,
         relay: bool | None = None,
+        event_delay_ms: float = 200.0,
     ) -> None:
         self._service_fields = service_fields
         self._cold = cold
@@ -306,6 +309,7 @@
         self._memory_mb = memory_mb
         self._evacuate_ms = evacuate_ms
         self._relay = relay
+        self._event_delay_ms = event_delay_ms
         self._stack = contextlib.AsyncExitStack()
 
     def __repr__(self) -> str:
@@ -454,6 +458,7 @@
             memory_mb=self._memory_mb,
             evacuate_ms=self._evacuate_ms,
             relay=self._relay,
+            event_delay_ms=self._event_delay_ms,
             bootstrap=bootstrap,
             cold=self._cold,
         )
