Let no request wait for a cold target that has its prompt cached

In a returning zone all sessions would wait for the targets that cached them, and the first eight of them end a pass over the queue. Requests now go to targets that may be sent one. Placement and request flow tests pass.

--- a/packages/core/chervilwall/cold_rates.py
+++ b/packages/core/chervilwall/cold_rates.py
@@ -85,6 +85,9 @@
     # A grant that was not used may still have been sent late: its report and
     # the request take different paths.
     credits_unsent = False
+    # In a returning zone, all requests whose prompts are cached there would
+    # wait for it, and keep those behind them from targets that have room.
+    may_be_waited_for = False
 
     def __init__(
         self,
--- a/packages/core/chervilwall/placement.py
+++ b/packages/core/chervilwall/placement.py
@@ -334,7 +334,8 @@
         slack_s: float,
         urgency: Urgency,
     ) -> Choice | None:
-        best, idle = self._find_cheapest(demand, targets, now, urgency)
+        available = self._pacer.available(targets, now)
+        best, idle = self._find_cheapest(demand, available, now, urgency)
         if best.wait_s <= 0:
             return best.to_choice()
         if best.wait_s + best.queued_s + best.prefill_s <= slack_s:
@@ -347,7 +348,7 @@
     def _find_cheapest(
         self,
         demand: Demand,
-        targets: list[RegisteredTarget],
+        targets: Sequence[RegisteredTarget],
         now: float,
         urgency: Urgency,
     ) -> "tuple[_Candidate, _Candidate | None]":
@@ -424,7 +425,9 @@
                 return max(max_queued_s, load.prefill_s)
         return max(0.0, load.prefill_s - max_queued_s)
 
-    def _home_id(self, demand: Demand, targets: list[RegisteredTarget]) -> str:
+    def _home_id(
+        self, demand: Demand, targets: Sequence[RegisteredTarget]
+    ) -> str:
         """Returns the id of a session's home, or "" without a session.
 
         The home is the target that all routers prefer while no target has the
--- a/packages/core/chervilwall/rate_sources.py
+++ b/packages/core/chervilwall/rate_sources.py
@@ -27,6 +27,14 @@
         """Whether a request that was not sent frees the room it had taken."""
         ...
 
+    @property
+    def may_be_waited_for(self) -> bool:
+        """Whether a request may wait for a target that has its prompt cached.
+
+        Otherwise it goes to a target that may be sent a request now.
+        """
+        ...
+
     @property
     def is_empty(self) -> bool:
         """Whether no target is limited."""
@@ -103,6 +111,7 @@
 
     max_burst = 2
     credits_unsent = True
+    may_be_waited_for = True
 
     def __init__(
         self, limits: TargetLimits, fraction: Callable[[str], float]
--- a/packages/core/chervilwall/request_pacer.py
+++ b/packages/core/chervilwall/request_pacer.py
@@ -182,6 +182,31 @@
         """
         return max(spacing.wait_s(target, now) for spacing in self._spacings)
 
+    def available(
+        self, targets: Sequence[RegisteredTarget], now: float
+    ) -> Sequence[RegisteredTarget]:
+        """Returns the targets without those that no request should wait for.
+
+        Returns all of them if none may be sent a request now.
+
+        Args:
+            targets (Sequence): Targets of a service.
+            now (float): Monotonic time.
+        """
+        strict = [
+            spacing
+            for spacing in self._spacings
+            if not (spacing.source.may_be_waited_for or spacing.source.is_empty)
+        ]
+        if not strict:
+            return targets
+        found = [
+            target
+            for target in targets
+            if all(spacing.wait_s(target, now) <= 0 for spacing in strict)
+        ]
+        return found or targets
+
     def ends_in_s(self, target: RegisteredTarget, now: float) -> float:
         """Returns the seconds until nothing limits a target, or infinity.
 
--- a/packages/router/tests/test_edge_flow.py
+++ b/packages/router/tests/test_edge_flow.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 from chervilwall.cell_messages import OUTCOME_WITHDRAWN
+from chervilwall.cold_targets import ColdTargets
 from chervilwall.crash_ledger import CrashLedger
 from chervilwall.errors import DialError, RequestRefusedError
 from chervilwall.host_load import HostLoad
@@ -20,6 +21,7 @@
 from chervilwall.stream_versions import StreamVersions
 from chervilwall_router.edge.admission import RequestAdmission
 from chervilwall_router.edge.attempts import MIN_SILENCE_S, AttemptRunner
+from chervilwall_router.edge.cold_notices import ColdNotices
 from chervilwall_router.edge.scheduling import PlacedRequest
 from chervilwall_router.edge.settings import RetrySettings
 from chervilwall_router.problem import EXECUTED_NO
@@ -31,6 +33,17 @@
 )  # fmt: skip
 
 
+def make_cold_notices():
+    """Returns the notices of a router without the setting `cold`."""
+    return ColdNotices(
+        ColdTargets(False),
+        mock.Mock(),
+        mock.Mock(),
+        lambda: 0.0,
+        time.monotonic,
+    )
+
+
 class _RefusingScheduling:
     """Refuse and record every request for a slot."""
 
@@ -106,6 +119,7 @@
             wire=None,
             streams=StreamVersions(lambda service: 30.0),
             kept=mock.MagicMock(),
+            cold=make_cold_notices(),
         )
         self.flow = RequestAdmission(parts)
 
