Document cold targets; trust the scheduler on what was known before a grant

Routers read registrations up to seconds after the scheduler and would have returned its grants for that long after the cold time. Only what is learned after a grant returns it.

--- a/packages/core/chervilwall/cold_targets.py
+++ b/packages/core/chervilwall/cold_targets.py
@@ -24,9 +24,10 @@
 from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
+from chervilwall.edge_messages import StatedCold
 from chervilwall.registry import RegisteredTarget, TargetStart
 from chervilwall.routing import Service
-from chervilwall.untrusted import MAX_COUNT, Count
+from chervilwall.untrusted import MAX_COUNT
 
 # Longest cold time that a statement of a target may cause. A larger number
 # would limit the target for as long as it runs.
@@ -37,7 +38,8 @@
 # Reports in which a change is stated; one may be lost.
 CHANGE_REPEATS = 2
 MAX_REPORTED = 32
-# Smaller changes of the end of the cold time are not reported to peers.
+# Smaller changes of the end of the cold time are neither reported to peers nor
+# count as news.
 MATERIAL_CHANGE_S = 0.5
 
 
@@ -64,6 +66,8 @@
         is_assumed (bool): Whether the target itself has not stated it.
         registered_s (float | None): Cold time in its latest registration, None
             if none was read.
+        learned_at (float): Monotonic time at which this router learned of a
+            cold time, or of a materially longer one.
     """
 
     start: TargetStart
@@ -73,6 +77,7 @@
     source: ColdSource
     is_assumed: bool = False
     registered_s: float | None = None
+    learned_at: float = -math.inf
 
     def with_end(
         self,
@@ -97,30 +102,16 @@
             return self
         if until < self.until and not may_shorten:
             return self
+        is_longer = until - max(self.until, now) >= MATERIAL_CHANGE_S
         return self._replace(
-            until=until, at=now, source=source, is_assumed=assumed
+            until=until,
+            at=now,
+            source=source,
+            is_assumed=assumed,
+            learned_at=now if is_longer else self.learned_at,
         )
 
 
-class StatedCold(NamedTuple):
-    """The cold time of a target, as routers pass it on.
-
-    Args:
-        start (TargetStart): The target.
-        service (str): Its service.
-        remaining_ms (int): Milliseconds for which it stays cold, 0 if it is
-            warm.
-        age_ms (int): Milliseconds since that was stated or assumed.
-        is_assumed (bool): Whether the target itself has not stated it.
-    """
-
-    start: TargetStart
-    service: str
-    remaining_ms: Count
-    age_ms: Count
-    is_assumed: bool = False
-
-
 class ColdChange(NamedTuple):
     """A target that became cold or warm.
 
@@ -260,8 +251,7 @@
     def record_unreachable(self, target: RegisteredTarget, now: float) -> bool:
         """Records that a connection to a target could not be opened.
 
-        It may come back cold under the same id before its new registration is
-        read, so it counts as cold from each such failure on.
+        It may come back cold before its new registration is read.
 
         Args:
             target (RegisteredTarget): The target.
@@ -277,8 +267,7 @@
     ) -> None:
         """Records that the zone of some targets returned to service.
 
-        They got no requests meanwhile, so all of them count as cold. Each
-        router learns of the return itself, so peers are not told.
+        They got no requests meanwhile. Peers learn of the return themselves.
 
         Args:
             targets (Iterable): Targets of the zone.
@@ -362,6 +351,19 @@
         state = self._states[target.id]
         return state.until > now and self.tolerated_per_s(target.service) > 0
 
+    def has_learned_since(
+        self, target: RegisteredTarget, since: float, now: float
+    ) -> bool:
+        """Returns whether a target is cold, which was not known at a time.
+
+        Args:
+            target (RegisteredTarget): The target.
+            since (float): Monotonic time.
+            now (float): Monotonic time.
+        """
+        is_cold = self.is_cold(target, now)
+        return is_cold and self._states[target.id].learned_at >= since
+
     def cold_end(self, target: RegisteredTarget) -> float | None:
         """Returns the monotonic time at which the cold time ends or ended.
 
@@ -395,19 +397,9 @@
             i for i in self._limited if self._is_limited(self._states[i], now)
         }
         cold = {state.start.target_id for state in self.cold_states(now)}
-        changes = [
-            self._change(target_id, now)
-            for target_id in sorted(cold ^ self._logged)
-        ]
+        changed = sorted(i for i in cold ^ self._logged if i in self._states)
         self._logged = cold
-        return [change for change in changes if change is not None]
-
-    def _change(self, target_id: str, now: float) -> ColdChange | None:
-        state = self._states.get(target_id)
-        if state is None:
-            return None
-        remaining_s = max(0.0, state.until - now)
-        return ColdChange(target_id, state.service, state.source, remaining_s)
+        return [_to_change(self._states[i], now) for i in changed]
 
     def _put(self, state: ColdState, now: float) -> None:
         target_id = state.start.target_id
@@ -449,3 +441,10 @@
         min(MAX_COUNT, age_ms),
         state.is_assumed,
     )
+
+
+def _to_change(state: ColdState, now: float) -> ColdChange:
+    remaining_s = max(0.0, state.until - now)
+    return ColdChange(
+        state.start.target_id, state.service, state.source, remaining_s
+    )
--- a/packages/core/chervilwall/edge_messages.py
+++ b/packages/core/chervilwall/edge_messages.py
@@ -11,7 +11,6 @@
 from typing import NamedTuple
 
 from chervilwall.cell_messages import Message
-from chervilwall.cold_targets import StatedCold
 from chervilwall.crash_updates import CrashUpdates
 from chervilwall.registry import TargetStart
 from chervilwall.store_era import StoreRevision
@@ -69,6 +68,25 @@
     parts: tuple[tuple[str, int], ...]
 
 
+class StatedCold(NamedTuple):
+    """The cold time of a target, as routers pass it on.
+
+    Args:
+        start (TargetStart): The target.
+        service (str): Its service.
+        remaining_ms (int): Milliseconds for which it stays cold, 0 if it is
+            warm.
+        age_ms (int): Milliseconds since that was stated or assumed.
+        is_assumed (bool): Whether the target itself has not stated it.
+    """
+
+    start: TargetStart
+    service: str
+    remaining_ms: Count
+    age_ms: Count
+    is_assumed: bool = False
+
+
 class EdgeReport(NamedTuple):
     """State of an edge router, sent periodically to its peers.
 
--- a/packages/core/tests/test_cold_targets.py
+++ b/packages/core/tests/test_cold_targets.py
@@ -121,6 +121,20 @@
         self.cold.record_response(target, 0.0, 101.1, 102.0)
         self.assertFalse(self.cold.is_cold(target, 102.0))
 
+    def test_what_is_learned_after_a_grant_is_told_from_what_was_known(self):
+        # Guards against routers that return grants for as long as they believe
+        # that a target is cold, because they read its registration later than
+        # the scheduler.
+        target = self.register(100.0, 12.0)
+        self.assertTrue(self.cold.has_learned_since(target, 99.9, 101.0))
+        self.assertFalse(self.cold.has_learned_since(target, 100.5, 101.0))
+        # A repeated statement is no news, a longer time is.
+        self.cold.record_response(target, 9.1, 102.5, 103.0)
+        self.assertFalse(self.cold.has_learned_since(target, 102.9, 103.0))
+        self.cold.record_unreachable(target, 104.0)
+        self.assertTrue(self.cold.has_learned_since(target, 103.9, 104.0))
+        self.assertFalse(self.cold.has_learned_since(target, 0.0, 124.0))
+
     def test_a_response_of_an_earlier_start_shortens_nothing(self):
         old = self.register(100.0)
         new = self.register(101.0, 10.0, born_ms=9)
--- a/packages/router/chervilwall_router/edge/cold_notices.py
+++ b/packages/router/chervilwall_router/edge/cold_notices.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from chervilwall import events
-from chervilwall.cold_targets import ColdTargets, StatedCold
+from chervilwall.cold_targets import ColdTargets
+from chervilwall.edge_messages import StatedCold
 from chervilwall.errors import DialError
 from chervilwall.http_messages import ResponseHead
 from chervilwall.protocol import Metrics
@@ -27,6 +28,8 @@
         errno.EADDRNOTAVAIL,
     )
 )
+# Time in which a scheduler learns what this router has learned.
+NEWS_DELAY_S = 0.1
 # Event loop lag from which a connection may have timed out because of this
 # host. It is half the time that a connection may take.
 OWN_TIMEOUT_LAG_S = 0.25
@@ -132,6 +135,9 @@
     ) -> str:
         """Returns why a request must not be sent on its grant, "" if it may.
 
+        What this router knew before the grant, the scheduler had to know as
+        well, and it may have learned since that the target is warm.
+
         Args:
             target (RegisteredTarget): Target that was granted.
             granted_at (float): Monotonic time at which this router had the
@@ -141,7 +147,8 @@
         """
         now = self._clock()
         if math.isinf(send_within_s):
-            if self._cold.is_cold(target, now):
+            since = granted_at - NEWS_DELAY_S
+            if self._cold.has_learned_since(target, since, now):
                 return "the target became cold"
             return ""
         # The datagram with the grant may have waited for as long as the event
