--- a/packages/core/chervilwall/cold_rates.py
+++ b/packages/core/chervilwall/cold_rates.py
@@ -35,7 +35,7 @@
 RISE_DOUBLING_S = 0.4
 
 
-class ColdSettings(msgspec.Struct, frozen=True):
+class ColdSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Bound on the requests to a cold target, from all routers together.
 
     Args:
--- a/packages/core/chervilwall/cold_targets.py
+++ b/packages/core/chervilwall/cold_targets.py
@@ -38,8 +38,7 @@
 # Reports in which a change is stated; one may be lost.
 CHANGE_REPEATS = 2
 MAX_REPORTED = 32
-# Smaller changes of the end of the cold time are neither reported to peers nor
-# count as news.
+# Smaller changes of the end of the cold time are no news to peers.
 MATERIAL_CHANGE_S = 0.5
 
 
@@ -251,8 +250,6 @@
     def record_unreachable(self, target: RegisteredTarget, now: float) -> bool:
         """Records that a connection to a target could not be opened.
 
-        It may come back cold before its new registration is read.
-
         Args:
             target (RegisteredTarget): The target.
             now (float): Monotonic time.
--- a/packages/router/tests/test_edge_settings.py
+++ b/packages/router/tests/test_edge_settings.py
@@ -86,6 +86,9 @@
         with self.assertRaises(SettingsError) as caught:
             self.read(render_template(**{"bounds.grace_s": "0"}))
         self.assertIn("stop.grace_s", str(caught.exception))
+        with self.assertRaises(SettingsError) as caught:
+            self.read(render_template(**{"bounds.cold_slack": "-1"}))
+        self.assertIn("cold.slack", str(caught.exception))
 
     def test_a_missing_file_and_broken_text_are_told(self):
         with self.assertRaises(SettingsError):
