--- a/packages/core/chervilwall/cold_rates.py
+++ b/packages/core/chervilwall/cold_rates.py
@@ -35,7 +35,7 @@
 RISE_DOUBLING_S = 0.4
 
 
-class ColdSettings(msgspec.Struct, frozen=True):
+class ColdSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Bound on the requests to a cold target, from all routers together.
 
     Args:
@@ -85,6 +85,9 @@
     # A grant that was not used may still have been sent late: its report and
     # the request take different paths.
     credits_unsent = False
+    # In a returning zone, all requests whose prompts are cached there would
+    # wait for it, and keep those behind them from targets that have room.
+    may_be_waited_for = False
 
     def __init__(
         self,
--- a/packages/core/chervilwall/placement.py
+++ b/packages/core/chervilwall/placement.py
@@ -320,6 +320,7 @@
         self, targets: list[RegisteredTarget], now: float
     ) -> Choice | None:
         best: tuple[float, RegisteredTarget] | None = None
+        pacer = None if self._pacer.is_idle else self._pacer
         for target in targets:
             running = self._load.total(target.id, now).running
             max_running = target.slots * (
@@ -327,7 +328,7 @@
             )
             if target.slots and running >= max_running:
                 continue
-            if self._pacer.wait_s(target, now) > 0:
+            if pacer is not None and pacer.wait_s(target, now) > 0:
                 continue
             cost = (running + 1) / max(1, target.slots)
             cost += (
@@ -347,7 +348,8 @@
         slack_s: float,
         urgency: Urgency,
     ) -> Choice | None:
-        best, idle = self._find_cheapest(demand, targets, now, urgency)
+        available = self._pacer.available(targets, now)
+        best, idle = self._find_cheapest(demand, available, now, urgency)
         if best.wait_s <= 0:
             return best.to_choice()
         first_token_s = best.wait_s + best.queued_s + best.prefill_s
@@ -361,7 +363,7 @@
     def _find_cheapest(
         self,
         demand: Demand,
-        targets: list[RegisteredTarget],
+        targets: Sequence[RegisteredTarget],
         now: float,
         urgency: Urgency,
     ) -> "tuple[_Candidate, _Candidate | None]":
@@ -438,7 +440,9 @@
                 return max(max_queued_s, load.prefill_s)
         return max(0.0, load.prefill_s - max_queued_s)
 
-    def _home_id(self, demand: Demand, targets: list[RegisteredTarget]) -> str:
+    def _home_id(
+        self, demand: Demand, targets: Sequence[RegisteredTarget]
+    ) -> str:
         """Returns the id of a session's home, or "" without a session.
 
         The home is the target that all routers prefer while no target has the
