--- a/packages/router/chervilwall_router/edge/relaying/relays.py
+++ b/packages/router/chervilwall_router/edge/relaying/relays.py
@@ -147,6 +147,7 @@
         return (
             f"relays_to_peers {self.sender.count()}\n"
             f"relays_from_peers {len(self.receiver.connections)}\n"
+            f"relay_unsent_bytes {self.sender.unsent_bytes()}\n"
             f"relay_share {self.decision.share:g}\n"
             f"cpu_share_used {self._cpu.fraction:.3f}\n"
         )
--- a/packages/router/chervilwall_router/edge/relaying/sending.py
+++ b/packages/router/chervilwall_router/edge/relaying/sending.py
@@ -188,6 +188,15 @@
         task.add_done_callback(self._tasks.discard)
         return True
 
+    def unsent_bytes(self) -> int:
+        """Returns the bytes that were read and could not be sent yet."""
+        sides = (s for r in self.relays for s in (r.caller, r.peer))
+        return sum(
+            s.transport.get_write_buffer_size()
+            for s in sides
+            if s.transport is not None
+        )
+
     def record_bytes(self) -> None:
         """Counts the bytes that were copied since the last call."""
         total = self._ended_bytes + sum(r.copied_bytes for r in self.relays)
@@ -243,34 +252,41 @@
             )
             side = _PeerSide(relay, preamble)
             relay.join(side)
-            if await self._open(peer, side):
+            # None of the caller's bytes are sent before the peer accepts.
+            answer = await self._exchange(peer, side)
+            if answer == ACCEPTED:
                 await self._start(relay, side, sock, peer)
                 return True
+            side.reset()
+            self._record_unaccepted(peer, answer)
+            if answer is None:
+                # The caller has waited long enough.
+                return False
         return False
 
-    async def _open(self, peer: RelayPeer, side: _PeerSide) -> bool:
-        """Opens a connection to a peer; returns whether it accepts.
-
-        None of the caller's bytes are sent before that.
-        """
-        answer = await self._exchange(peer, side)
-        if answer == ACCEPTED:
-            return True
+    def _record_unaccepted(self, peer: RelayPeer, answer: bytes | None) -> None:
+        """Pauses a peer that refused a connection or gave no answer."""
         parts, now = self._parts, self._parts.clock()
-        side.reset()
         if answer:
             parts.metrics.count("relay_refused")
             parts.decision.record_refusal(peer.name, now)
-            return False
+            return
         parts.metrics.count("relay_failed")
         parts.decision.record_failure(peer.name, now)
         events.log_event(
-            LOG, events.RELAY_PEER_FAILED, step=_STEP, peer=peer.address
+            LOG,
+            events.RELAY_PEER_FAILED,
+            step=_STEP,
+            peer=peer.address,
+            reason="silent" if answer is None else "closed",
         )
-        return False
 
-    async def _exchange(self, peer: RelayPeer, side: _PeerSide) -> bytes:
-        """Returns the answer of a peer, empty if it gave none in time."""
+    async def _exchange(self, peer: RelayPeer, side: _PeerSide) -> bytes | None:
+        """Returns the answer of a peer.
+
+        It is empty if the peer is unreachable or closes the connection, and
+        None if the peer is silent.
+        """
         loop, task = asyncio.get_running_loop(), asyncio.current_task()
         assert task is not None
         timer = _SilenceTimer(task)
@@ -286,7 +302,7 @@
             if not timer.has_expired or task.uncancel():
                 side.reset()
                 raise
-            return b""
+            return None
         finally:
             timer.stop()
 
--- a/packages/standins/chervilwall_standins/users/relay_flood.py
+++ b/packages/standins/chervilwall_standins/users/relay_flood.py
@@ -31,6 +31,8 @@
 RECEIVER = {"relay": True, "cpu": 1.0, "event_delay_ms": 60_000.0}
 # Concurrent requests that make the first router begin to relay.
 WARM_UP_CALLERS = 12
+# Time in which the use of idle routers is measured.
+IDLE_S = 4.0
 LOADS = (
     Load("stream of 41 events", "/chat/x", events=41, callers=48, requests=6),
     Load(
@@ -100,13 +102,27 @@
     )
     async with fleet:
         sender, receiver = fleet.routers
+        # They have joined the fleet by then.
+        await asyncio.sleep(IDLE_S)
+        idle_us = await _measure_idle(fleet)
         await start_relaying(sender)
+        print(f"idle: {idle_us[0]:.0f}, {idle_us[1]:.0f} us per second")
         print(f"{'load':36} {'path':8} us/stream: first, second  relayed")
         for load in LOADS:
             for path, router in (("direct", receiver), ("relayed", sender)):
                 print(await _measure(load, path, router, fleet), flush=True)
 
 
+async def _measure_idle(fleet: ProcessFleet) -> list[float]:
+    """Returns the processor time of each idle router, in us per second."""
+    before = [process_cpu_s(r.pid) for r in fleet.routers]
+    await asyncio.sleep(IDLE_S)
+    return [
+        (process_cpu_s(r.pid) - cpu_s) * 1e6 / IDLE_S
+        for r, cpu_s in zip(fleet.routers, before, strict=True)
+    ]
+
+
 async def _measure(
     load: Load, path: str, router: RouterProcess, fleet: ProcessFleet
 ) -> str:
--- a/packages/standins/tests/test_edge_connection_relay.py
+++ b/packages/standins/tests/test_edge_connection_relay.py
@@ -13,7 +13,7 @@
 
 import uvloop
 from chervilwall.codec import FrameCodec
-from chervilwall_router.edge.relaying import sending
+from chervilwall_router.edge.relaying import receiving, sending
 from chervilwall_router.edge.relaying.preamble import encode_preamble
 from chervilwall_router.edge.relaying.relays import relay_address
 from chervilwall_standins.users import target as t
@@ -513,6 +513,23 @@
         self.assert_relayed(4)
 
 
+class SilentSecondPeerTest(RelayCase):
+    routers = 3
+    patience = 1
+
+    async def test_a_caller_waits_for_one_silent_peer_only(self):
+        # They answer nothing, as processes that are suspended.
+        patch = mock.patch.object(
+            receiving._PreambleReader, "data_received", lambda *data: None
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+        response = await self.fleet.call("/read/x")
+        self.assertEqual(response.status, 200)
+        self.assertEqual(self.counter("relay_failed"), 1)
+        self.assert_served_here()
+
+
 class ListenerTest(RelayCase):
     async def open(self):
         address = relay_address(self.receivers[0].settings.listen.peers)
--- a/packages/standins/tests/test_edge_connection_relay_process.py
+++ b/packages/standins/tests/test_edge_connection_relay_process.py
@@ -28,10 +28,10 @@
 
 class RelayProcessTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.model = FakeTarget("m0", "model", events=4)
-        self.model.slots = 64
+        self.models = [FakeTarget(f"m{i}", "model") for i in range(3)]
+        self.set_targets(events=4, slots=64)
         self.fleet = ProcessFleet(
-            self.model,
+            *self.models,
             routers=2,
             stop=STOP,
             retries=AMPLE_RETRIES,
@@ -41,7 +41,12 @@
         self.sender, self.receiver = self.fleet.routers
         # Its use of the processor alone makes the first router relay.
         await start_relaying(self.sender)
-        self.model.events, self.model.event_interval_s = EVENTS, 0.03
+        self.set_targets(events=EVENTS, event_interval_s=0.03)
+
+    def set_targets(self, **attributes):
+        for model in self.models:
+            for name, value in attributes.items():
+                setattr(model, name, value)
 
     async def start_stream(self, request_id="s1"):
         """Returns a relayed caller whose stream has begun."""
@@ -69,8 +74,8 @@
         """Sends a resumable stream on a new connection.
 
         The target closes its connection after each stream without announcing
-        it, so that a stream which may not be retried gets a 502 at times, also
-        without relaying.
+        it, so that a stream which may not be retried at another one gets a 502
+        at times, also without relaying.
         """
         caller = await CallerConnection.open(self.sender.address)
         try:
@@ -85,11 +90,11 @@
             caller.close()
 
     async def test_an_unframed_stream_of_a_killed_receiver_is_reset(self):
-        self.model.unframed = UnframedEnd(is_whole=True)
+        self.set_targets(unframed=UnframedEnd(is_whole=True))
         caller = await self.start_stream()
         self.receiver.kill()
         await self.assert_reset(caller)
-        self.model.unframed, self.model.events = None, 4
+        self.set_targets(unframed=None, events=4)
         response = await self.call("s2")
         self.assertEqual(response.status, 200)
         self.assertTrue(response.is_complete)
@@ -102,7 +107,7 @@
         self.assertFalse(is_complete)
 
     async def test_an_unframed_stream_of_a_killed_sender_is_reset(self):
-        self.model.unframed = UnframedEnd(is_whole=True)
+        self.set_targets(unframed=UnframedEnd(is_whole=True))
         caller = await self.start_stream()
         self.sender.kill()
         await self.assert_reset(caller)
@@ -111,11 +116,10 @@
         await self.start_stream()
         self.sender.kill()
         async with asyncio.timeout(2.0):
-            while not self.model.cancelled:
+            while not any(m.cancelled for m in self.models):
                 await asyncio.sleep(0.02)
 
     async def test_a_frozen_receiver_delays_a_request_only_briefly(self):
-        self.model.events = 1
         frozen = asyncio.ensure_future(self.receiver.freeze(1.2))
         await asyncio.sleep(0.1)
         loop = asyncio.get_running_loop()
@@ -137,7 +141,7 @@
 
     async def stop_under_load(self, stopped):
         """Stops a router while callers send streams, each its next one."""
-        self.model.events, self.model.event_interval_s = 15, 0.02
+        self.set_targets(events=15, event_interval_s=0.02)
         relayed = await read_metric(self.sender, "relay_sent")
         responses = []
         has_ended = asyncio.Event()
