--- a/packages/core/chervilwall/cold_targets.py
+++ b/packages/core/chervilwall/cold_targets.py
@@ -172,7 +172,7 @@
 
     def services(self) -> Collection[str]:
         """Returns the services whose targets may be cold."""
-        return [n for n, s in self._services.items() if s.cold_per_s > 0]
+        return [n for n, s in self._services.items() if s.cold_rate_per_s > 0]
 
     def record_registrations(
         self, targets: Mapping[str, RegisteredTarget], now: float
@@ -279,7 +279,7 @@
         service = self._services.get(target.service)
         if not self.is_enabled or service is None:
             return False
-        cold_s = min(MAX_COLD_S, service.cold_start_s)
+        cold_s = min(MAX_COLD_S, service.cold_time_s)
         if cold_s <= 0:
             return False
         before = self._states.get(target.id) or _unknown(
@@ -376,7 +376,7 @@
         It is 0 if targets of the service are never cold.
         """
         known = self._services.get(service)
-        return known.cold_per_s if known else 0.0
+        return known.cold_rate_per_s if known else 0.0
 
     def cold_states(self, now: float) -> list[ColdState]:
         """Returns the states of the targets that are cold now, by id."""
--- a/packages/core/chervilwall/http_messages.py
+++ b/packages/core/chervilwall/http_messages.py
@@ -101,7 +101,7 @@
             wants no further requests from this router, 0 for no pause.
         rate_limit (RateLimit): Limit that the target names on requests from all
             routers.
-        cold_remaining_s (float | None): Seconds for which the target stays
+        cold_for_s (float | None): Seconds for which the target stays
             cold, 0 if it is warm, None if not specified.
     """
 
@@ -118,7 +118,7 @@
     target_leaving: bool = False
     pause_s: float = 0.0
     rate_limit: RateLimit = RateLimit()
-    cold_remaining_s: float | None = None
+    cold_for_s: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/packages/core/chervilwall/routing.py
+++ b/packages/core/chervilwall/routing.py
@@ -111,18 +111,18 @@
             unknown.
         event_tokens (int): Number of generated tokens in one event of a
             stream.
-        cold_start_s (float): Seconds for which a target is cold after it
+        cold_time_s (float): Seconds for which a target is cold after it
             starts.
-        cold_per_s (float): Requests per second that a cold target tolerates
-            from all routers together, 0 if targets are never cold.
+        cold_rate_per_s (float): Requests per second that a cold target
+            tolerates from all routers together, 0 if targets are never cold.
     """
 
     name: str
     max_connections: int = 0
     kv_tokens: int = 0
     event_tokens: int = 1
-    cold_start_s: float = 0.0
-    cold_per_s: float = 0.0
+    cold_time_s: float = 0.0
+    cold_rate_per_s: float = 0.0
 
 
 class CallerLimits(NamedTuple):
--- a/packages/core/tests/test_cold_placement.py
+++ b/packages/core/tests/test_cold_placement.py
@@ -29,7 +29,7 @@
     def setUp(self):
         self.load, self.prefixes = LoadView(), PrefixMap()
         cold = ColdTargets(True)
-        cold.configure({"s": Service("s", cold_per_s=9.3)}, 0.0)
+        cold.configure({"s": Service("s", cold_rate_per_s=9.3)}, 0.0)
         cold.record_registrations({t.id: t for t in TARGETS}, 0.0)
         settings = ColdSettings(rate_factor=1.5, slack=5.0)
         rates = ColdRates(cold, settings, lambda service: 1.0)
--- a/packages/core/tests/test_cold_rates.py
+++ b/packages/core/tests/test_cold_rates.py
@@ -24,7 +24,7 @@
 
 def make_pacer(per_s, fraction=1.0, settings=SETTINGS, **options):
     cold = ColdTargets(True)
-    service = Service("svc", cold_start_s=COLD_S, cold_per_s=per_s)
+    service = Service("svc", cold_time_s=COLD_S, cold_rate_per_s=per_s)
     cold.configure({"svc": service}, 0.0)
     cold.record_registrations({TARGET.id: TARGET}, 0.0)
     rates = ColdRates(cold, settings, lambda service: fraction, **options)
--- a/packages/core/tests/test_cold_targets.py
+++ b/packages/core/tests/test_cold_targets.py
@@ -14,8 +14,8 @@
 TARGET = RegisteredTarget("t1", "svc", "a:1", "z", 8, born_ms=5)
 COLD_START_S = 20.0
 SERVICES = {
-    "svc": Service("svc", cold_start_s=COLD_START_S, cold_per_s=9.3),
-    "never": Service("never", cold_start_s=COLD_START_S, cold_per_s=0.0),
+    "svc": Service("svc", cold_time_s=COLD_START_S, cold_rate_per_s=9.3),
+    "never": Service("never", cold_time_s=COLD_START_S, cold_rate_per_s=0.0),
 }
 
 
--- a/packages/router/chervilwall_router/edge/cold_notices.py
+++ b/packages/router/chervilwall_router/edge/cold_notices.py
@@ -90,10 +90,10 @@
             head (ResponseHead): Head of the answer.
             sent_at (float): Monotonic time at which the request was sent.
         """
-        if head.cold_remaining_s is None:
+        if head.cold_for_s is None:
             return
         is_urgent = self._cold.record_response(
-            target, head.cold_remaining_s, sent_at, self._clock()
+            target, head.cold_for_s, sent_at, self._clock()
         )
         self._publish(is_urgent)
 
--- a/packages/router/tests/test_edge_cold_bound.py
+++ b/packages/router/tests/test_edge_cold_bound.py
@@ -56,7 +56,7 @@
             )
         )
         cold = ColdTargets(True)
-        service = Service("svc", cold_start_s=60.0, cold_per_s=world.per_s)
+        service = Service("svc", cold_time_s=60.0, cold_rate_per_s=world.per_s)
         cold.configure({"svc": service}, world.now)
         cold.record_registrations({TARGET.id: TARGET}, world.now)
         rates = ColdRates(cold, SETTINGS, self.view.cold_fraction)
--- a/packages/router/tests/test_edge_cold_notices.py
+++ b/packages/router/tests/test_edge_cold_notices.py
@@ -22,7 +22,7 @@
 )
 
 TARGET = RegisteredTarget("t1", "svc", "a:1", "z", 8, born_ms=5)
-SERVICES = {"svc": Service("svc", cold_start_s=20.0, cold_per_s=9.3)}
+SERVICES = {"svc": Service("svc", cold_time_s=20.0, cold_rate_per_s=9.3)}
 LIMITLESS = float("inf")
 
 
@@ -63,7 +63,7 @@
         self.addCleanup(setattr, logger, "propagate", True)
 
     def say(self, remaining_s):
-        head = ResponseHead(200, cold_remaining_s=remaining_s)
+        head = ResponseHead(200, cold_for_s=remaining_s)
         self.notices.apply_head(TARGET, head, self.now - 0.01)
 
     def test_a_target_that_becomes_cold_and_warm_is_logged_once_each(self):
--- a/packages/router/tests/test_edge_wire.py
+++ b/packages/router/tests/test_edge_wire.py
@@ -47,20 +47,20 @@
         return HeaderFormat().decode_response_head(status, headers)
 
     def test_responses_state_milliseconds(self):
-        self.assertEqual(self.decode_head("2500").cold_remaining_s, 2.5)
-        self.assertEqual(self.decode_head(" 0 ").cold_remaining_s, 0.0)
-        self.assertEqual(self.decode_head("-12.5").cold_remaining_s, 0.0)
-        self.assertEqual(self.decode_head("1", "900").cold_remaining_s, 0.9)
+        self.assertEqual(self.decode_head("2500").cold_for_s, 2.5)
+        self.assertEqual(self.decode_head(" 0 ").cold_for_s, 0.0)
+        self.assertEqual(self.decode_head("-12.5").cold_for_s, 0.0)
+        self.assertEqual(self.decode_head("1", "900").cold_for_s, 0.9)
 
     def test_a_malformed_number_says_nothing(self):
         for value in ("", "soon", "1e3", "nan", "inf", "0x10", "9" * 13):
             with self.subTest(value):
-                self.assertIsNone(self.decode_head(value).cold_remaining_s)
-        self.assertIsNone(self.decode_head().cold_remaining_s)
+                self.assertIsNone(self.decode_head(value).cold_for_s)
+        self.assertIsNone(self.decode_head().cold_for_s)
 
     def test_another_target_at_the_address_says_nothing(self):
         head = self.decode_head("2500", status=421)
-        self.assertIsNone(head.cold_remaining_s)
+        self.assertIsNone(head.cold_for_s)
 
     def decode_service(self, **fields):
         config = {
@@ -73,9 +73,11 @@
 
     def test_services_state_what_cold_targets_tolerate(self):
         service = self.decode_service(cold_start_s=30, cold_per_s=9.3)
-        self.assertEqual((service.cold_start_s, service.cold_per_s), (30, 9.3))
+        self.assertEqual(
+            (service.cold_time_s, service.cold_rate_per_s), (30, 9.3)
+        )
         service = self.decode_service()
-        self.assertEqual((service.cold_start_s, service.cold_per_s), (0, 0))
+        self.assertEqual((service.cold_time_s, service.cold_rate_per_s), (0, 0))
 
     def test_impossible_values_refuse_the_configuration(self):
         for fields in ({"cold_per_s": -1}, {"cold_start_s": "long"}):
