Count requests that outlive their connection, and end pauses in a stop

A request that runs on after its caller has left still holds its body; it now counts until it has ended. Pauses and their refusals went on only while connections are closed at timeouts, which a stop ends: they are now checked until the last connection has ended. In a stop, a connection for which there is no descriptor gets 503 at once, as those not accepted are reset. /metrics has what callers hold.

--- a/packages/router/chervilwall_router/edge/caller_bounds.py
+++ b/packages/router/chervilwall_router/edge/caller_bounds.py
@@ -156,17 +156,24 @@
         """Memory that all connections of callers hold."""
         return self._memory.total_bytes
 
+    def render(self) -> str:
+        """Returns what callers hold as lines of a metrics page."""
+        return (
+            f"caller_memory_bytes {self._memory.total_bytes}\n"
+            f"caller_memory_limit_bytes {self._memory.limit_bytes}\n"
+            f"callers_paused_now {self._memory.paused_count}\n"
+            f"caller_descriptors_limit {self.descriptors.limit}\n"
+        )
+
     # Memory.
 
     def add_connection(self) -> None:
         """Counts a connection that was opened."""
         self._memory.add_connection()
 
-    def remove_connection(self, usage: CallerUsage | None) -> None:
-        """Counts the end of a connection, and forgets what it held."""
+    def remove_connection(self) -> None:
+        """Counts the end of a connection."""
         self._memory.remove_connection()
-        if usage is not None:
-            self.remove(usage)
 
     def update(
         self,
--- a/packages/router/chervilwall_router/edge/caller_connection.py
+++ b/packages/router/chervilwall_router/edge/caller_connection.py
@@ -135,8 +135,7 @@
         self._queue.clear()
         self._clear_pipelined()
         self._request = None
-        self._context.bounds.remove_connection(self._usage)
-        self._usage = None
+        self._forget_held()
         self.resume_writing()
         if self._active is not None:
             self._active.on_disconnect()
@@ -187,6 +186,20 @@
         stage = Stage.READING if is_reading else Stage.COMPLETE
         bounds.update(usage, self, held, rest, stage)
 
+    def _forget_held(self) -> None:
+        """Records that the connection ended, and what still runs."""
+        usage, self._usage = self._usage, None
+        bounds, active = self._context.bounds, self._active
+        bounds.remove_connection()
+        if usage is None:
+            return
+        if active is None:
+            bounds.remove(usage)
+            return
+        # A request that was sent to a target may run on without its caller.
+        bounds.update(usage, self, active.held_bytes, 0, Stage.COMPLETE)
+        active.task.add_done_callback(lambda _: bounds.remove(usage))
+
     def hold(self) -> None:
         """Pauses reading until release() is called."""
         self._is_held = True
--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -623,4 +623,5 @@
     def _metrics_page(self, _: HTTPServerRequest) -> Reply:
         text = render_text(self.metrics.view())
         text += render_limits(self._state.limits, self._pacer, self._clock())
+        text += self.caller_bounds.render()
         return Reply(200, text.encode(), "text/plain")
--- a/packages/router/chervilwall_router/edge/ingress.py
+++ b/packages/router/chervilwall_router/edge/ingress.py
@@ -90,7 +90,6 @@
         self._limits = LimitHistory(handler.limits())
         self._listener: socket.socket | None = None
         self._connect_tasks: set[asyncio.Task[None]] = set()
-        self._sweep_timer: asyncio.TimerHandle | None = None
 
     def __repr__(self) -> str:
         return f"Ingress(connections={len(self._connections)})"
@@ -117,9 +116,7 @@
         )
         self._listener.setblocking(False)
         loop.add_reader(self._listener, self._accept)
-        self._sweep_timer = loop.call_later(
-            SWEEP_INTERVAL_S, self._close_timed_out
-        )
+        loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     @property
     def address(self) -> tuple[str, int]:
@@ -138,7 +135,7 @@
 
         The kernel resets those that are pending when the listener closes.
         """
-        while self._accept():
+        while self._accept(may_pause=False):
             pass
 
     def stop(self) -> None:
@@ -146,8 +143,6 @@
 
         Open connections stay, but are no longer closed at their timeouts.
         """
-        if self._sweep_timer is not None:
-            self._sweep_timer.cancel()
         if self._listener is not None:
             asyncio.get_running_loop().remove_reader(self._listener)
             self._listener.close()
@@ -158,12 +153,16 @@
         for conn in list(self._connections):
             conn.close_if_idle()
 
-    def _accept(self) -> bool:
+    def _accept(self, *, may_pause: bool = True) -> bool:
         """Accepts up to `MAX_ACCEPTS_PER_WAKEUP` pending connections.
 
         The event loop's own server accepts one connection per iteration. With
         it, callers of a busy host would time out before they are accepted.
 
+        Args:
+            may_pause (bool): Whether to wait for descriptors that are about to
+                be free. Defaults to True.
+
         Returns:
             Whether more may be pending.
         """
@@ -172,7 +171,7 @@
             if self._listener is None:
                 return False
             has_room = self._has_room()
-            if not has_room and self._bounds.awaits_room():
+            if may_pause and not has_room and self._bounds.awaits_room():
                 self._pause_accepting(self._listener)
                 return False
             try:
@@ -235,15 +234,20 @@
             )
             sock.close()
 
-    def _close_timed_out(self) -> None:
-        """Closes connections whose callers exceed a timeout."""
+    def _sweep(self) -> None:
+        """Ends long pauses, and connections whose callers exceed a timeout.
+
+        The latter only until stop() is called.
+        """
+        self._bounds.check()
+        if self._listener is None and not self._connections:
+            return
         loop = asyncio.get_running_loop()
-        self._sweep_timer = loop.call_later(
-            SWEEP_INTERVAL_S, self._close_timed_out
-        )
+        loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+        if self._listener is None:
+            return
         self.update_limits()
         now = self._context.clock()
         for conn in list(self._connections):
             conn.close_if_timed_out(self._limits, now)
-        self._bounds.check()
         self._context.closes.log_idle(self._limits.since(now).idle_timeout_s)
