--- a/packages/router/chervilwall_router/edge/caller_bounds.py
+++ b/packages/router/chervilwall_router/edge/caller_bounds.py
@@ -140,6 +140,7 @@
         self._clock = clock
         self._readers: dict[CallerUsage, CallerReader] = {}
         self._searched_at = -SEARCH_INTERVAL_S
+        self._has_searched_all = False
         # Time at which connections were last closed for their descriptors.
         self._closed_at = -CLOSE_S
         self._paused_log = LimitLog(events.CALLERS_PAUSED)
@@ -155,17 +156,24 @@
         """Memory that all connections of callers hold."""
         return self._memory.total_bytes
 
+    def render(self) -> str:
+        """Returns what callers hold as lines of a metrics page."""
+        return (
+            f"caller_memory_bytes {self._memory.total_bytes}\n"
+            f"caller_memory_limit_bytes {self._memory.limit_bytes}\n"
+            f"callers_paused_now {self._memory.paused_count}\n"
+            f"caller_descriptors_limit {self.descriptors.limit}\n"
+        )
+
     # Memory.
 
     def add_connection(self) -> None:
         """Counts a connection that was opened."""
         self._memory.add_connection()
 
-    def remove_connection(self, usage: CallerUsage | None) -> None:
-        """Counts the end of a connection, and forgets what it held."""
+    def remove_connection(self) -> None:
+        """Counts the end of a connection."""
         self._memory.remove_connection()
-        if usage is not None:
-            self.remove(usage)
 
     def update(
         self,
@@ -277,8 +285,11 @@
             return True
         is_full = budget.is_full(count, requests)
         now = self._clock()
-        if now - self._searched_at >= SEARCH_INTERVAL_S:
+        is_due = now - self._searched_at >= SEARCH_INTERVAL_S
+        if is_due or (is_full and not self._has_searched_all):
             self._searched_at = now
+            # Incomplete requests are looked at only if there is no room.
+            self._has_searched_all = is_full
             surplus = budget.surplus(count, requests)
             closed = self._close_idle(connections, surplus, now)
             if not closed and is_full:
--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -400,7 +400,7 @@
     def _build_links(self, wire: WireFormat) -> None:
         callers = self._cfg.callers
         self.caller_bounds = CallerBounds(
-            CallerMemory(self._cfg.caller_bytes, callers.receive_buffer_bytes),
+            CallerMemory(self._cfg.caller_bytes, callers.unread_bytes),
             self.descriptors,
             self.metrics,
             self._clock,
@@ -757,4 +757,5 @@
         )
         text += self._evacuation_pages.render_metrics()
         text += self.relaying.render()
+        text += self.caller_bounds.render()
         return Reply(200, text.encode(), "text/plain")
