Hold back events of relayed streams, so that relaying costs less

Cause: relaying a stream took up to half of the processor time of serving it, most of it for one read and one write for each event. Change: the receiver, which is idle, sends bytes that follow others within a quarter of event_delay_ms (at most 50 ms) together.

--- a/packages/router/chervilwall_router/edge/relaying/receiving.py
+++ b/packages/router/chervilwall_router/edge/relaying/receiving.py
@@ -12,6 +12,7 @@
 from chervilwall.errors import CodecError
 from chervilwall.protocol import Metrics
 
+from chervilwall_router.edge.caller_closes import CloseReason
 from chervilwall_router.edge.caller_connection import CallerConnection
 from chervilwall_router.edge.caller_context import ConnectionContext
 from chervilwall_router.edge.relaying.preamble import (
@@ -32,6 +33,8 @@
 # Refused preambles that are logged; further ones are only counted until one is
 # valid.
 MAX_LOGGED_INVALID = 20
+# Bytes that are sent without waiting for the end of the time to hold them back.
+MAX_HELD_BYTES = 1 << 14
 
 
 class ReceiverParts(NamedTuple):
@@ -47,6 +50,8 @@
             that it stops.
         context (ConnectionContext): What all connections of callers share.
         metrics (Metrics): Counts accepted and refused connections.
+        hold_s (float): Longest time in seconds for which bytes of a response
+            are held back to be sent together.
     """
 
     name: str
@@ -56,6 +61,7 @@
     is_stopping: Callable[[str], bool]
     context: ConnectionContext
     metrics: Metrics
+    hold_s: float
 
 
 class RelayReceiver:
@@ -161,7 +167,8 @@
                 base.is_shutting_down() or self._parts.is_stopping(sender)
             )
         )
-        conn = RelayedCallerConnection(context, self)
+        hold_s = self._parts.hold_s
+        conn = RelayedCallerConnection(context, self, hold_s)
         self.connections[conn] = sender
         self._parts.metrics.count("relay_received")
         transport.set_protocol(conn)
@@ -171,19 +178,75 @@
 class RelayedCallerConnection(CallerConnection):
     """Serve a caller whose connection a peer relays.
 
+    Each write costs the overloaded peer a read and a write. So bytes that
+    follow others within `hold_s` are held back and sent together at its end.
+
     Args:
         context (ConnectionContext): Objects that all connections share.
         receiver (RelayReceiver): Tracks the connection.
+        hold_s (float): Longest time in seconds for which bytes are held back.
     """
 
     def __init__(
-        self, context: ConnectionContext, receiver: RelayReceiver
+        self,
+        context: ConnectionContext,
+        receiver: RelayReceiver,
+        hold_s: float,
     ) -> None:
         super().__init__(context)
         self._receiver = receiver
+        self._hold_s = hold_s
+        self._held: list[bytes] = []
+        self._held_bytes = 0
+        self._last_sent_at = float("-inf")
+        self._send_timer: asyncio.TimerHandle | None = None
+
+    def write(self, data: bytes) -> "asyncio.Future[None] | None":
+        """Sends bytes at once, or with others if some were just sent."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        if self._send_timer is None:
+            if now - self._last_sent_at >= self._hold_s:
+                self._last_sent_at = now
+                return super().write(data)
+            self._send_timer = loop.call_at(
+                self._last_sent_at + self._hold_s, self._send_held
+            )
+        self._held.append(data)
+        self._held_bytes += len(data)
+        if self._held_bytes >= MAX_HELD_BYTES:
+            self._send_held()
+        return self._drained
+
+    def _send_held(self) -> None:
+        if self._send_timer is None:
+            return
+        self._send_timer.cancel()
+        self._send_timer = None
+        self._last_sent_at = asyncio.get_running_loop().time()
+        data = b"".join(self._held)
+        self._held.clear()
+        self._held_bytes = 0
+        super().write(data)
+
+    def has_unsent_data(self) -> bool:
+        """Returns whether bytes are held back or in the write buffer."""
+        return bool(self._held) or super().has_unsent_data()
+
+    def end_answer(self, *, close: bool) -> None:
+        """Ends a response after all of its bytes."""
+        self._send_held()
+        super().end_answer(close=close)
+
+    def disconnect(self, reason: CloseReason, *, abort: bool) -> None:
+        """Closes the connection after what was written so far."""
+        self._send_held()
+        super().disconnect(reason, abort=abort)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the connection as that of any other caller."""
+        if self._send_timer is not None:
+            self._send_timer.cancel()
         self._receiver.connections.pop(self, None)
         super().connection_lost(exc)
 
--- a/packages/router/chervilwall_router/edge/relaying/relays.py
+++ b/packages/router/chervilwall_router/edge/relaying/relays.py
@@ -37,6 +37,10 @@
 DESCRIPTORS_PER_RELAY = 2
 # Stands for no limit.
 UNLIMITED_DESCRIPTORS = 1 << 16
+# Part of the maximum delay of an event for which a host that serves a relayed
+# connection may hold it back. The rest is for the lag of both hosts.
+HOLD_FRACTION = 0.25
+MAX_HOLD_S = 0.05
 # Time until listening is tried again after the address was not free.
 LISTEN_RETRY_S = 10.0
 
@@ -121,6 +125,7 @@
                 self._is_stopping,
                 parts.ingress.context,
                 parts.metrics,
+                min(MAX_HOLD_S, HOLD_FRACTION * cfg.event_delay_ms / 1000),
             )
         )
         parts.ingress.relays = self.sender
--- a/packages/standins/tests/test_edge_connection_relay.py
+++ b/packages/standins/tests/test_edge_connection_relay.py
@@ -133,6 +133,34 @@
         self.assertEqual(set(response.headers), set(expected.headers))
         self.assert_relayed()
 
+    async def test_events_that_follow_each_other_are_copied_together(self):
+        # Each read costs the overloaded host a write as well.
+        self.model.events, self.model.event_interval_s = 60, 0.005
+        caller = await self.connect()
+        read = sending._PeerSide.buffer_updated
+        with mock.patch.object(
+            sending._PeerSide, "buffer_updated", autospec=True, side_effect=read
+        ) as reads:
+            await self.stream(caller)
+            response = await caller.receive()
+        self.assertEqual(response.body.count(b"id: "), 60)
+        self.assertLess(reads.call_count, 40)
+
+    async def test_an_event_alone_is_not_held_back(self):
+        self.model.events, self.model.event_interval_s = 4, 0.2
+        caller = await self.connect()
+        loop = asyncio.get_running_loop()
+        with mock.patch.object(
+            receiving.RelayedCallerConnection, "_send_held"
+        ) as sent_held:
+            await self.stream(caller)
+            await caller.reader.readuntil(b"id: 1\n")
+            await caller.reader.readuntil(b"id: 2\n")
+            started = loop.time()
+            await caller.reader.readuntil(b"id: 3\n")
+            self.assertLess(loop.time() - started, 0.3)
+            sent_held.assert_not_called()
+
     async def test_a_booking_runs_once(self):
         response = await self.fleet.call("/book/x", request_id="b1")
         self.assertEqual(response.status, 200)
