--- a/packages/router/chervilwall_router/edge/relaying/relays.py
+++ b/packages/router/chervilwall_router/edge/relaying/relays.py
@@ -37,6 +37,10 @@
 # A relay takes two descriptors, so relays take at most half of those that the
 # process may open.
 MAX_DESCRIPTOR_FRACTION = 0.5
+# Part of the maximum delay of an event for which a host that serves a relayed
+# connection may hold it back. The rest is for the lag of both hosts.
+HOLD_FRACTION = 0.25
+MAX_HOLD_S = 0.05
 # Time until listening is tried again after the address was not free.
 LISTEN_RETRY_S = 10.0
 
@@ -130,6 +134,7 @@
                 self._is_stopping,
                 parts.ingress.context,
                 parts.metrics,
+                min(MAX_HOLD_S, HOLD_FRACTION * cfg.event_delay_ms / 1000),
             )
         )
         parts.ingress.relays = self.sender
