Use the load that targets report in placement

Targets state running and waiting requests, slots and how long work takes now in each response. The routers did not read it, so a target that was slowed down for 600 ms got as many requests as before, and requests of others on a target were not counted.

Routers record each report and pass it on to the scheduler with PlacementFirstToken and PlacementEnded. The decoder of frames rejects messages with more fields than it knows, so these fields are sent only to peers whose incarnation says that they read them, and trailing defaults are omitted.

--- a/packages/core/chervilwall/codec.py
+++ b/packages/core/chervilwall/codec.py
@@ -58,6 +58,10 @@
     edge_messages.PlacementSilent,
 )
 _CODE_BY_TYPE = {cls: code for code, cls in enumerate(_TYPES)}
+# Defaults of the trailing fields of each type, in order.
+_DEFAULTS: dict[type, tuple] = {
+    cls: tuple(getattr(cls, "_field_defaults", {}).values()) for cls in _TYPES
+}
 _DECODERS: tuple[msgspec.msgpack.Decoder, ...] = tuple(
     msgspec.msgpack.Decoder(cls) for cls in _TYPES
 )
@@ -126,7 +130,9 @@
         Returns:
             The frame, including its MAC.
         """
-        items = [(_CODE_BY_TYPE[type(msg)], msg) for msg in messages]
+        items = [
+            (_CODE_BY_TYPE[type(msg)], _omit_defaults(msg)) for msg in messages
+        ]
         body = _ENCODER.encode((sender, incarnation, items))
         return _compute_mac(self._keys[0], body) + body
 
@@ -160,6 +166,20 @@
         return Frame(wire.sender, wire.incarnation, messages)
 
 
+def _omit_defaults(msg: AnyMessage) -> tuple:
+    """Returns the fields of a message without trailing defaults.
+
+    A router that does not know a new field rejects a frame in which it is
+    present, even with its default. Those that know it fill in the default.
+    """
+    defaults = _DEFAULTS[type(msg)]
+    end = len(msg)
+    first = end - len(defaults)
+    while end > first and msg[end - 1] == defaults[end - 1 - first]:
+        end -= 1
+    return msg[:end]
+
+
 def _compute_mac(key: bytes, body: bytes) -> bytes:
     return hashlib.blake2b(body, key=key, digest_size=MAC_BYTES).digest()
 
--- a/packages/core/chervilwall/edge_messages.py
+++ b/packages/core/chervilwall/edge_messages.py
@@ -13,6 +13,7 @@
 from chervilwall.cell_messages import Message
 from chervilwall.crash_updates import CrashUpdates
 from chervilwall.registry import TargetStart
+from chervilwall.reported_load import PassedLoad
 from chervilwall.store_era import StoreRevision
 from chervilwall.stream_origins import StreamDemand
 from chervilwall.target_limits import StatedLimit
@@ -231,6 +232,8 @@
         first_token_ms (int): Predicted milliseconds to the first token.
         version (str): Software version of the target, as far as the scheduler
             knows.
+        load_age_ms (int): Age in milliseconds of the load report that was used,
+            -1 if there was none. Sent only to routers that read it.
     """
 
     number: int
@@ -239,6 +242,7 @@
     prefill_ms: int
     first_token_ms: int
     version: str = ""
+    load_age_ms: int = -1
 
 
 class PlacementRefused(NamedTuple):
@@ -263,11 +267,14 @@
         first_token_ms (int): Measured milliseconds to the first token.
         has_event (bool): Whether it is the first event of a stream, and not the
             head of another response.
+        load (PassedLoad | None): Latest load report of the target, None if it
+            was passed on before. Sent only to routers that read it.
     """
 
     number: int
     first_token_ms: int
     has_event: bool = False
+    load: PassedLoad | None = None
 
 
 class PlacementSilent(NamedTuple):
@@ -288,10 +295,13 @@
     Args:
         number (int): Number of the request, unique in the asking router.
         outcome (str): One of the OUTCOME constants.
+        load (PassedLoad | None): Latest load report of the target, None if it
+            was passed on before. Sent only to routers that read it.
     """
 
     number: int
     outcome: str
+    load: PassedLoad | None = None
 
 
 class StreamOriginsUpdate(NamedTuple):
--- a/packages/core/chervilwall/events.py
+++ b/packages/core/chervilwall/events.py
@@ -71,6 +71,9 @@
     513, logging.INFO, "target changed its limit on requests"
 )
 TARGET_LIMIT_REFUSED = Event(514, logging.WARNING, "limit of a target refused")
+TARGET_LOAD_REFUSED = Event(
+    480, logging.WARNING, "load report of a target refused"
+)
 VERSIONS_AGREED = Event(
     512, logging.INFO, "software versions of a service agreed"
 )
--- a/packages/core/chervilwall/http_messages.py
+++ b/packages/core/chervilwall/http_messages.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from chervilwall.prefix import PromptPart
+from chervilwall.reported_load import StatedLoad
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -101,6 +102,10 @@
             wants no further requests from this router, 0 for no pause.
         rate_limit (RateLimit): Limit that the target names on requests from all
             routers.
+        load (StatedLoad | None): Load that the target states, None if it states
+            none or one that cannot be read.
+        malformed_load (str): A statement that cannot be read, for the log, ""
+            if there is none.
     """
 
     status: int
@@ -116,6 +121,8 @@
     target_leaving: bool = False
     pause_s: float = 0.0
     rate_limit: RateLimit = RateLimit()
+    load: StatedLoad | None = None
+    malformed_load: str = ""
 
     @property
     def is_success(self) -> bool:
--- a/packages/core/chervilwall/load_view.py
+++ b/packages/core/chervilwall/load_view.py
@@ -39,6 +39,25 @@
 NO_LOAD = TargetLoad()
 
 
+class FailedSearch(NamedTuple):
+    """A search that found no engine of a service with free capacity.
+
+    Args:
+        targets (int): Number of engines searched.
+        version (int): Version of the load view that was searched.
+        at (float): Monotonic time of the search.
+    """
+
+    targets: int
+    version: int
+    at: float
+
+    def is_current(self, targets: int, version: int, now: float) -> bool:
+        """Returns whether another search would find the same."""
+        same = (targets, version) == (self.targets, self.version)
+        return same and 0.0 <= now - self.at < TOTALS_TTL_S
+
+
 class _Prefill(NamedTuple):
     """The prefill of one request.
 
--- a/packages/core/chervilwall/placement.py
+++ b/packages/core/chervilwall/placement.py
@@ -17,11 +17,20 @@
 import msgspec
 
 from chervilwall._setting_types import Fraction, NonNegative
-from chervilwall.load_view import TOTALS_TTL_S, LoadView, TargetLoad
+from chervilwall.load_choice import (
+    LoadChoice,
+    ReportUse,
+    add_surplus,
+    no_reports,
+    surplus_requests,
+)
+from chervilwall.load_view import FailedSearch, LoadView, TargetLoad
+from chervilwall.plain_targets import PlainSettings, PlainTargets
 from chervilwall.prefill import TOKENS_PER_S, PrefillModel, nominal_prefill_s
 from chervilwall.prefix import PrefixMap, PromptPart
 from chervilwall.registry import RegisteredTarget
 from chervilwall.rendezvous import score
+from chervilwall.reported_load import ReportedLoad
 from chervilwall.request_pacer import RequestPacer
 from chervilwall.target_limits import TargetLimits
 
@@ -116,6 +125,9 @@
         prefill_s (float): Predicted prefill time of the prompt, in seconds.
         first_token_s (float): Predicted time to the first token, in seconds.
         factor (float): Factor of the target that the predictions used.
+        slowdown (float): Reported slowdown that the predictions used.
+        load_age_s (float | None): Age in seconds of the load report that was
+            used, None if there was none.
     """
 
     target: RegisteredTarget
@@ -123,6 +135,8 @@
     prefill_s: float = 0.0
     first_token_s: float = 0.0
     factor: float = 1.0
+    slowdown: float = 1.0
+    load_age_s: float | None = None
 
 
 class _Candidate(NamedTuple):
@@ -159,25 +173,6 @@
         )
 
 
-class _FailedSearch(NamedTuple):
-    """A search that found no engine of a service with free capacity.
-
-    Args:
-        targets (int): Number of engines searched.
-        version (int): Version of the load view that was searched.
-        at (float): Monotonic time of the search.
-    """
-
-    targets: int
-    version: int
-    at: float
-
-    def is_current(self, targets: int, version: int, now: float) -> bool:
-        """Returns whether another search would find the same."""
-        same = (targets, version) == (self.targets, self.version)
-        return same and 0.0 <= now - self.at < TOTALS_TTL_S
-
-
 class Placement:
     """Select targets by the load that all routers report.
 
@@ -190,6 +185,8 @@
         usable (Callable): Returns whether a target may be sent requests.
         pacer (RequestPacer): Spaces the requests to targets that name limits.
             Defaults to one that knows no limits.
+        reports (ReportUse | None): Load that targets report. Defaults to None,
+            for targets that report none.
     """
 
     def __init__(
@@ -201,6 +198,7 @@
         model: PrefillModel,
         usable: Callable[[RegisteredTarget], bool],
         pacer: RequestPacer | None = None,
+        reports: ReportUse | None = None,
     ) -> None:
         self._settings = settings
         self._zone = zone
@@ -209,11 +207,27 @@
         self._model = model
         self._usable = usable
         self._pacer = pacer or RequestPacer(TargetLimits(), lambda service: 1.0)
-        self._failed_searches: dict[str, _FailedSearch] = {}
+        self._reports = LoadChoice(reports or no_reports())
+        self._plain_targets = PlainTargets(
+            PlainSettings(
+                zone,
+                settings.plain_queue_fraction,
+                settings.cross_zone_penalty_s,
+            ),
+            load,
+            self._pacer,
+            self._reports,
+        )
+        self._failed_searches: dict[str, FailedSearch] = {}
 
     def __repr__(self) -> str:
         return f"Placement(zone={self._zone!r})"
 
+    @property
+    def reported(self) -> ReportedLoad:
+        """The load that targets report."""
+        return self._reports.reported
+
     def choose(
         self,
         demand: Demand,
@@ -248,8 +262,20 @@
         if not usable:
             return None
         if not demand.is_generation:
-            return self._choose_plain_target(usable, now)
-        return self._choose_engine(demand, usable, now, slack_s, urgency)
+            plain = self._plain_targets.choose(usable, now)
+            choice = Choice(plain) if plain else None
+        else:
+            choice = self._choose_engine(demand, usable, now, slack_s, urgency)
+        return self._add_report(choice, now) if choice else None
+
+    def _add_report(self, choice: Choice, now: float) -> Choice:
+        """Returns a choice with the load report that it used."""
+        report = self.reported.of(choice.target, now)
+        if report is None:
+            return choice
+        return choice._replace(
+            slowdown=report.slowdown, load_age_s=max(0.0, now - report.at)
+        )
 
     def has_free_capacity(
         self, targets: Sequence[RegisteredTarget], now: float
@@ -270,7 +296,7 @@
             return False
         if self._has_free_engine(targets, now):
             return True
-        self._failed_searches[service] = _FailedSearch(
+        self._failed_searches[service] = FailedSearch(
             len(targets), version, now
         )
         return False
@@ -303,29 +329,6 @@
         uncached = max(1, demand.prompt_tokens - cached)
         return self._model.mean_work_s(uncached, cached)
 
-    def _choose_plain_target(
-        self, targets: list[RegisteredTarget], now: float
-    ) -> Choice | None:
-        best: tuple[float, RegisteredTarget] | None = None
-        for target in targets:
-            running = self._load.total(target.id, now).running
-            max_running = target.slots * (
-                1 + self._settings.plain_queue_fraction
-            )
-            if target.slots and running >= max_running:
-                continue
-            if self._pacer.wait_s(target, now) > 0:
-                continue
-            cost = (running + 1) / max(1, target.slots)
-            cost += (
-                0.0
-                if target.zone == self._zone
-                else self._settings.cross_zone_penalty_s
-            )
-            if best is None or cost < best[0]:
-                best = (cost, target)
-        return Choice(best[1]) if best else None
-
     def _choose_engine(
         self,
         demand: Demand,
@@ -361,10 +364,13 @@
         idle: _Candidate | None = None
         pacer = None if self._pacer.is_idle else self._pacer
         pace_s = 0.0
+        reported = self.reported.current(now)
+        is_scheduler = not reported or self._reports.is_scheduler(
+            demand.service, now
+        )
         for target in targets:
             target_id = target.id
             load = self._load.total(target_id, now)
-            queued_s = load.prefill_s
             cached = cached_at.get(target_id, 0)
             uncached = max(1, demand.prompt_tokens - cached)
             nominal_s = nominal_by_cached.get(cached)
@@ -372,9 +378,17 @@
                 nominal_s = nominal_by_cached[cached] = nominal_prefill_s(
                     uncached, cached
                 )
-            factor = self._model.factor(target_id)
-            prefill_s = nominal_s * factor
-            recompute_s = (max_cached - cached) * factor / TOKENS_PER_S
+            factor = scaled = self._model.factor(target_id)
+            report = reported.get(target_id) if reported else None
+            if report is not None and report.is_of(target):
+                scaled = factor * report.slowdown
+                surplus = surplus_requests(
+                    report, target.slots, is_scheduler=is_scheduler
+                )
+                load = add_surplus(load, report, surplus, nominal_s * scaled)
+            queued_s = load.prefill_s
+            prefill_s = nominal_s * scaled
+            recompute_s = (max_cached - cached) * scaled / TOKENS_PER_S
             cost = (
                 queued_s
                 + prefill_s
--- a/packages/core/chervilwall/prefill.py
+++ b/packages/core/chervilwall/prefill.py
@@ -84,6 +84,7 @@
         predicted_s: float,
         first_token_s: float,
         predicted_factor: float,
+        slowdown_ratio: float = 1.0,
     ) -> None:
         """Updates a target's factor by an observed time to first token.
 
@@ -94,8 +95,11 @@
             first_token_s (float): Observed time to the first token.
             predicted_factor (float): Factor that the prediction used, which
                 may have changed since.
+            slowdown_ratio (float): Reported slowdown while the request ran,
+                relative to that which the prediction used. The factor does not
+                include it, as a slowdown lasts for a few samples only.
         """
-        first_token_s -= START_LATENCY_S
+        first_token_s = (first_token_s - START_LATENCY_S) / slowdown_ratio
         if predicted_s < MIN_SAMPLE_S or first_token_s <= 0:
             return
         known = self._log_factors.get(target_id, self._mean_log)
--- a/packages/router/chervilwall_router/edge/dispatcher.py
+++ b/packages/router/chervilwall_router/edge/dispatcher.py
@@ -349,6 +349,7 @@
             now,
             on_release,
             self._stream_listener(request, choice),
+            functools.partial(self._slowdown_now, choice),
         )
         if status.is_quarantined:
             grant.trial_fingerprints = status.causes
@@ -358,6 +359,10 @@
         parts.on_grant(target_id, demand.parts)
         return grant
 
+    def _slowdown_now(self, choice: Choice) -> float:
+        reported = self._parts.placement.reported
+        return reported.slowdown(choice.target, self._clock())
+
     def _stream_listener(
         self, request: GrantRequest, choice: Choice
     ) -> Callable[[], None] | None:
--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import random
-import secrets
 import time
 
 import msgspec
@@ -11,6 +10,7 @@
 from chervilwall.address_list import CallerAddress
 from chervilwall.edge_messages import EdgeMessage, RecentPrefix
 from chervilwall.hubs import HubCandidate
+from chervilwall.load_choice import ReportUse
 from chervilwall.placement import Placement
 from chervilwall.prefix import PromptPart
 from chervilwall.protocol import ObjectStore, PlatformDecoder, WireFormat
@@ -20,6 +20,7 @@
 from chervilwall.running_requests import Granter
 from chervilwall.service_totals import ServiceTotals
 from chervilwall.stream_versions import StreamVersions
+from chervilwall.wire_version import new_incarnation
 from tornado.httputil import HTTPServerRequest
 
 from chervilwall_router.edge import snapshot_exchange
@@ -40,6 +41,7 @@
 from chervilwall_router.edge.ingress import Ingress
 from chervilwall_router.edge.kept_responses import KeptResponses
 from chervilwall_router.edge.limit_metrics import render_limits
+from chervilwall_router.edge.load_metrics import LoadMetrics
 from chervilwall_router.edge.page_server import PageServer, Reply
 from chervilwall_router.edge.peer_grants import SchedulingParts
 from chervilwall_router.edge.peer_link import PeerLink
@@ -111,7 +113,7 @@
         self._rng = random.Random()
         self._clock = elapsed_s
         self._started_at = self._clock()
-        self._me = Granter(settings.name, secrets.randbits(62))
+        self._me = Granter(settings.name, new_incarnation())
         self._recent_prefixes: list[RecentPrefix] = []
         self._build_state(decoder)
         self._build_scheduling()
@@ -256,6 +258,12 @@
             self._state.model,
             self._health.is_usable,
             self._pacer,
+            ReportUse(
+                self._state.reported, self.fleet.scheduler_count, self._rng
+            ),
+        )
+        self._load_metrics = LoadMetrics(
+            self.registry, self._state.load, self._state.reported
         )
         self.dispatcher = Dispatcher(
             DispatcherParts(
@@ -283,6 +291,7 @@
                 registry=self.registry,
                 running_requests=self.running_requests,
                 pauses=self._state.pauses,
+                reported=self._state.reported,
                 health=self._health.of,
                 find_scheduler=self.fleet.find_scheduler,
                 send=self._send,
@@ -296,6 +305,7 @@
                 registry=self.registry,
                 pauses=self._state.pauses,
                 limits=self._state.limits,
+                reported=self._state.reported,
                 send_reports_now=lambda: self.link.send_reports_now(),
                 metrics=self.metrics,
                 clock=self._clock,
@@ -522,6 +532,9 @@
     def _record_grant(
         self, target_id: str, parts: tuple[PromptPart, ...]
     ) -> None:
+        target = self.registry.get(target_id)
+        if target is not None:
+            self._load_metrics.record_grant(target, self._clock())
         if parts and len(self._recent_prefixes) < MAX_REPORTED_PREFIXES:
             pairs = tuple((p.id, p.tokens) for p in parts)
             self._recent_prefixes.append(RecentPrefix(target_id, pairs))
@@ -564,6 +577,7 @@
         self.connections.close_all(target_id)
         self._state.pauses.forget(target_id)
         self._state.limits.forget(target_id)
+        self._state.reported.forget(target_id)
         self._pacer.forget(target_id)
 
     def _send(self, address: str, item: EdgeMessage) -> None:
@@ -601,4 +615,5 @@
     def _metrics_page(self, _: HTTPServerRequest) -> Reply:
         text = render_text(self.metrics.view())
         text += render_limits(self._state.limits, self._pacer, self._clock())
+        text += self._load_metrics.render()
         return Reply(200, text.encode(), "text/plain")
--- a/packages/router/chervilwall_router/edge/grants.py
+++ b/packages/router/chervilwall_router/edge/grants.py
@@ -95,6 +95,8 @@
             to None.
         on_stream_begun (Callable | None): Called at the first event of a
             resumable stream. Defaults to None.
+        slowdown (Callable | None): Returns the slowdown that the target reports
+            now. Defaults to None, for one that reports none.
     """
 
     def __init__(
@@ -107,7 +109,9 @@
         started_at: float,
         on_release: Callable[[], None] | None = None,
         on_stream_begun: Callable[[], None] | None = None,
+        slowdown: Callable[[], float] | None = None,
     ) -> None:
+        self._slowdown = slowdown
         self._on_stream_begun = on_stream_begun
         self.first_token_s = 0.0
         self._on_release = on_release
@@ -168,5 +172,13 @@
             choice.first_token_s,
             first_token_s,
             choice.factor,
+            self._slowdown_ratio(),
         )
         self._on_capacity_freed()
+
+    def _slowdown_ratio(self) -> float:
+        """Returns the mean slowdown since the grant relative to that then."""
+        if self._slowdown is None:
+            return 1.0
+        predicted = self.choice.slowdown
+        return (predicted + self._slowdown()) / 2 / predicted
--- a/packages/router/chervilwall_router/edge/peer_grants.py
+++ b/packages/router/chervilwall_router/edge/peer_grants.py
@@ -15,10 +15,12 @@
 from chervilwall.errors import RequestRefusedError
 from chervilwall.health import CellHealth
 from chervilwall.pauses import TargetPauses
-from chervilwall.placement import Demand
+from chervilwall.placement import Choice, Demand
 from chervilwall.prefix import PromptPart
 from chervilwall.registry import TargetRegistry
+from chervilwall.reported_load import PassedLoad, ReportedLoad
 from chervilwall.running_requests import Granter, RunningRequests
+from chervilwall.wire_version import reads_load_reports
 
 from chervilwall_router.edge.dispatcher import Dispatcher
 from chervilwall_router.edge.grants import Grant, GrantRequest
@@ -73,6 +75,7 @@
         running_requests (RunningRequests): Requests of this router that hold a
             target.
         pauses (TargetPauses): Targets that asked this router to pause.
+        reported (ReportedLoad): Load that the targets report.
         health (Callable): Returns the health of the targets of a service.
         find_scheduler (Callable): Returns the scheduler of a service, or None
             if that is this router; called with the service and the names of
@@ -86,6 +89,7 @@
     registry: TargetRegistry
     running_requests: RunningRequests
     pauses: TargetPauses
+    reported: ReportedLoad
     health: Callable[[str], CellHealth]
     find_scheduler: Callable[[str, Collection[str]], SchedulerPeer | None]
     send: Callable[[str, edge_messages.EdgeMessage], None]
@@ -127,6 +131,7 @@
             self._handle_request(sender, item)
         elif isinstance(item, edge_messages.PlacementFirstToken):
             grant = self._grants.get(_make_key(sender, item.number))
+            self._record_load(grant, item.load)
             if grant is not None:
                 grant.record_first_token(
                     item.first_token_ms / 1000, has_event=item.has_event
@@ -136,7 +141,17 @@
             if grant is not None:
                 record_silence(self._parts, grant)
         elif isinstance(item, edge_messages.PlacementEnded):
-            self._end_request(_make_key(sender, item.number), item.outcome)
+            key = _make_key(sender, item.number)
+            self._record_load(self._grants.get(key), item.load)
+            self._end_request(key, item.outcome)
+
+    def _record_load(
+        self, grant: Grant | None, passed: PassedLoad | None
+    ) -> None:
+        if grant is not None and passed is not None:
+            self._parts.reported.record_passed(
+                grant.choice.target.start, passed, self._parts.clock()
+            )
 
     def reconcile_grants(
         self, name: str, loads: tuple[GranterLoad, ...]
@@ -239,6 +254,7 @@
             round(choice.prefill_s * 1000),
             round(choice.first_token_s * 1000),
             choice.target.version,
+            _age_ms(choice) if reads_load_reports(sender.incarnation) else -1,
         )
         self._parts.send(sender.address, answer)
 
@@ -286,6 +302,12 @@
     return _Key(sender.name, sender.incarnation, number)
 
 
+def _age_ms(choice: Choice) -> int:
+    """Returns the age of the load report that a choice used, -1 for none."""
+    age_s = choice.load_age_s
+    return -1 if age_s is None else round(age_s * 1000)
+
+
 def record_silence(parts: SchedulingParts, grant: Grant) -> None:
     """Records that the target of a grant has been silent for too long."""
     target = grant.choice.target
--- a/packages/router/chervilwall_router/edge/request_log.py
+++ b/packages/router/chervilwall_router/edge/request_log.py
@@ -90,6 +90,7 @@
         prompt=admitted.req.prompt_tokens,
         miss=grant.choice.uncached_tokens if grant else 0,
         predicted_ms=to_ms(grant.choice.first_token_s) if grant else 0,
+        **_describe_load(grant),
         framing=end.framing.value,
         resumable=admitted.route.repeatable,
         **_describe_stream(admitted.req, attempt),
@@ -144,6 +145,12 @@
     return ",".join(part.id for part in parts)
 
 
+def _describe_load(grant: PlacedRequest | None) -> dict[str, int]:
+    """Returns the age of the load report used, if there was one."""
+    age_s = grant.choice.load_age_s if grant else None
+    return {} if age_s is None else {"load_age_ms": to_ms(age_s)}
+
+
 class _StreamFields(TypedDict):
     """Fields that tell which target version wrote which part of a stream."""
 
--- a/packages/router/chervilwall_router/edge/router_state.py
+++ b/packages/router/chervilwall_router/edge/router_state.py
@@ -11,6 +11,7 @@
 from chervilwall.prefill import PrefillModel
 from chervilwall.prefix import PrefixMap
 from chervilwall.registry import TargetRegistry
+from chervilwall.reported_load import ReportedLoad
 from chervilwall.running_requests import RunningRequests
 from chervilwall.target_limits import TargetLimits
 
@@ -28,6 +29,7 @@
         pauses (TargetPauses): Targets that asked this router to pause.
         limits (TargetLimits): Limits that targets name on requests.
         load (LoadView): Load of the targets.
+        reported (ReportedLoad): Load that the targets report.
         prefixes (PrefixMap): Prompt prefixes that the targets cache.
         model (PrefillModel): Estimated prefill speed of the targets.
         shares (FairShare): Tokens requested by and granted to each team.
@@ -41,6 +43,7 @@
     pauses: TargetPauses
     limits: TargetLimits
     load: LoadView
+    reported: ReportedLoad
     prefixes: PrefixMap
     model: PrefillModel
     shares: FairShare
@@ -52,11 +55,15 @@
 
 def make_router_state(settings: EdgeSettings) -> RouterState:
     """Returns the empty state of a router that is starting."""
+    load = LoadView()
     return RouterState(
         registry=TargetRegistry(),
         pauses=TargetPauses(),
         limits=TargetLimits(),
-        load=LoadView(),
+        load=load,
+        reported=ReportedLoad(
+            lambda target_id, now: load.total(target_id, now).running
+        ),
         prefixes=PrefixMap(),
         model=PrefillModel(),
         shares=FairShare(),
--- a/packages/router/chervilwall_router/edge/scheduling.py
+++ b/packages/router/chervilwall_router/edge/scheduling.py
@@ -16,7 +16,9 @@
 from chervilwall.errors import RequestRefusedError, UnusableTargetError
 from chervilwall.placement import Choice
 from chervilwall.registry import RegisteredTarget
+from chervilwall.reported_load import PassedLoad
 from chervilwall.running_requests import Granter, RunningRequest
+from chervilwall.wire_version import reads_load_reports
 
 from chervilwall_router.edge.grants import GrantRequest
 from chervilwall_router.edge.peer_grants import (
@@ -472,6 +474,9 @@
             answer.uncached_tokens,
             answer.prefill_ms / 1000,
             answer.first_token_ms / 1000,
+            load_age_s=answer.load_age_ms / 1000
+            if answer.load_age_ms >= 0
+            else None,
         )
         granter = Granter(scheduler.name, scheduler.incarnation)
         self._add_running(number, granter, choice, request)
@@ -479,7 +484,10 @@
         def record_first_token(first_token_s: float, has_event: bool) -> None:
             self._parts.running_requests.record_prefill_done(number)
             item = edge_messages.PlacementFirstToken(
-                number, round(first_token_s * 1000), has_event
+                number,
+                round(first_token_s * 1000),
+                has_event,
+                self._take_load(scheduler, target),
             )
             self._parts.send(scheduler.address, item)
 
@@ -489,7 +497,8 @@
 
         def end(outcome: str) -> None:
             self._parts.running_requests.remove(number)
-            self._send_ended(scheduler, number, outcome)
+            load = self._take_load(scheduler, target)
+            self._send_ended(scheduler, number, outcome, load)
 
         return PlacedRequest(
             number,
@@ -500,10 +509,22 @@
             end,
         )
 
+    def _take_load(
+        self, scheduler: SchedulerPeer, target: RegisteredTarget
+    ) -> PassedLoad | None:
+        """Returns the latest load report of a target, if it is to be sent."""
+        if not reads_load_reports(scheduler.incarnation):
+            return None
+        return self._parts.reported.take_unpassed(target, self._parts.clock())
+
     def _send_ended(
-        self, scheduler: SchedulerPeer, number: int, outcome: str
+        self,
+        scheduler: SchedulerPeer,
+        number: int,
+        outcome: str,
+        load: PassedLoad | None = None,
     ) -> None:
-        item = edge_messages.PlacementEnded(number, outcome)
+        item = edge_messages.PlacementEnded(number, outcome, load)
         self._parts.send(scheduler.address, item)
 
 
--- a/packages/router/chervilwall_router/edge/target_notices.py
+++ b/packages/router/chervilwall_router/edge/target_notices.py
@@ -12,6 +12,7 @@
 from chervilwall.pauses import TargetPauses
 from chervilwall.protocol import Metrics
 from chervilwall.registry import RegisteredTarget, TargetRegistry
+from chervilwall.reported_load import ReportedLoad
 from chervilwall.target_limits import LimitChange, TargetLimits
 
 LOG = logging.getLogger(__name__)
@@ -26,6 +27,7 @@
         registry (TargetRegistry): Records targets that are shutting down.
         pauses (TargetPauses): Records the pauses that targets ask for.
         limits (TargetLimits): Records the limits that targets name.
+        reported (ReportedLoad): Records the load that targets report.
         send_reports_now (Callable): Called when a target announces its
             shutdown or changes its limit, to send reports to peers at once.
         metrics (Metrics): Counts the changes of limits.
@@ -35,6 +37,7 @@
     registry: TargetRegistry
     pauses: TargetPauses
     limits: TargetLimits
+    reported: ReportedLoad
     send_reports_now: Callable[[], None]
     metrics: Metrics
     clock: Callable[[], float]
@@ -50,6 +53,7 @@
     def __init__(self, parts: NoticeParts) -> None:
         self._parts = parts
         self._malformed: dict[str, str] = {}
+        self._malformed_loads: set[str] = set()
 
     def __repr__(self) -> str:
         return f"TargetNotices(pauses={self._parts.pauses!r})"
@@ -69,6 +73,13 @@
         if head.target_leaving:
             self._record_leaving(target)
         self._record_limit(target, head.rate_limit, sent_at)
+        if head.load is not None:
+            self._malformed_loads.discard(target.id)
+            self._parts.reported.record(
+                target.start, head.load, self._parts.clock()
+            )
+        elif head.malformed_load:
+            self._log_malformed_load(target, head.malformed_load)
 
     def _record_limit(
         self, target: RegisteredTarget, stated: RateLimit, sent_at: float
@@ -94,6 +105,18 @@
             LOG, events.TARGET_LIMIT_REFUSED, target=target.id, value=text
         )
 
+    def _log_malformed_load(self, target: RegisteredTarget, text: str) -> None:
+        """Logs a load that cannot be read, once until the target states one."""
+        self._parts.metrics.count("target_load_refused")
+        if target.id in self._malformed_loads:
+            return
+        if len(self._malformed_loads) >= MAX_MALFORMED:
+            self._malformed_loads.clear()
+        self._malformed_loads.add(target.id)
+        events.log_event(
+            LOG, events.TARGET_LOAD_REFUSED, target=target.id, value=text
+        )
+
     def _record_pause(self, target: RegisteredTarget, pause_s: float) -> None:
         self._parts.pauses.record(target.id, pause_s, self._parts.clock())
         events.log_event(
--- a/packages/router/tests/test_edge_scheduling.py
+++ b/packages/router/tests/test_edge_scheduling.py
@@ -12,6 +12,7 @@
 from chervilwall.placement import Choice, Demand
 from chervilwall.prefill import PrefillModel
 from chervilwall.registry import RegisteredTarget, TargetRegistry
+from chervilwall.reported_load import ReportedLoad
 from chervilwall.running_requests import Granter, RunningRequests
 from chervilwall_router.edge.grants import Grant, GrantRequest
 from chervilwall_router.edge.peer_grants import SchedulerPeer, SchedulingParts
@@ -77,6 +78,7 @@
                 registry=registry,
                 running_requests=self.running_requests,
                 pauses=TargetPauses(),
+                reported=ReportedLoad(),
                 health=lambda service: health,
                 find_scheduler=self.find_scheduler,
                 send=self.send,
