Count the wait for a slot of engines that report load, and learn slower

The cost of an engine did not include the wait for a slot, so requests waited for a full fast engine while others were idle. It is included for engines that report their load; others are chosen as before.

A late report told of a slowdown that the learned factor had followed already. The factor of an engine with reports now follows samples with a weight of 0.02 instead of 0.08, and reports lose their weight linearly within 600 ms.

--- a/packages/core/chervilwall/load_choice.py
+++ b/packages/core/chervilwall/load_choice.py
@@ -8,10 +8,11 @@
 """
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple, TypeVar
 
 from chervilwall.load_view import TargetLoad
+from chervilwall.registry import RegisteredTarget
 from chervilwall.reported_load import CurrentLoad, ReportedLoad
 
 # Part of a target's slots by which a report can lower what a scheduler uses, so
@@ -62,8 +63,21 @@
     def __repr__(self) -> str:
         return f"LoadChoice({self.reported!r})"
 
-    def is_scheduler(self, service: str, now: float) -> bool:
-        """Returns whether only this router places requests of a service."""
+    def current(
+        self, service: str, now: float
+    ) -> tuple[Mapping[str, CurrentLoad], bool]:
+        """Returns what targets report, and whether this router is a scheduler.
+
+        Without reports the second value is True, as it makes no difference.
+
+        Args:
+            service (str): The service.
+            now (float): Monotonic time.
+        """
+        reported = self.reported.current(now)
+        return reported, not reported or self._is_scheduler(service, now)
+
+    def _is_scheduler(self, service: str, now: float) -> bool:
         if not 0.0 <= now - self._counted_at < CHOOSER_COUNT_TTL_S:
             self._counts.clear()
             self._counted_at = now
@@ -87,19 +101,19 @@
 
 
 def surplus_requests(
-    report: CurrentLoad, slots: int, *, is_scheduler: bool
+    report: CurrentLoad, target: RegisteredTarget, is_scheduler: bool
 ) -> float:
     """Returns the requests to count beyond the known ones, within the bound.
 
     Args:
         report (CurrentLoad): Report of the target.
-        slots (int): Slots of the target.
+        target (RegisteredTarget): The target.
         is_scheduler (bool): Whether the fleet's requests are all known.
     """
     fraction = (
         SCHEDULER_SURPLUS_FRACTION if is_scheduler else ROUTER_SURPLUS_FRACTION
     )
-    return min(report.surplus, fraction * slots)
+    return min(report.surplus, fraction * target.slots)
 
 
 def add_surplus(
--- a/packages/core/chervilwall/placement.py
+++ b/packages/core/chervilwall/placement.py
@@ -29,7 +29,7 @@
 from chervilwall.prefill import TOKENS_PER_S, PrefillModel, nominal_prefill_s
 from chervilwall.prefix import PrefixMap, PromptPart
 from chervilwall.registry import RegisteredTarget
-from chervilwall.rendezvous import score
+from chervilwall.rendezvous import owner
 from chervilwall.reported_load import ReportedLoad
 from chervilwall.request_pacer import RequestPacer
 from chervilwall.target_limits import TargetLimits
@@ -357,17 +357,17 @@
         """Returns the cheapest engine, and the cheapest idle one if any."""
         cached_at = self._prefixes.cached_by_target(demand.parts, now)
         max_cached = max((cached_at.get(t.id, 0) for t in targets), default=0)
-        home_id = self._home_id(demand, targets) if not max_cached else ""
+        # The target that all routers prefer while none has the session cached.
+        home_id: str | None = None
+        if demand.session and not max_cached:
+            home_id = owner(demand.session, (t.id for t in targets))
         max_queued_s = self._settings.max_queued_s[urgency]
         nominal_by_cached: dict[int, float] = {}
         best: _Candidate | None = None
         idle: _Candidate | None = None
         pacer = None if self._pacer.is_idle else self._pacer
         pace_s = 0.0
-        reported = self.reported.current(now)
-        is_scheduler = not reported or self._reports.is_scheduler(
-            demand.service, now
-        )
+        reported, is_scheduler = self._reports.current(demand.service, now)
         for target in targets:
             target_id = target.id
             load = self._load.total(target_id, now)
@@ -379,18 +379,20 @@
                     uncached, cached
                 )
             factor = scaled = self._model.factor(target_id)
+            slot_wait_s = 0.0
             report = reported.get(target_id) if reported else None
             if report is not None and report.is_of(target):
                 scaled = factor * report.slowdown
-                surplus = surplus_requests(
-                    report, target.slots, is_scheduler=is_scheduler
-                )
+                surplus = surplus_requests(report, target, is_scheduler)
                 load = add_surplus(load, report, surplus, nominal_s * scaled)
+                if not self._has_free_slot(target, load):
+                    slot_wait_s = max_queued_s
             queued_s = load.prefill_s
             prefill_s = nominal_s * scaled
             recompute_s = (max_cached - cached) * scaled / TOKENS_PER_S
             cost = (
-                queued_s
+                slot_wait_s
+                + queued_s
                 + prefill_s
                 + self._settings.recompute_weight * recompute_s
             )
@@ -432,19 +434,14 @@
             load (TargetLoad): Its load.
             max_queued_s (float): Prefill time that may be queued there.
         """
-        if target.slots:
-            limit = max(1, int(target.slots * self._settings.slot_fraction))
-            if load.running >= limit:
-                return max(max_queued_s, load.prefill_s)
+        if not self._has_free_slot(target, load):
+            return max(max_queued_s, load.prefill_s)
         return max(0.0, load.prefill_s - max_queued_s)
 
-    def _home_id(self, demand: Demand, targets: list[RegisteredTarget]) -> str:
-        """Returns the id of a session's home, or "" without a session.
-
-        The home is the target that all routers prefer while no target has the
-        session cached.
-        """
-        session = demand.session
-        if not session:
-            return ""
-        return max(targets, key=lambda t: score(session, t.id)).id
+    def _has_free_slot(
+        self, target: RegisteredTarget, load: TargetLoad
+    ) -> bool:
+        if not target.slots:
+            return True
+        limit = max(1, int(target.slots * self._settings.slot_fraction))
+        return load.running < limit
--- a/packages/core/chervilwall/plain_targets.py
+++ b/packages/core/chervilwall/plain_targets.py
@@ -60,10 +60,8 @@
             targets (Sequence): Usable targets of one service, at least one.
             now (float): Monotonic time.
         """
-        reported = self._reports.reported.current(now)
-        is_scheduler = not reported or self._reports.is_scheduler(
-            targets[0].service, now
-        )
+        service = targets[0].service
+        reported, is_scheduler = self._reports.current(service, now)
         has_reports = False
         candidates: list[tuple[float, RegisteredTarget]] = []
         for target in targets:
@@ -72,9 +70,7 @@
             report = reported.get(target.id) if reported else None
             if report is not None and report.is_of(target):
                 has_reports = True
-                running += surplus_requests(
-                    report, target.slots, is_scheduler=is_scheduler
-                )
+                running += surplus_requests(report, target, is_scheduler)
                 if is_scheduler:
                     slowdown = report.slowdown
             if self._is_full(target, running):
--- a/packages/core/chervilwall/prefill.py
+++ b/packages/core/chervilwall/prefill.py
@@ -20,6 +20,10 @@
 # Weight of a new sample in the moving average of a target's factor. The first
 # samples weigh more, as the nominal speed says little about a target.
 SAMPLE_WEIGHT = 0.08
+# The same for a target that reports its momentary slowdown. Its factor is to be
+# steady: with the weight above, it follows what a late report has not told yet,
+# which then counts twice.
+REPORTED_SAMPLE_WEIGHT = 0.02
 # Makes the weight of the first sample 1/4, so that one fault does not decide.
 FIRST_SAMPLES_OFFSET = 3
 # Factors are clamped to these bounds, as values outside them are caused by
@@ -84,7 +88,7 @@
         predicted_s: float,
         first_token_s: float,
         predicted_factor: float,
-        slowdown_ratio: float = 1.0,
+        slowdown_ratio: float | None = None,
     ) -> None:
         """Updates a target's factor by an observed time to first token.
 
@@ -95,11 +99,16 @@
             first_token_s (float): Observed time to the first token.
             predicted_factor (float): Factor that the prediction used, which
                 may have changed since.
-            slowdown_ratio (float): Reported slowdown while the request ran,
-                relative to that which the prediction used. The factor does not
-                include it, as a slowdown lasts for a few samples only.
+            slowdown_ratio (float | None): Reported slowdown while the request
+                ran, relative to that which the prediction used. The factor
+                does not include it, as a slowdown lasts for a few samples
+                only. None if the target reports none.
         """
-        first_token_s = (first_token_s - START_LATENCY_S) / slowdown_ratio
+        first_token_s -= START_LATENCY_S
+        min_weight = SAMPLE_WEIGHT
+        if slowdown_ratio is not None:
+            first_token_s /= slowdown_ratio
+            min_weight = REPORTED_SAMPLE_WEIGHT
         if predicted_s < MIN_SAMPLE_S or first_token_s <= 0:
             return
         known = self._log_factors.get(target_id, self._mean_log)
@@ -109,7 +118,7 @@
         )
         self._samples[target_id] += 1
         count = self._samples[target_id] + FIRST_SAMPLES_OFFSET
-        weight = max(SAMPLE_WEIGHT, 1.0 / count)
+        weight = max(min_weight, 1.0 / count)
         log_factor = known + weight * (observed - known)
         self._log_factors[target_id] = log_factor
         self._factors[target_id] = math.exp(log_factor)
--- a/packages/core/chervilwall/reported_load.py
+++ b/packages/core/chervilwall/reported_load.py
@@ -18,9 +18,10 @@
 # that always states a wrong one differs by.
 MIN_SLOWDOWN = 0.25
 MAX_SLOWDOWN = 8.0
-# A slowdown is drawn anew every 600 ms, so half of those reported 300 ms ago
-# still hold.
-SLOWDOWN_HALF_LIFE_S = 0.3
+# A slowdown is drawn anew every 600 ms: of those reported 300 ms ago half still
+# hold, and none of those reported longer ago than this. An exponential decay
+# with the same half-life made reports of 800 ms ago worse than none.
+SLOWDOWN_MEMORY_S = 0.6
 # Requests of others last for about a second.
 SURPLUS_HALF_LIFE_S = 1.0
 # Reports vary by the requests on their way, so the surplus is averaged over
@@ -130,7 +131,7 @@
         age_s = max(0.0, now - self.at)
         if age_s > MAX_AGE_S:
             return None
-        weight = 0.5 ** (age_s / SLOWDOWN_HALF_LIFE_S)
+        weight = max(0.0, 1.0 - age_s / SLOWDOWN_MEMORY_S)
         surplus = self.surplus * 0.5 ** (age_s / SURPLUS_HALF_LIFE_S)
         return CurrentLoad(
             self.start,
@@ -241,11 +242,6 @@
         found = self.current(now).get(target.id)
         return found if found is not None and found.is_of(target) else None
 
-    def slowdown(self, target: RegisteredTarget, now: float) -> float:
-        """Returns the factor on predicted times of a target, 1 by default."""
-        found = self.of(target, now)
-        return found.slowdown if found is not None else 1.0
-
     def forget(self, target_id: str) -> None:
         """Removes the report of a target that ended."""
         self._reports.pop(target_id, None)
--- a/packages/router/chervilwall_router/edge/dispatcher.py
+++ b/packages/router/chervilwall_router/edge/dispatcher.py
@@ -359,9 +359,10 @@
         parts.on_grant(target_id, demand.parts)
         return grant
 
-    def _slowdown_now(self, choice: Choice) -> float:
+    def _slowdown_now(self, choice: Choice) -> float | None:
         reported = self._parts.placement.reported
-        return reported.slowdown(choice.target, self._clock())
+        report = reported.of(choice.target, self._clock())
+        return report.slowdown if report is not None else None
 
     def _stream_listener(
         self, request: GrantRequest, choice: Choice
--- a/packages/router/chervilwall_router/edge/grants.py
+++ b/packages/router/chervilwall_router/edge/grants.py
@@ -96,7 +96,8 @@
         on_stream_begun (Callable | None): Called at the first event of a
             resumable stream. Defaults to None.
         slowdown (Callable | None): Returns the slowdown that the target reports
-            now. Defaults to None, for one that reports none.
+            now, None if it reports none. Defaults to None, for a target that
+            reports none.
     """
 
     def __init__(
@@ -109,7 +110,7 @@
         started_at: float,
         on_release: Callable[[], None] | None = None,
         on_stream_begun: Callable[[], None] | None = None,
-        slowdown: Callable[[], float] | None = None,
+        slowdown: Callable[[], float | None] | None = None,
     ) -> None:
         self._slowdown = slowdown
         self._on_stream_begun = on_stream_begun
@@ -176,9 +177,13 @@
         )
         self._on_capacity_freed()
 
-    def _slowdown_ratio(self) -> float:
-        """Returns the mean slowdown since the grant relative to that then."""
-        if self._slowdown is None:
-            return 1.0
+    def _slowdown_ratio(self) -> float | None:
+        """Returns the mean slowdown since the grant relative to that then.
+
+        It is None if the target reports none.
+        """
+        slowdown = self._slowdown() if self._slowdown is not None else None
+        if slowdown is None:
+            return None
         predicted = self.choice.slowdown
-        return (predicted + self._slowdown()) / 2 / predicted
+        return (predicted + slowdown) / 2 / predicted
--- a/packages/standins/chervilwall_standins/lab/stale_load.py
+++ b/packages/standins/chervilwall_standins/lab/stale_load.py
@@ -14,6 +14,8 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
+from chervilwall.reported_load import SLOWDOWN_MEMORY_S
+
 # Interval of the samples of the load, which also bound the age of a view.
 SAMPLE_S = 0.01
 # Time for which a router keeps a request for which all targets are full.
@@ -21,8 +23,6 @@
 RETRY_S = 0.02
 # Ignored at the start, while the targets fill.
 WARMUP_S = 1.0
-# A decision that halves the difference from the normal speed in this time.
-HALF_LIFE_S = 0.3
 
 
 class StaleLoadSettings(NamedTuple):
@@ -289,7 +289,7 @@
         slowdown_age_s = cfg.slowdown_age_s
         if slowdown_age_s is None:
             slowdown_age_s = cfg.age_s
-        weight = 0.5 ** (slowdown_age_s / HALF_LIFE_S)
+        weight = max(0.0, 1.0 - slowdown_age_s / SLOWDOWN_MEMORY_S)
         own = self._own[router]
         loads, changes = self._known_loads(router, now)
         return [
