Test load reports from the header to the placement, and bound odd ones

A simulation with engines that state what is not so showed two faults: one that always stated a slowdown below 0.8 looked too slow once its report was old and got no more requests, and a long reported queue kept all requests away. Slowdowns are clamped to 0.8, and others' queues count for at most 60 ms.

--- a/packages/core/chervilwall/load_choice.py
+++ b/packages/core/chervilwall/load_choice.py
@@ -11,9 +11,8 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple, TypeVar
 
-from chervilwall.load_view import TargetLoad
 from chervilwall.registry import RegisteredTarget
-from chervilwall.reported_load import CurrentLoad, ReportedLoad
+from chervilwall.reported_load import MIN_SURPLUS, CurrentLoad, ReportedLoad
 
 # Part of a target's slots by which a report can lower what a scheduler uses, so
 # that a target which always reports full keeps the rest.
@@ -21,6 +20,10 @@
 # The same for a router that chooses by itself: the requests of all others are
 # beyond what it knows.
 ROUTER_SURPLUS_FRACTION = 1.0
+# Prefill time of others' requests that a report can add to the cost of an
+# engine: as much as may be queued there. Without this bound, an engine that
+# always reported a long queue got 4 of 200 requests.
+MAX_QUEUED_BY_OTHERS_S = 0.06
 # Time for which the number of routers that choose is reused.
 CHOOSER_COUNT_TTL_S = 0.2
 
@@ -113,23 +116,23 @@
     fraction = (
         SCHEDULER_SURPLUS_FRACTION if is_scheduler else ROUTER_SURPLUS_FRACTION
     )
-    return min(report.surplus, fraction * target.slots)
+    surplus = min(report.surplus, fraction * target.slots)
+    surplus *= report.surplus_weight
+    return surplus if surplus >= MIN_SURPLUS else 0.0
 
 
-def add_surplus(
-    load: TargetLoad, report: CurrentLoad, surplus: float, prefill_s: float
-) -> TargetLoad:
-    """Returns the load of an engine with the requests of others.
+def queued_by_others_s(
+    report: CurrentLoad, surplus: float, prefill_s: float
+) -> float:
+    """Returns the prefill time of others' requests that wait at an engine.
+
+    It is a part of the cost of an engine, but does not count for its limit: a
+    report must not keep all requests away.
 
     Args:
-        load (TargetLoad): Load that the fleet knows.
         report (CurrentLoad): Report of the engine.
-        surplus (float): Requests of others.
-        prefill_s (float): Prefill time assumed for each that waits there.
+        surplus (float): Requests of others, within the bound.
+        prefill_s (float): Prefill time assumed for each.
     """
     waiting = min(surplus, report.waiting)
-    return TargetLoad(
-        load.running + int(surplus),
-        load.prefill_s + waiting * prefill_s,
-        load.kv_tokens,
-    )
+    return min(MAX_QUEUED_BY_OTHERS_S, waiting * prefill_s)
--- a/packages/core/chervilwall/placement.py
+++ b/packages/core/chervilwall/placement.py
@@ -20,8 +20,8 @@
 from chervilwall.load_choice import (
     LoadChoice,
     ReportUse,
-    add_surplus,
     no_reports,
+    queued_by_others_s,
     surplus_requests,
 )
 from chervilwall.load_view import FailedSearch, LoadView, TargetLoad
@@ -379,15 +379,17 @@
                     uncached, cached
                 )
             factor = scaled = self._model.factor(target_id)
-            slot_wait_s = 0.0
+            queued_s, slot_wait_s = load.prefill_s, 0.0
             report = reported.get(target_id) if reported else None
             if report is not None and report.is_of(target):
                 scaled = factor * report.slowdown
                 surplus = surplus_requests(report, target, is_scheduler)
-                load = add_surplus(load, report, surplus, nominal_s * scaled)
+                load = load._replace(running=load.running + int(surplus))
+                queued_s += queued_by_others_s(
+                    report, surplus, nominal_s * scaled
+                )
                 if not self._has_free_slot(target, load):
                     slot_wait_s = max_queued_s
-            queued_s = load.prefill_s
             prefill_s = nominal_s * scaled
             recompute_s = (max_cached - cached) * scaled / TOKENS_PER_S
             cost = (
--- a/packages/core/chervilwall/reported_load.py
+++ b/packages/core/chervilwall/reported_load.py
@@ -15,15 +15,19 @@
 # Requests and slots beyond this are errors of a target.
 MAX_REPORTED_REQUESTS = 100_000
 # Slowdowns are clamped to this range. The prefill model learns what a target
-# that always states a wrong one differs by.
-MIN_SLOWDOWN = 0.25
+# that always states a wrong one differs by. With a minimum of 0.25, one that
+# always stated less looked four times too slow as soon as its report was old,
+# and got no more requests.
+MIN_SLOWDOWN = 0.8
 MAX_SLOWDOWN = 8.0
 # A slowdown is drawn anew every 600 ms: of those reported 300 ms ago half still
 # hold, and none of those reported longer ago than this. An exponential decay
 # with the same half-life made reports of 800 ms ago worse than none.
 SLOWDOWN_MEMORY_S = 0.6
-# Requests of others last for about a second.
-SURPLUS_HALF_LIFE_S = 1.0
+# Requests of others last for about half a second. A busy target is heard more
+# often; one that always reports full is tried again when this has passed a few
+# times.
+SURPLUS_HALF_LIFE_S = 0.5
 # Reports vary by the requests on their way, so the surplus is averaged over
 # reports with this half-life. A busy target is heard 20 times a second.
 AVERAGE_HALF_LIFE_S = 0.1
@@ -92,8 +96,9 @@
     Args:
         start (TargetStart): Start of the target that reported.
         slowdown (float): Factor on predicted times, decayed by age.
-        surplus (float): Requests beyond those that the fleet knows, decayed by
-            age, 0 if there are none.
+        surplus (float): Requests beyond those that the fleet knew, 0 if there
+            were none.
+        surplus_weight (float): Part of the surplus that counts at this age.
         waiting (int): Requests that waited there for a slot.
         at (float): Monotonic time at which the report was valid.
     """
@@ -101,6 +106,7 @@
     start: TargetStart
     slowdown: float
     surplus: float
+    surplus_weight: float
     waiting: int
     at: float
 
@@ -132,11 +138,11 @@
         if age_s > MAX_AGE_S:
             return None
         weight = max(0.0, 1.0 - age_s / SLOWDOWN_MEMORY_S)
-        surplus = self.surplus * 0.5 ** (age_s / SURPLUS_HALF_LIFE_S)
         return CurrentLoad(
             self.start,
             1.0 + weight * (self.stated.slowdown - 1.0),
-            surplus if surplus >= MIN_SURPLUS else 0.0,
+            self.surplus if self.surplus >= MIN_SURPLUS else 0.0,
+            0.5 ** (age_s / SURPLUS_HALF_LIFE_S),
             self.stated.waiting,
             self.at,
         )
--- a/packages/core/tests/test_codec.py
+++ b/packages/core/tests/test_codec.py
@@ -3,18 +3,32 @@
 import contextlib
 import hashlib
 import math
+import secrets
 import unittest
 from typing import NamedTuple
 
 import msgspec
 from chervilwall import cell_messages
-from chervilwall.codec import FrameCodec, pack_config, unpack_config
+from chervilwall.codec import (
+    MAC_BYTES,
+    FrameCodec,
+    pack_config,
+    unpack_config,
+)
 from chervilwall.config import Config, Team, VersionedConfig
 from chervilwall.crash_updates import CrashUpdate, CrashUpdates
-from chervilwall.edge_messages import EdgeReport
+from chervilwall.edge_messages import (
+    EdgeReport,
+    PlacementEnded,
+    PlacementFirstToken,
+    PlacementGranted,
+)
 from chervilwall.errors import CodecError
 from chervilwall.registry import TargetStart
+from chervilwall.reported_load import PassedLoad
 from chervilwall.store_era import StoreRevision
+from chervilwall.untrusted import MAX_ID
+from chervilwall.wire_version import new_incarnation, reads_load_reports
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -33,6 +47,32 @@
     zone: str
 
 
+class EarlierFirstToken(NamedTuple):
+    """A PlacementFirstToken as in versions without load reports."""
+
+    number: int
+    first_token_ms: int
+    has_event: bool = False
+
+
+class EarlierEnded(NamedTuple):
+    """A PlacementEnded as in versions without load reports."""
+
+    number: int
+    outcome: str
+
+
+class EarlierGranted(NamedTuple):
+    """A PlacementGranted as in versions without load reports."""
+
+    number: int
+    target_id: str
+    uncached_tokens: int
+    prefill_ms: int
+    first_token_ms: int
+    version: str = ""
+
+
 class FrameCodecTest(unittest.TestCase):
     def test_returns_what_was_sent(self):
         messages = (
@@ -80,6 +120,50 @@
             decode(encode(earlier), type=cell_messages.MemberUpdate).is_ready
         )
 
+    def test_earlier_versions_read_messages_without_load_reports(self):
+        # Their decoder rejects a frame with a field that it does not know, even
+        # if that has its default.
+        codec = FrameCodec([NEW])
+        for message, earlier in (
+            (PlacementFirstToken(1, 20, True), EarlierFirstToken),
+            (PlacementFirstToken(1, 20), EarlierFirstToken),
+            (PlacementEnded(1, "completed"), EarlierEnded),
+            (PlacementGranted(1, "t", 2, 3, 4, "v1"), EarlierGranted),
+        ):
+            frame = codec.encode("r1", 1, [message])
+            (item,) = msgspec.msgpack.decode(frame[MAC_BYTES:])[2]
+            read = msgspec.convert(item[1], earlier)
+            self.assertEqual(read, message[: len(read)])
+
+    def test_messages_of_earlier_versions_have_no_load_report(self):
+        encode, decode = msgspec.msgpack.encode, msgspec.msgpack.decode
+        ended = decode(encode(EarlierEnded(1, "lost")), type=PlacementEnded)
+        self.assertIsNone(ended.load)
+        first = decode(
+            encode(EarlierFirstToken(1, 20, True)), type=PlacementFirstToken
+        )
+        self.assertEqual(first, PlacementFirstToken(1, 20, True, None))
+        granted = EarlierGranted(1, "t", 2, 3, 4, "v1")
+        read = decode(encode(granted), type=PlacementGranted)
+        self.assertEqual(read.load_age_ms, -1)
+
+    def test_load_reports_travel_whole(self):
+        codec = FrameCodec([NEW])
+        load = PassedLoad(3, 0, 12, 250, 40)
+        messages = (
+            PlacementFirstToken(1, 20, False, load),
+            PlacementEnded(1, "completed", load),
+        )
+        frame = codec.decode(codec.encode("r1", 1, messages))
+        self.assertEqual(frame.messages, messages)
+
+    def test_only_later_versions_state_that_they_read_load_reports(self):
+        for _ in range(100):
+            incarnation = new_incarnation()
+            self.assertTrue(reads_load_reports(incarnation))
+            self.assertLessEqual(incarnation, MAX_ID)
+            self.assertFalse(reads_load_reports(secrets.randbits(62)))
+
     @settings(derandomize=True, max_examples=300, deadline=None)
     @given(st.binary(max_size=300), st.booleans())
     def test_any_bytes_decode_or_are_refused(self, blob, signed):
--- a/packages/core/tests/test_prefill.py
+++ b/packages/core/tests/test_prefill.py
@@ -22,6 +22,28 @@
         self.assertAlmostEqual(model.work_s("fast", 6000), 0.1, delta=0.01)
         self.assertAlmostEqual(model.work_s("slow", 6000), 0.4, delta=0.04)
 
+    def test_a_momentary_slowdown_is_not_taken_for_the_speed(self):
+        # Otherwise a slowdown would count twice while it lasts, and a target
+        # would be avoided for seconds after it.
+        model = PrefillModel()
+        for number in range(200):
+            slowdown = 2.5 if number % 40 < 10 else 1.0
+            predicted_s = model.work_s("t", 6000) * slowdown
+            observed_s = 0.1 * slowdown + START_LATENCY_S
+            model.observe("t", predicted_s, observed_s, model.factor("t"), 1.0)
+            if number > 100:
+                self.assertAlmostEqual(
+                    model.work_s("t", 6000), 0.1, delta=0.005
+                )
+
+    def test_a_slowdown_that_the_prediction_missed_is_divided_out(self):
+        model = PrefillModel()
+        for _ in range(200):
+            predicted_s = model.work_s("t", 6000)
+            observed_s = 0.25 + START_LATENCY_S
+            model.observe("t", predicted_s, observed_s, model.factor("t"), 2.5)
+        self.assertAlmostEqual(model.work_s("t", 6000), 0.1, delta=0.005)
+
     def test_long_prompts_take_more_than_their_length(self):
         model = PrefillModel()
         # The cost of attention grows with the square of the length.
--- a/packages/router/tests/test_edge_scheduling.py
+++ b/packages/router/tests/test_edge_scheduling.py
@@ -12,8 +12,9 @@
 from chervilwall.placement import Choice, Demand
 from chervilwall.prefill import PrefillModel
 from chervilwall.registry import RegisteredTarget, TargetRegistry
-from chervilwall.reported_load import ReportedLoad
+from chervilwall.reported_load import PassedLoad, ReportedLoad, StatedLoad
 from chervilwall.running_requests import Granter, RunningRequests
+from chervilwall.wire_version import new_incarnation
 from chervilwall_router.edge.grants import Grant, GrantRequest
 from chervilwall_router.edge.peer_grants import SchedulerPeer, SchedulingParts
 from chervilwall_router.edge.scheduling import REMINDER_INTERVAL_S, Scheduling
@@ -45,10 +46,13 @@
 class _GrantingDispatcher(_LocalDispatcher):
     """Stub of a dispatcher that grants the target that a team is named for."""
 
+    def __init__(self, load_age_s=None):
+        self.load_age_s = load_age_s
+
     async def acquire(self, request):
         target = TARGET._replace(id=request.team)
         return Grant(
-            Choice(target, 0, 0.0, 0.0),
+            Choice(target, 0, 0.0, 0.0, load_age_s=self.load_age_s),
             request.demand,
             LoadView(),
             PrefillModel(),
@@ -67,6 +71,7 @@
     def setUp(self):
         self.sent = []
         self.answers = []
+        self.scheduler = SCHEDULER
         registry = TargetRegistry()
         registry.put(TARGET)
         self.running_requests = RunningRequests()
@@ -87,7 +92,7 @@
         )
 
     def find_scheduler(self, service, avoided):
-        return None if SCHEDULER.name in avoided else SCHEDULER
+        return None if SCHEDULER.name in avoided else self.scheduler
 
     def send(self, address, item):
         self.sent.append(item)
@@ -98,7 +103,7 @@
     def answer(self, number):
         """Delivers all answers at once, like those of one frame."""
         for make in self.answers:
-            self.scheduling.receive(SCHEDULER, make(number))
+            self.scheduling.receive(self.scheduler, make(number))
 
     async def acquire(self):
         now = time.monotonic()
@@ -154,6 +159,91 @@
         self.scheduling.receive(SCHEDULER, ended)
         self.assertEqual(health.of(TARGET.id).failures, 1)
 
+    async def use_target(self, scheduler):
+        """Runs a request that hears a load report; returns what was sent."""
+        self.scheduler = scheduler
+        self.answers = [self.granted]
+        self.sent.clear()
+        placed, _ = await self.acquire()
+        with placed:
+            stated = StatedLoad(3, 1, 8, 2.5)
+            reported = self.scheduling._parts.reported
+            reported.record(TARGET.start, stated, time.monotonic())
+            placed.record_first_token(time.monotonic(), has_event=False)
+            placed.outcome = cell_messages.OUTCOME_COMPLETED
+        return self.sent
+
+    async def test_a_load_report_is_passed_on_once_and_without_a_message(self):
+        for reads_reports in (False, True):
+            scheduler = SCHEDULER
+            if reads_reports:
+                scheduler = SCHEDULER._replace(incarnation=new_incarnation())
+            sent = await self.use_target(scheduler)
+            kinds = [type(item) for item in sent]
+            self.assertEqual(
+                kinds,
+                [
+                    edge_messages.PlacementRequest,
+                    edge_messages.PlacementFirstToken,
+                    edge_messages.PlacementEnded,
+                ],
+            )
+            # An earlier version would reject the frame.
+            if not reads_reports:
+                self.assertIsNone(sent[1].load)
+                continue
+            self.assertEqual(sent[1].load[:4], (3, 1, 8, 250))
+            self.assertLess(sent[1].load.age_ms, 100)
+            self.assertIsNone(sent[2].load)
+
+    async def test_a_report_heard_after_the_first_token_is_passed_at_the_end(
+        self,
+    ):
+        self.scheduler = SCHEDULER._replace(incarnation=new_incarnation())
+        self.answers = [self.granted]
+        placed, _ = await self.acquire()
+        with placed:
+            placed.record_first_token(time.monotonic(), has_event=False)
+            reported = self.scheduling._parts.reported
+            stated = StatedLoad(1, 0, 8)
+            reported.record(TARGET.start, stated, time.monotonic())
+        self.assertEqual(self.sent[-1].load[:4], (1, 0, 8, 100))
+
+    async def test_a_scheduler_uses_reports_that_are_passed_on(self):
+        parts = self.scheduling._parts._replace(
+            dispatcher=_GrantingDispatcher()
+        )
+        self.scheduling = Scheduling(parts)
+        self.scheduling.receive(SCHEDULER, _placement_request(1, TARGET.id))
+        await asyncio.sleep(0)
+        load = PassedLoad(5, 2, 8, 250, 40)
+        first = edge_messages.PlacementFirstToken(1, 20, False, load)
+        self.scheduling.receive(SCHEDULER, first)
+        now = time.monotonic()
+        report = parts.reported.of(TARGET, now)
+        self.assertAlmostEqual(now - report.at, 0.04, delta=0.02)
+        self.assertGreater(report.slowdown, 2.0)
+        # It is not sent around again.
+        self.assertIsNone(parts.reported.take_unpassed(TARGET, now))
+        later = edge_messages.PlacementEnded(1, "completed", load)
+        self.scheduling.receive(SCHEDULER, later)
+        unknown = edge_messages.PlacementEnded(99, "completed", load)
+        self.scheduling.receive(SCHEDULER, unknown)
+
+    async def test_the_age_of_a_report_is_sent_to_those_that_read_it(self):
+        reported = ReportedLoad()
+        parts = self.scheduling._parts._replace(
+            dispatcher=_GrantingDispatcher(load_age_s=0.03), reported=reported
+        )
+        self.scheduling = Scheduling(parts)
+        ages = []
+        for incarnation in (7, new_incarnation()):
+            sender = SchedulerPeer("r", incarnation, "10.0.0.3:7400")
+            self.scheduling.receive(sender, _placement_request(1, TARGET.id))
+            await asyncio.sleep(0.01)
+            ages.append(self.sent[-1].load_age_ms)
+        self.assertEqual(ages, [-1, 30])
+
     async def test_a_refusal_says_when_to_come_back(self):
         self.answers = [
             edge_messages.PlacementQueued,
--- a/packages/standins/chervilwall_standins/lab/stale_load.py
+++ b/packages/standins/chervilwall_standins/lab/stale_load.py
@@ -14,7 +14,17 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from chervilwall.reported_load import SLOWDOWN_MEMORY_S
+from chervilwall.load_choice import LoadChoice, ReportUse
+from chervilwall.load_view import LoadView, TargetLoad
+from chervilwall.plain_targets import PlainSettings, PlainTargets
+from chervilwall.registry import RegisteredTarget
+from chervilwall.reported_load import (
+    SLOWDOWN_MEMORY_S,
+    ReportedLoad,
+    StatedLoad,
+)
+from chervilwall.request_pacer import RequestPacer
+from chervilwall.target_limits import TargetLimits
 
 # Interval of the samples of the load, which also bound the age of a view.
 SAMPLE_S = 0.01
@@ -375,7 +385,64 @@
     return choose
 
 
-SCHEDULER_WAYS = ("lowest", "near", "lowest+slow", "near+slow", "two+slow")
+class ProductChooser:
+    """Choose a target as a router does.
+
+    The load of others is what its peers told it, and each view is a new report.
+
+    Args:
+        cfg (StaleLoadSettings): Parameters of the simulation.
+    """
+
+    def __init__(self, cfg: StaleLoadSettings) -> None:
+        self._cfg = cfg
+        self._targets = [
+            RegisteredTarget(f"t{i}", "s", f"10.0.0.{i}:80", "z", cfg.slots)
+            for i in range(cfg.targets)
+        ]
+        self._pacer = RequestPacer(TargetLimits(), lambda service: 1.0)
+
+    def __repr__(self) -> str:
+        return f"ProductChooser(targets={len(self._targets)})"
+
+    def __call__(
+        self, views: list[TargetView], rng: random.Random
+    ) -> int | None:
+        """Returns the index of a target, None if all are full."""
+        load = LoadView()
+        loads = [
+            (target.id, TargetLoad(running=round(view.running)))
+            for target, view in zip(self._targets, views, strict=True)
+        ]
+        load.set_peer("others", loads, 0.0)
+        reported = ReportedLoad(
+            lambda target_id, now: load.total(target_id, now).running
+        )
+        for target, view in zip(self._targets, views, strict=True):
+            running = min(view.slots, round(view.reported))
+            waiting = round(view.reported) - running
+            stated = StatedLoad(running, waiting, view.slots, view.slowdown)
+            reported.record(target.start, stated, 0.0)
+        choice = LoadChoice(
+            ReportUse(reported, lambda service: self._cfg.routers, rng)
+        )
+        plain = PlainTargets(
+            PlainSettings("z", 1.0, 0.002), load, self._pacer, choice
+        )
+        found = plain.choose(self._targets, 0.0)
+        return self._targets.index(found) if found is not None else None
+
+
+SCHEDULER_WAYS = (
+    "lowest",
+    "near",
+    "two",
+    "share",
+    "lowest+slow",
+    "near+slow",
+    "two+slow",
+    "product",
+)
 ROUTER_WAYS = (
     "lowest",
     "own+lowest",
@@ -385,6 +452,7 @@
     "two+slow",
     "near+slow",
     "share+slow",
+    "product",
 )
 
 
@@ -397,6 +465,7 @@
     parser.add_argument(
         "--routers", type=int, nargs="*", default=[1, 8, 75, 300]
     )
+    parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--ways", nargs="*", default=[])
     parser.add_argument("--foreign", type=float, default=0.0)
     args = parser.parse_args()
@@ -409,8 +478,12 @@
                 seconds=args.seconds,
                 rate_per_s=args.rate,
                 foreign_fraction=args.foreign,
+                seed=args.seed,
+            )
+            choose = (
+                ProductChooser(cfg) if way == "product" else make_chooser(way)
             )
-            result = StaleLoadSimulation(cfg, make_chooser(way)).run()
+            result = StaleLoadSimulation(cfg, choose).run()
             print(
                 f"{routers:4} {age_ms:4} {way:14} {result.format_line()}",
                 flush=True,
--- a/packages/standins/chervilwall_standins/users/target.py
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -253,6 +253,8 @@
         self.leaving = False
         # Server-Limit of its responses; empty for none.
         self.limit = ""
+        # Instance-Load of its responses; empty for none.
+        self.load_report = ""
         # Retry-After of its refusals in mode OVERLOADED; 0 leaves it out.
         self.retry_after_s = 0.0
         # Events after which a stream breaks off in modes TRUNCATED and
@@ -477,6 +479,8 @@
         }
         if self.limit:
             identity["Server-Limit"] = self.limit
+        if self.load_report:
+            identity["Instance-Load"] = self.load_report
         return identity
 
     async def _run(
