--- a/packages/core/chervilwall/load_choice.py
+++ b/packages/core/chervilwall/load_choice.py
@@ -121,18 +121,23 @@
     return surplus if surplus >= MIN_SURPLUS else 0.0
 
 
-def queued_by_others_s(
-    report: CurrentLoad, surplus: float, prefill_s: float
-) -> float:
-    """Returns the prefill time of others' requests that wait at an engine.
+def load_of_others(
+    report: CurrentLoad,
+    target: RegisteredTarget,
+    prefill_s: float,
+    is_scheduler: bool,
+) -> tuple[int, float]:
+    """Returns others' requests on an engine and their queued prefill time.
 
-    It is a part of the cost of an engine, but does not count for its limit: a
-    report must not keep all requests away.
+    The time is a part of the cost of the engine, but does not count for its
+    limit: a report must not keep all requests away.
 
     Args:
         report (CurrentLoad): Report of the engine.
-        surplus (float): Requests of others, within the bound.
-        prefill_s (float): Prefill time assumed for each.
+        target (RegisteredTarget): The engine.
+        prefill_s (float): Prefill time assumed for each that waits there.
+        is_scheduler (bool): Whether the fleet's requests are all known.
     """
+    surplus = surplus_requests(report, target, is_scheduler)
     waiting = min(surplus, report.waiting)
-    return min(MAX_QUEUED_BY_OTHERS_S, waiting * prefill_s)
+    return int(surplus), min(MAX_QUEUED_BY_OTHERS_S, waiting * prefill_s)
--- a/packages/core/chervilwall/placement.py
+++ b/packages/core/chervilwall/placement.py
@@ -20,9 +20,8 @@
 from chervilwall.load_choice import (
     LoadChoice,
     ReportUse,
+    load_of_others,
     no_reports,
-    queued_by_others_s,
-    surplus_requests,
 )
 from chervilwall.load_view import FailedSearch, LoadView, TargetLoad
 from chervilwall.plain_targets import PlainSettings, PlainTargets
@@ -273,9 +272,8 @@
         report = self.reported.of(choice.target, now)
         if report is None:
             return choice
-        return choice._replace(
-            slowdown=report.slowdown, load_age_s=max(0.0, now - report.at)
-        )
+        age_s = max(0.0, now - report.at)
+        return choice._replace(slowdown=report.slowdown, load_age_s=age_s)
 
     def has_free_capacity(
         self, targets: Sequence[RegisteredTarget], now: float
@@ -357,7 +355,6 @@
         """Returns the cheapest engine, and the cheapest idle one if any."""
         cached_at = self._prefixes.cached_by_target(demand.parts, now)
         max_cached = max((cached_at.get(t.id, 0) for t in targets), default=0)
-        # The target that all routers prefer while none has the session cached.
         home_id: str | None = None
         if demand.session and not max_cached:
             home_id = owner(demand.session, (t.id for t in targets))
@@ -379,22 +376,22 @@
                     uncached, cached
                 )
             factor = scaled = self._model.factor(target_id)
-            queued_s, slot_wait_s = load.prefill_s, 0.0
+            queued_s = load.prefill_s
             report = reported.get(target_id) if reported else None
             if report is not None and report.is_of(target):
                 scaled = factor * report.slowdown
-                surplus = surplus_requests(report, target, is_scheduler)
-                load = load._replace(running=load.running + int(surplus))
-                queued_s += queued_by_others_s(
-                    report, surplus, nominal_s * scaled
-                )
-                if not self._has_free_slot(target, load):
-                    slot_wait_s = max_queued_s
+                if report.surplus:
+                    running, others_s = load_of_others(
+                        report, target, nominal_s * scaled, is_scheduler
+                    )
+                    load = load._replace(running=load.running + running)
+                    queued_s += others_s
+            else:
+                report = None
             prefill_s = nominal_s * scaled
             recompute_s = (max_cached - cached) * scaled / TOKENS_PER_S
             cost = (
-                slot_wait_s
-                + queued_s
+                queued_s
                 + prefill_s
                 + self._settings.recompute_weight * recompute_s
             )
@@ -413,6 +410,9 @@
                 continue
             wait_s = self._capacity_wait_s(target, load, max_queued_s)
             wait_s = max(wait_s, pace_s)
+            if report is not None and not self._has_free_slot(target, load):
+                cost += max_queued_s
+                is_best = best is None or cost < best.cost
             candidate = _Candidate(
                 cost, wait_s, queued_s, prefill_s, uncached, factor, target
             )
--- a/packages/core/chervilwall/plain_targets.py
+++ b/packages/core/chervilwall/plain_targets.py
@@ -70,7 +70,8 @@
             report = reported.get(target.id) if reported else None
             if report is not None and report.is_of(target):
                 has_reports = True
-                running += surplus_requests(report, target, is_scheduler)
+                if report.surplus:
+                    running += surplus_requests(report, target, is_scheduler)
                 if is_scheduler:
                     slowdown = report.slowdown
             if self._is_full(target, running):
--- a/packages/core/chervilwall/reported_load.py
+++ b/packages/core/chervilwall/reported_load.py
@@ -112,8 +112,8 @@
 
     def is_of(self, target: RegisteredTarget) -> bool:
         """Returns whether the reports are of the registered start."""
-        _, born_ms, address = self.start
-        return born_ms == target.born_ms and address == target.address
+        start = self.start
+        return start[1] == target.born_ms and start[2] == target.address
 
 
 class _Report(NamedTuple):
