--- a/packages/core/chervilwall/http_messages.py
+++ b/packages/core/chervilwall/http_messages.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from chervilwall.prefix import PromptPart
+from chervilwall.reported_load import StatedLoad
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -132,6 +133,10 @@
             routers.
         cold_for_s (float | None): Seconds for which the target stays
             cold, 0 if it is warm, None if not specified.
+        load (StatedLoad | None): Load that the target states, None if it states
+            none or one that cannot be read.
+        malformed_load (str): A statement that cannot be read, for the log, ""
+            if there is none.
     """
 
     status: int
@@ -148,6 +153,8 @@
     pause_s: float = 0.0
     rate_limit: RateLimit = RateLimit()
     cold_for_s: float | None = None
+    load: StatedLoad | None = None
+    malformed_load: str = ""
 
     @property
     def is_success(self) -> bool:
--- a/packages/core/chervilwall/placement.py
+++ b/packages/core/chervilwall/placement.py
@@ -17,11 +17,19 @@
 import msgspec
 
 from chervilwall._setting_types import Fraction, NonNegative
-from chervilwall.load_view import TOTALS_TTL_S, LoadView, TargetLoad
+from chervilwall.load_choice import (
+    LoadChoice,
+    ReportUse,
+    load_of_others,
+    no_reports,
+)
+from chervilwall.load_view import FailedSearch, LoadView, TargetLoad
+from chervilwall.plain_targets import PlainSettings, PlainTargets
 from chervilwall.prefill import TOKENS_PER_S, PrefillModel, nominal_prefill_s
 from chervilwall.prefix import PrefixMap, PromptPart
 from chervilwall.registry import RegisteredTarget
-from chervilwall.rendezvous import score
+from chervilwall.rendezvous import owner
+from chervilwall.reported_load import ReportedLoad
 from chervilwall.request_pacer import RequestPacer
 from chervilwall.target_limits import TargetLimits
 
@@ -116,6 +124,9 @@
         prefill_s (float): Predicted prefill time of the prompt, in seconds.
         first_token_s (float): Predicted time to the first token, in seconds.
         factor (float): Factor of the target that the predictions used.
+        slowdown (float): Reported slowdown that the predictions used.
+        load_age_s (float | None): Age in seconds of the load report that was
+            used, None if there was none.
     """
 
     target: RegisteredTarget
@@ -123,6 +134,8 @@
     prefill_s: float = 0.0
     first_token_s: float = 0.0
     factor: float = 1.0
+    slowdown: float = 1.0
+    load_age_s: float | None = None
 
 
 class _Candidate(NamedTuple):
@@ -159,25 +172,6 @@
         )
 
 
-class _FailedSearch(NamedTuple):
-    """A search that found no engine of a service with free capacity.
-
-    Args:
-        targets (int): Number of engines searched.
-        version (int): Version of the load view that was searched.
-        at (float): Monotonic time of the search.
-    """
-
-    targets: int
-    version: int
-    at: float
-
-    def is_current(self, targets: int, version: int, now: float) -> bool:
-        """Returns whether another search would find the same."""
-        same = (targets, version) == (self.targets, self.version)
-        return same and 0.0 <= now - self.at < TOTALS_TTL_S
-
-
 class Placement:
     """Select targets by the load that all routers report.
 
@@ -190,6 +184,8 @@
         usable (Callable): Returns whether a target may be sent requests.
         pacer (RequestPacer): Spaces the requests to targets that name limits.
             Defaults to one that knows no limits.
+        reports (ReportUse | None): Load that targets report. Defaults to None,
+            for targets that report none.
     """
 
     def __init__(
@@ -201,6 +197,7 @@
         model: PrefillModel,
         usable: Callable[[RegisteredTarget], bool],
         pacer: RequestPacer | None = None,
+        reports: ReportUse | None = None,
     ) -> None:
         self._settings = settings
         self._zone = zone
@@ -209,11 +206,27 @@
         self._model = model
         self._usable = usable
         self._pacer = pacer or RequestPacer(TargetLimits(), lambda service: 1.0)
-        self._failed_searches: dict[str, _FailedSearch] = {}
+        self._reports = LoadChoice(reports or no_reports())
+        self._plain_targets = PlainTargets(
+            PlainSettings(
+                zone,
+                settings.plain_queue_fraction,
+                settings.cross_zone_penalty_s,
+            ),
+            load,
+            self._pacer,
+            self._reports,
+        )
+        self._failed_searches: dict[str, FailedSearch] = {}
 
     def __repr__(self) -> str:
         return f"Placement(zone={self._zone!r})"
 
+    @property
+    def reported(self) -> ReportedLoad:
+        """The load that targets report."""
+        return self._reports.reported
+
     def choose(
         self,
         demand: Demand,
@@ -248,8 +261,19 @@
         if not usable:
             return None
         if not demand.is_generation:
-            return self._choose_plain_target(usable, now)
-        return self._choose_engine(demand, usable, now, slack_s, urgency)
+            plain = self._plain_targets.choose(usable, now)
+            choice = Choice(plain) if plain else None
+        else:
+            choice = self._choose_engine(demand, usable, now, slack_s, urgency)
+        return self._add_report(choice, now) if choice else None
+
+    def _add_report(self, choice: Choice, now: float) -> Choice:
+        """Returns a choice with the load report that it used."""
+        report = self.reported.of(choice.target, now)
+        if report is None:
+            return choice
+        age_s = max(0.0, now - report.at)
+        return choice._replace(slowdown=report.slowdown, load_age_s=age_s)
 
     def has_free_capacity(
         self, targets: Sequence[RegisteredTarget], now: float
@@ -270,7 +294,7 @@
             return False
         if self._has_free_engine(targets, now):
             return True
-        self._failed_searches[service] = _FailedSearch(
+        self._failed_searches[service] = FailedSearch(
             len(targets), version, now
         )
         return False
@@ -316,30 +340,6 @@
             return 0.0
         return self._model.start_latency.excess_s(demand.service)
 
-    def _choose_plain_target(
-        self, targets: list[RegisteredTarget], now: float
-    ) -> Choice | None:
-        best: tuple[float, RegisteredTarget] | None = None
-        pacer = None if self._pacer.is_idle else self._pacer
-        for target in targets:
-            running = self._load.total(target.id, now).running
-            max_running = target.slots * (
-                1 + self._settings.plain_queue_fraction
-            )
-            if target.slots and running >= max_running:
-                continue
-            if pacer is not None and pacer.wait_s(target, now) > 0:
-                continue
-            cost = (running + 1) / max(1, target.slots)
-            cost += (
-                0.0
-                if target.zone == self._zone
-                else self._settings.cross_zone_penalty_s
-            )
-            if best is None or cost < best[0]:
-                best = (cost, target)
-        return Choice(best[1]) if best else None
-
     def _choose_engine(
         self,
         demand: Demand,
@@ -370,17 +370,19 @@
         """Returns the cheapest engine, and the cheapest idle one if any."""
         cached_at = self._prefixes.cached_by_target(demand.parts, now)
         max_cached = max((cached_at.get(t.id, 0) for t in targets), default=0)
-        home_id = self._home_id(demand, targets) if not max_cached else ""
+        home_id: str | None = None
+        if demand.session and not max_cached:
+            home_id = owner(demand.session, (t.id for t in targets))
         max_queued_s = self._settings.max_queued_s[urgency]
         nominal_by_cached: dict[int, float] = {}
         best: _Candidate | None = None
         idle: _Candidate | None = None
         pacer = None if self._pacer.is_idle else self._pacer
         pace_s = 0.0
+        reported, is_scheduler = self._reports.current(demand.service, now)
         for target in targets:
             target_id = target.id
             load = self._load.total(target_id, now)
-            queued_s = load.prefill_s
             cached = cached_at.get(target_id, 0)
             uncached = max(1, demand.prompt_tokens - cached)
             nominal_s = nominal_by_cached.get(cached)
@@ -388,9 +390,21 @@
                 nominal_s = nominal_by_cached[cached] = nominal_prefill_s(
                     uncached, cached
                 )
-            factor = self._model.factor(target_id)
-            prefill_s = nominal_s * factor
-            recompute_s = (max_cached - cached) * factor / TOKENS_PER_S
+            factor = scaled = self._model.factor(target_id)
+            queued_s = load.prefill_s
+            report = reported.get(target_id) if reported else None
+            if report is not None and report.is_of(target):
+                scaled = factor * report.slowdown
+                if report.surplus:
+                    running, others_s = load_of_others(
+                        report, target, nominal_s * scaled, is_scheduler
+                    )
+                    load = load._replace(running=load.running + running)
+                    queued_s += others_s
+            else:
+                report = None
+            prefill_s = nominal_s * scaled
+            recompute_s = (max_cached - cached) * scaled / TOKENS_PER_S
             cost = (
                 queued_s
                 + prefill_s
@@ -411,6 +425,9 @@
                 continue
             wait_s = self._capacity_wait_s(target, load, max_queued_s)
             wait_s = max(wait_s, pace_s)
+            if report is not None and not self._has_free_slot(target, load):
+                cost += max_queued_s
+                is_best = best is None or cost < best.cost
             candidate = _Candidate(
                 cost, wait_s, queued_s, prefill_s, uncached, factor, target
             )
@@ -434,21 +451,14 @@
             load (TargetLoad): Its load.
             max_queued_s (float): Prefill time that may be queued there.
         """
-        if target.slots:
-            limit = max(1, int(target.slots * self._settings.slot_fraction))
-            if load.running >= limit:
-                return max(max_queued_s, load.prefill_s)
+        if not self._has_free_slot(target, load):
+            return max(max_queued_s, load.prefill_s)
         return max(0.0, load.prefill_s - max_queued_s)
 
-    def _home_id(
-        self, demand: Demand, targets: Sequence[RegisteredTarget]
-    ) -> str:
-        """Returns the id of a session's home, or "" without a session.
-
-        The home is the target that all routers prefer while no target has the
-        session cached.
-        """
-        session = demand.session
-        if not session:
-            return ""
-        return max(targets, key=lambda t: score(session, t.id)).id
+    def _has_free_slot(
+        self, target: RegisteredTarget, load: TargetLoad
+    ) -> bool:
+        if not target.slots:
+            return True
+        limit = max(1, int(target.slots * self._settings.slot_fraction))
+        return load.running < limit
--- a/packages/router/chervilwall_router/edge/dispatcher.py
+++ b/packages/router/chervilwall_router/edge/dispatcher.py
@@ -407,6 +407,7 @@
             now,
             on_release,
             self._stream_listener(request, choice),
+            functools.partial(self._slowdown_now, choice),
         )
         grant.send_within_s = send_within_s
         if status.is_quarantined:
@@ -417,6 +418,11 @@
         parts.on_grant(target_id, demand.parts)
         return grant
 
+    def _slowdown_now(self, choice: Choice) -> float | None:
+        reported = self._parts.placement.reported
+        report = reported.of(choice.target, self._clock())
+        return report.slowdown if report is not None else None
+
     def _stream_listener(
         self, request: GrantRequest, choice: Choice
     ) -> Callable[[], None] | None:
--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import random
-import secrets
 import time
 
 import msgspec
@@ -14,6 +13,7 @@
 from chervilwall.descriptor_budget import DescriptorBudget
 from chervilwall.edge_messages import EdgeMessage, RecentPrefix
 from chervilwall.hubs import HubCandidate
+from chervilwall.load_choice import ReportUse
 from chervilwall.placement import Placement
 from chervilwall.prefix import PromptPart
 from chervilwall.protocol import ObjectStore, PlatformDecoder, WireFormat
@@ -23,6 +23,7 @@
 from chervilwall.running_requests import Granter
 from chervilwall.service_totals import ServiceTotals
 from chervilwall.stream_versions import StreamVersions
+from chervilwall.wire_version import new_incarnation
 from tornado.httputil import HTTPServerRequest
 
 from chervilwall_router.edge import snapshot_exchange
@@ -60,6 +61,7 @@
 from chervilwall_router.edge.ingress import Ingress
 from chervilwall_router.edge.kept_responses import KeptResponses
 from chervilwall_router.edge.limit_metrics import render_limits
+from chervilwall_router.edge.load_metrics import LoadMetrics
 from chervilwall_router.edge.page_server import PageServer, Reply
 from chervilwall_router.edge.peer_grants import SchedulingParts
 from chervilwall_router.edge.peer_link import PeerLink
@@ -132,7 +134,7 @@
         self._rng = random.Random()
         self._clock = elapsed_s
         self._started_at = self._clock()
-        self._me = Granter(settings.name, secrets.randbits(62))
+        self._me = Granter(settings.name, new_incarnation())
         self._recent_prefixes: list[RecentPrefix] = []
         self._build_state(decoder)
         self._build_scheduling()
@@ -325,6 +327,12 @@
             self._state.model,
             self._health.is_usable,
             self._pacer,
+            ReportUse(
+                self._state.reported, self.fleet.scheduler_count, self._rng
+            ),
+        )
+        self._load_metrics = LoadMetrics(
+            self.registry, self._state.load, self._state.reported
         )
         self.dispatcher = Dispatcher(
             DispatcherParts(
@@ -353,6 +361,7 @@
                 registry=self.registry,
                 running_requests=self.running_requests,
                 pauses=self._state.pauses,
+                reported=self._state.reported,
                 health=self._health.of,
                 find_scheduler=self.fleet.find_scheduler,
                 send=self._send,
@@ -367,6 +376,7 @@
                 pauses=self._state.pauses,
                 limits=self._state.limits,
                 cold=self.cold,
+                reported=self._state.reported,
                 send_reports_now=lambda: self.link.send_reports_now(),
                 metrics=self.metrics,
                 clock=self._clock,
@@ -658,6 +668,9 @@
     def _record_grant(
         self, target_id: str, parts: tuple[PromptPart, ...]
     ) -> None:
+        target = self.registry.get(target_id)
+        if target is not None:
+            self._load_metrics.record_grant(target, self._clock())
         if parts and len(self._recent_prefixes) < MAX_REPORTED_PREFIXES:
             pairs = tuple((p.id, p.tokens) for p in parts)
             self._recent_prefixes.append(RecentPrefix(target_id, pairs))
@@ -712,6 +725,7 @@
         self.connections.close_all(target_id)
         self._state.pauses.forget(target_id)
         self._state.limits.forget(target_id)
+        self._state.reported.forget(target_id)
         self._pacer.forget(target_id)
 
     def _send(self, address: str, item: EdgeMessage) -> None:
@@ -758,4 +772,5 @@
         text += self._evacuation_pages.render_metrics()
         text += self.relaying.render()
         text += self.caller_bounds.render()
+        text += self._load_metrics.render()
         return Reply(200, text.encode(), "text/plain")
--- a/packages/router/chervilwall_router/edge/grants.py
+++ b/packages/router/chervilwall_router/edge/grants.py
@@ -96,6 +96,9 @@
             to None.
         on_stream_begun (Callable | None): Called at the first event of a
             resumable stream. Defaults to None.
+        slowdown (Callable | None): Returns the slowdown that the target reports
+            now, None if it reports none. Defaults to None, for a target that
+            reports none.
     """
 
     def __init__(
@@ -108,7 +111,9 @@
         started_at: float,
         on_release: Callable[[], None] | None = None,
         on_stream_begun: Callable[[], None] | None = None,
+        slowdown: Callable[[], float | None] | None = None,
     ) -> None:
+        self._slowdown = slowdown
         self._on_stream_begun = on_stream_begun
         self.first_token_s = 0.0
         self._on_release = on_release
@@ -171,6 +176,18 @@
             choice.first_token_s,
             first_token_s,
             choice.factor,
+            self._slowdown_ratio(),
             service=choice.target.service,
         )
         self._on_capacity_freed()
+
+    def _slowdown_ratio(self) -> float | None:
+        """Returns the mean slowdown since the grant relative to that then.
+
+        It is None if the target reports none.
+        """
+        slowdown = self._slowdown() if self._slowdown is not None else None
+        if slowdown is None:
+            return None
+        predicted = self.choice.slowdown
+        return (predicted + slowdown) / 2 / predicted
--- a/packages/router/chervilwall_router/edge/router_state.py
+++ b/packages/router/chervilwall_router/edge/router_state.py
@@ -12,6 +12,7 @@
 from chervilwall.prefill import PrefillModel
 from chervilwall.prefix import PrefixMap
 from chervilwall.registry import TargetRegistry
+from chervilwall.reported_load import ReportedLoad
 from chervilwall.running_requests import RunningRequests
 from chervilwall.target_limits import TargetLimits
 
@@ -30,6 +31,7 @@
         limits (TargetLimits): Limits that targets name on requests.
         cold (ColdTargets): Targets that are cold.
         load (LoadView): Load of the targets.
+        reported (ReportedLoad): Load that the targets report.
         prefixes (PrefixMap): Prompt prefixes that the targets cache.
         model (PrefillModel): Estimated prefill speed of the targets.
         shares (FairShare): Tokens requested by and granted to each team.
@@ -44,6 +46,7 @@
     limits: TargetLimits
     cold: ColdTargets
     load: LoadView
+    reported: ReportedLoad
     prefixes: PrefixMap
     model: PrefillModel
     shares: FairShare
@@ -55,12 +58,16 @@
 
 def make_router_state(settings: EdgeSettings) -> RouterState:
     """Returns the empty state of a router that is starting."""
+    load = LoadView()
     return RouterState(
         registry=TargetRegistry(),
         pauses=TargetPauses(),
         limits=TargetLimits(),
         cold=ColdTargets(settings.cold is not None),
-        load=LoadView(),
+        load=load,
+        reported=ReportedLoad(
+            lambda target_id, now: load.total(target_id, now).running
+        ),
         prefixes=PrefixMap(),
         model=PrefillModel(),
         shares=FairShare(),
--- a/packages/standins/chervilwall_standins/users/target.py
+++ b/packages/standins/chervilwall_standins/users/target.py
@@ -265,6 +265,8 @@
         # which that is registered.
         self.keeps_id = False
         self.registration_delay_s = 0.0
+        # Instance-Load of its responses; empty for none.
+        self.load_report = ""
         # Retry-After of its refusals in mode OVERLOADED; 0 leaves it out.
         self.retry_after_s = 0.0
         # Events after which a stream breaks off in modes TRUNCATED and
@@ -507,6 +509,8 @@
         if self.cold_until and self.states_cold:
             remaining_ms = max(0, self.cold_remaining_ms)
             identity["Cold-Remaining"] = str(remaining_ms)
+        if self.load_report:
+            identity["Instance-Load"] = self.load_report
         return identity
 
     async def _run(
