--- a/packages/core/tests/test_load_choice.py
+++ b/packages/core/tests/test_load_choice.py
@@ -7,7 +7,7 @@
 from chervilwall.load_choice import ReportUse
 from chervilwall.load_view import LoadView, TargetLoad
 from chervilwall.placement import Demand, Placement, PlacementSettings
-from chervilwall.prefill import START_LATENCY_S, PrefillModel
+from chervilwall.prefill import PrefillModel
 from chervilwall.prefix import PrefixMap, PromptPart
 from chervilwall.registry import RegisteredTarget
 from chervilwall.reported_load import (
@@ -16,6 +16,7 @@
     ReportedLoad,
     StatedLoad,
 )
+from chervilwall.start_latency import START_LATENCY_S
 
 TARGETS = [
     RegisteredTarget(f"t{n}", "s", f"10.0.0.{n}:80", "z", 12) for n in range(6)
