--- a/packages/core/tests/test_wait_queue.py
+++ b/packages/core/tests/test_wait_queue.py
@@ -46,6 +46,14 @@
         self.queue.push(make_ticket(2, work_s=0.2))
         self.assertEqual(self.order(now=0.5), [2, 1])
 
+    def test_engines_that_start_late_make_a_request_late_sooner(self):
+        # Without the delay of its engines, a request waited until it could no
+        # longer be in time, and then took the place of one that could.
+        self.queue.push(make_ticket(1, work_s=0.01, start_delay_s=0.6))
+        self.queue.push(make_ticket(2, work_s=0.2))
+        self.assertEqual(self.order(now=0.0), [1, 2])
+        self.assertEqual(self.order(now=0.5), [2, 1])
+
     def test_a_resumed_stream_is_neither_late_nor_behind_new_ones(self):
         self.queue.push(make_ticket(1, work_s=0.01))
         resumed = make_ticket(2, work_s=0.2, due_at=0.1, is_resumption=True)
