--- a/packages/router/chervilwall_router/edge/target_notices.py
+++ b/packages/router/chervilwall_router/edge/target_notices.py
@@ -74,7 +74,6 @@
             self._record_leaving(target)
         self._record_limit(target, head.rate_limit, sent_at)
         if head.load is not None:
-            self._malformed_loads.discard(target.id)
             self._parts.reported.record(
                 target.start, head.load, self._parts.clock()
             )
@@ -106,7 +105,7 @@
         )
 
     def _log_malformed_load(self, target: RegisteredTarget, text: str) -> None:
-        """Logs a load that cannot be read, once until the target states one."""
+        """Counts a load that cannot be read, and logs it once per target."""
         self._parts.metrics.count("target_load_refused")
         if target.id in self._malformed_loads:
             return
