--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PKGS := packages/core:packages/router:packages/operator:packages/platform:packages/standins
 export PYTHONPATH := $(PKGS):platform
 
-.PHONY: demo test measure slopes flood relay-flood format
+.PHONY: demo test measure slopes flood relay-flood slow-host format
 
 $(VENV)/.ready: requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -27,6 +27,9 @@
 relay-flood: $(VENV)/.ready
 	@$(PY) -m chervilwall_standins.users.relay_flood
 
+slow-host: $(VENV)/.ready
+	@$(PY) -m chervilwall_standins.users.slow_host
+
 slopes: $(VENV)/.ready
 	@$(PY) -m chervilwall_standins.slopes
 
--- a/packages/router/chervilwall_router/edge/relaying/receiving.py
+++ b/packages/router/chervilwall_router/edge/relaying/receiving.py
@@ -120,8 +120,8 @@
             if sender in stopping:
                 conn.close_if_idle()
 
-    def judge(self, data: bytes) -> str | None:
-        """Returns the sender of an accepted connection, None to refuse it.
+    def judge(self, data: bytes) -> Offer | None:
+        """Returns the offer of an accepted connection, None to refuse it.
 
         Args:
             data (bytes): A complete preamble.
@@ -140,7 +140,7 @@
         if not self._accepts(offer):
             parts.metrics.count("relay_rejected")
             return None
-        return offer.sender
+        return offer
 
     def _accepts(self, offer: Offer) -> bool:
         parts = self._parts
@@ -159,16 +159,19 @@
                 LOG, events.RELAY_PREAMBLE_REFUSED, reason=exc.reason
             )
 
-    def adopt(self, transport: asyncio.Transport, sender: str) -> None:
+    def adopt(self, transport: asyncio.Transport, offer: Offer) -> None:
         """Serves a connection as if its caller had connected here."""
-        base = self._parts.context
+        base, sender = self._parts.context, offer.sender
         context = base._replace(
             is_shutting_down=lambda: (
                 base.is_shutting_down() or self._parts.is_stopping(sender)
             )
         )
         hold_s = self._parts.hold_s
-        conn = RelayedCallerConnection(context, self, hold_s)
+        conn = RelayedCallerConnection(
+            context, self, hold_s, offer.preamble.caller
+        )
+        LOG.debug("connection of %s accepted from %s", conn.caller, sender)
         self.connections[conn] = sender
         self._parts.metrics.count("relay_received")
         transport.set_protocol(conn)
@@ -185,6 +188,8 @@
         context (ConnectionContext): Objects that all connections share.
         receiver (RelayReceiver): Tracks the connection.
         hold_s (float): Longest time in seconds for which bytes are held back.
+        caller (str): "IP:port" of the caller, as the peer stated it. The
+            address of the transport is that of the peer.
     """
 
     def __init__(
@@ -192,8 +197,10 @@
         context: ConnectionContext,
         receiver: RelayReceiver,
         hold_s: float,
+        caller: str,
     ) -> None:
         super().__init__(context)
+        self.caller = caller
         self._receiver = receiver
         self._hold_s = hold_s
         self._held: list[bytes] = []
@@ -234,8 +241,12 @@
         return bool(self._held) or super().has_unsent_data()
 
     def end_answer(self, *, close: bool) -> None:
-        """Ends a response after all of its bytes."""
+        """Ends a response after all of its bytes.
+
+        The first bytes of the next one are not held back.
+        """
         self._send_held()
+        self._last_sent_at = float("-inf")
         super().end_answer(close=close)
 
     def disconnect(self, reason: CloseReason, *, abort: bool) -> None:
@@ -276,22 +287,22 @@
         if transport is None or transport.is_closing():
             return
         self._data += data
-        sender: str | None = None
+        offer: Offer | None = None
         try:
             length = preamble_length(self._data)
             if length is None or len(self._data) < length:
                 return
             if len(self._data) == length:
-                sender = self._receiver.judge(self._data)
+                offer = self._receiver.judge(self._data)
         except CodecError as exc:
             self._receiver.record_invalid(exc)
         self._end()
-        if sender is None:
+        if offer is None:
             transport.write(REFUSED)
             transport.close()
             return
         transport.write(ACCEPTED)
-        self._receiver.adopt(transport, sender)
+        self._receiver.adopt(transport, offer)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the wait for the preamble."""
--- a/packages/standins/tests/test_edge_connection_relay.py
+++ b/packages/standins/tests/test_edge_connection_relay.py
@@ -161,6 +161,25 @@
             self.assertLess(loop.time() - started, 0.3)
             sent_held.assert_not_called()
 
+    async def test_the_first_event_of_a_further_stream_is_not_held_back(self):
+        self.model.events, self.model.event_interval_s = 2, 0.2
+        caller = await self.connect()
+        for number in range(2):
+            await self.stream(caller, f"s{number}")
+            await caller.reader.readuntil(b"id: 1\n")
+            conn = next(iter(self.receivers[0].relaying.receiver.connections))
+            self.assertIsNone(conn._send_timer)
+            await caller.reader.readuntil(b"0\r\n\r\n")
+        self.assert_relayed()
+
+    async def test_the_receiver_knows_the_address_of_the_caller(self):
+        caller = await self.connect()
+        await caller.send("/read/x")
+        await caller.receive()
+        conn = next(iter(self.receivers[0].relaying.receiver.connections))
+        host, port = caller.writer.get_extra_info("sockname")
+        self.assertEqual(conn.caller, f"{host}:{port}")
+
     async def test_a_booking_runs_once(self):
         response = await self.fleet.call("/book/x", request_id="b1")
         self.assertEqual(response.status, 200)
