Keep a request's own connection open while descriptors run short

Cause: the search for idle and slow connections runs as a request is about to begin, when the request is in no queue any more and not yet active. Its own connection counted as idle and was closed, and the request ran without a response. With a part of another request behind it, the connection counted as slow: the caller read a 503 that says "not run" as the answer to the request that then ran. Change: the request stays in the queue until the bounds have decided. A connection whose request was given up too late counts again. Measured: both new tests of test_edge_ingress.DescriptorTest fail before (no response, 503) and pass after; test_edge_ingress 14 passed.

--- a/packages/router/chervilwall_router/edge/caller_connection.py
+++ b/packages/router/chervilwall_router/edge/caller_connection.py
@@ -223,6 +223,10 @@
                 caller may miss the refusal. Defaults to False.
         """
         if self.closed() or self._active is not None or self._queue:
+            if self._usage is not None and self._usage.is_given_up:
+                # The sum no longer has it, so it is counted anew.
+                self._usage = None
+                self.release()
             return
         self._drop_request()
         linger_s = TIMEOUT_LINGER_S if is_brief else LINGER_S
@@ -257,7 +261,8 @@
     def receive_rate(self, now: float) -> float | None:
         """Returns the bytes per second of an incomplete request, or None."""
         request = self._request
-        if request is None or self._active is not None or self.closed():
+        is_serving = self._active is not None or self._queue
+        if request is None or is_serving or self.closed():
             return None
         # A request that has just begun counts as fast.
         age_s = now - request.started_at
@@ -634,25 +639,31 @@
         if self._active is not None or self.closed():
             return
         if self._queue:
-            queued = self._queue.popleft()
-            self._queued_bytes -= queued.held_bytes
-            self._serve(queued)
+            self._serve()
         elif self._is_malformed:
             problem = Problem(400, "malformed_request", "Not a request.")
             self._refuse(CallerResponse(self, lambda: True), problem)
 
-    def _serve(self, queued: QueuedRequest) -> None:
+    def _serve(self) -> None:
+        """Serves the first request of the queue, or refuses it."""
+        # The bounds close connections that are idle or receive slowly. The
+        # request stays in the queue until then, so that its own connection is
+        # neither.
+        queued, context = self._queue[0], self._context
         req, answer = queued
+        problem: Problem | None
         if isinstance(req, Problem):
-            self._refuse(answer, req)
-            return
-        context = self._context
-        problem = context.bounds.refusal(
-            context.connections, len(context.tasks)
-        )
+            problem = req
+        else:
+            problem = context.bounds.refusal(
+                context.connections, len(context.tasks)
+            )
+        self._queue.popleft()
+        self._queued_bytes -= queued.held_bytes
         if problem is not None:
             self._refuse(answer, problem)
             return
+        assert isinstance(req, InboundRequest)
         coro = self._handle(req, answer)
         task = asyncio.get_running_loop().create_task(coro)
         may_cancel = self._context.handler.may_cancel(req)
--- a/packages/router/tests/test_edge_ingress.py
+++ b/packages/router/tests/test_edge_ingress.py
@@ -58,13 +58,13 @@
     )
 
 
-def make_ingress(handler):
+def make_ingress(handler, bounds=None):
     return Ingress(
         handler,
         HeaderFormat(),
         time.monotonic,
         RouterMetrics(),
-        make_bounds(),
+        bounds or make_bounds(),
         1 << 16,
     )
 
@@ -351,3 +351,56 @@
         caller.send(request(2))
         self.assertEqual(await self.receive(caller), b"")
         self.assertEqual(self.handler.received, [])
+
+
+class DescriptorTest(unittest.IsolatedAsyncioTestCase):
+    """Tests requests and connections while descriptors run short."""
+
+    DESCRIPTORS = 400
+
+    async def asyncSetUp(self):
+        self.handler = _Handler()
+        self.bounds = make_bounds(descriptors=self.DESCRIPTORS)
+        self.ingress = make_ingress(self.handler, self.bounds)
+        self.ingress.listen("127.0.0.1", 0, backlog=128)
+        self.addAsyncCleanup(self.stop)
+
+    async def stop(self):
+        self.ingress.stop()
+
+    async def connect(self):
+        count = self.ingress.stats().connections
+        caller = socket.create_connection(self.ingress.address)
+        caller.setblocking(False)
+        self.addCleanup(caller.close)
+        while self.ingress.stats().connections == count:
+            await asyncio.sleep(0.01)
+        return caller
+
+    async def receive(self, caller):
+        loop = asyncio.get_running_loop()
+        return await asyncio.wait_for(loop.sock_recv(caller, 4096), 5.0)
+
+    async def end_requests(self):
+        while not self.handler.received:
+            await asyncio.sleep(0.01)
+        for _, done in self.handler.received:
+            done.set_result(None)
+
+    async def test_a_request_does_not_close_its_own_connection(self):
+        # It counted as idle while its request was about to begin.
+        caller = await self.connect()
+        self.bounds.descriptors.register(self.bounds.descriptors.limit - 2)
+        caller.send(request(1))
+        await self.end_requests()
+        response = await self.receive(caller)
+        self.assertTrue(response.startswith(b"HTTP/1.1 200"), response)
+
+    async def test_a_request_behind_another_does_not_refuse_that_one(self):
+        # The refusal was read as the answer to the first request, which ran.
+        caller = await self.connect()
+        self.bounds.descriptors.register(self.bounds.descriptors.limit)
+        caller.send(request(1) + request(2)[:20])
+        await self.end_requests()
+        response = await self.receive(caller)
+        self.assertTrue(response.startswith(b"HTTP/1.1 200"), response)
