Refuse relayed connections at a host that is short of memory or descriptors

Cause: a receiver looked at its processor and its lag only. Relayed connections do not pass the listener of callers, so a host with idle processors accepted up to a quarter of all its descriptors on top of a full bound. Change: the receiver refuses above the levels at which it closes idle connections or pauses reading; the connection is served elsewhere.

--- a/packages/core/chervilwall/caller_memory.py
+++ b/packages/core/chervilwall/caller_memory.py
@@ -159,6 +159,11 @@
         """Whether no further request may begin."""
         return self.total_bytes > self.limit_bytes
 
+    @property
+    def is_high(self) -> bool:
+        """Whether connections may be paused."""
+        return self.total_bytes > self._pause_bytes
+
     @property
     def paused_count(self) -> int:
         """Number of connections that are paused."""
@@ -221,9 +226,7 @@
     def _is_decision_due(self) -> bool:
         if self.total_bytes > self.limit_bytes:
             return True
-        is_relevant = (
-            self.total_bytes > self._pause_bytes or self._paused_count > 0
-        )
+        is_relevant = self.is_high or self._paused_count > 0
         return is_relevant and self._has_moved()
 
     def _has_moved(self) -> bool:
@@ -301,7 +304,7 @@
         """Pauses and resumes connections; returns those that changed."""
         paused: list[CallerUsage] = []
         resumed: list[CallerUsage] = []
-        is_high = self.total_bytes > self._pause_bytes
+        is_high = self.is_high
         if not is_high and not self._paused_count:
             return paused, resumed
         room = self._large_bytes - self.total_bytes
--- a/packages/router/chervilwall_router/edge/caller_bounds.py
+++ b/packages/router/chervilwall_router/edge/caller_bounds.py
@@ -217,6 +217,16 @@
                 return DESCRIPTOR_PROBLEM
         return None
 
+    def has_spare_room(self, connections: int, requests: int) -> bool:
+        """Returns whether neither memory nor descriptors run short.
+
+        Args:
+            connections (int): Number of connections of callers.
+            requests (int): Number of requests being served.
+        """
+        is_high = self.descriptors.is_high(connections, requests)
+        return not (is_high or self._memory.is_high)
+
     def check(self) -> None:
         """Ends pauses that take too long; called from time to time."""
         if self._memory.paused_count:
--- a/packages/router/chervilwall_router/edge/relaying/receiving.py
+++ b/packages/router/chervilwall_router/edge/relaying/receiving.py
@@ -137,11 +137,15 @@
         return offer.sender
 
     def _accepts(self, offer: Offer) -> bool:
-        parts = self._parts
+        parts, context = self._parts, self._parts.context
         return (
             offer.preamble.receiver == parts.name
             and parts.is_ready()
             and parts.decision.accepts(len(self.connections))
+            # No connection is closed here to accept that of another host.
+            and context.bounds.has_spare_room(
+                len(context.connections), len(context.tasks)
+            )
         )
 
     def record_invalid(self, exc: CodecError) -> None:
--- a/packages/standins/tests/test_edge_connection_relay.py
+++ b/packages/standins/tests/test_edge_connection_relay.py
@@ -12,6 +12,7 @@
 from unittest import mock
 
 import uvloop
+from chervilwall.caller_memory import CallerUsage, Stage
 from chervilwall.codec import FrameCodec
 from chervilwall_router.edge.relaying import sending
 from chervilwall_router.edge.relaying.preamble import encode_preamble
@@ -539,6 +540,22 @@
             await self.answer_to(data[:1], data[1:9], data[9:]), b"+"
         )
 
+    async def test_a_full_receiver_refuses(self):
+        # A receiver whose processor is idle may be full: of connections
+        # without a request, or of bodies that never end.
+        bounds = self.receivers[0].caller_bounds
+        limit = bounds.descriptors.limit
+        bounds.descriptors.register(limit)
+        self.assertEqual(await self.answer_to(self.preamble()), b"-")
+        bounds.descriptors.register(-limit)
+        usage = CallerUsage("127.0.0.9")
+        self.receivers[0].caller_bounds._memory.update(
+            usage, bounds._memory.limit_bytes, 0, Stage.COMPLETE, 0.0
+        )
+        self.assertEqual(await self.answer_to(self.preamble()), b"-")
+        bounds._memory.remove(usage)
+        self.assertEqual(await self.answer_to(self.preamble()), b"+")
+
     async def test_what_is_no_preamble_is_refused(self):
         for data in (
             b"GET / HTTP/1.1\r\n\r\n",
