Count the memory of relayed callers by their own addresses

Cause: at the receiver all connections that one host relays had the address of that host. The bound begins with the address that holds most, so one caller with large bodies cost the requests of all other relayed callers. Change: the receiver keeps the address that the preamble states. Measured: test_memory_counts_for_the_caller_and_not_for_its_sender fails before and passes after; ListenerTest 6 passed, RelayedRequestsTest 8 passed.

--- a/packages/router/chervilwall_router/edge/caller_connection.py
+++ b/packages/router/chervilwall_router/edge/caller_connection.py
@@ -180,13 +180,17 @@
                 self.release()
             return
         if usage is None:
-            peername = self._transport.get_extra_info("peername")
-            usage = CallerUsage(peername[0] if peername else "")
-            self._usage = usage
+            usage = self._usage = CallerUsage(self.caller_address())
         is_reading = request is not None and not (active or self._queue)
         stage = Stage.READING if is_reading else Stage.COMPLETE
         bounds.update(usage, self, held, rest, stage)
 
+    def caller_address(self) -> str:
+        """Returns the address of the caller, "" if it is unknown."""
+        assert self._transport is not None
+        peername = self._transport.get_extra_info("peername")
+        return peername[0] if peername else ""
+
     def hold(self) -> None:
         """Pauses reading until release() is called."""
         self._is_held = True
--- a/packages/router/chervilwall_router/edge/relaying/receiving.py
+++ b/packages/router/chervilwall_router/edge/relaying/receiving.py
@@ -114,8 +114,8 @@
             if sender in stopping:
                 conn.close_if_idle()
 
-    def judge(self, data: bytes) -> str | None:
-        """Returns the sender of an accepted connection, None to refuse it.
+    def judge(self, data: bytes) -> Offer | None:
+        """Returns the offer of an accepted connection, None to refuse it.
 
         Args:
             data (bytes): A complete preamble.
@@ -134,7 +134,7 @@
         if not self._accepts(offer):
             parts.metrics.count("relay_rejected")
             return None
-        return offer.sender
+        return offer
 
     def _accepts(self, offer: Offer) -> bool:
         parts, context = self._parts, self._parts.context
@@ -157,15 +157,16 @@
                 LOG, events.RELAY_PREAMBLE_REFUSED, reason=exc.reason
             )
 
-    def adopt(self, transport: asyncio.Transport, sender: str) -> None:
+    def adopt(self, transport: asyncio.Transport, offer: Offer) -> None:
         """Serves a connection as if its caller had connected here."""
-        base = self._parts.context
+        base, sender = self._parts.context, offer.sender
         context = base._replace(
             is_shutting_down=lambda: (
                 base.is_shutting_down() or self._parts.is_stopping(sender)
             )
         )
-        conn = RelayedCallerConnection(context, self)
+        caller, _, _ = offer.preamble.caller.rpartition(":")
+        conn = RelayedCallerConnection(context, self, caller)
         self.connections[conn] = sender
         self._parts.metrics.count("relay_received")
         transport.set_protocol(conn)
@@ -178,13 +179,19 @@
     Args:
         context (ConnectionContext): Objects that all connections share.
         receiver (RelayReceiver): Tracks the connection.
+        caller (str): Address of the caller.
     """
 
     def __init__(
-        self, context: ConnectionContext, receiver: RelayReceiver
+        self, context: ConnectionContext, receiver: RelayReceiver, caller: str
     ) -> None:
         super().__init__(context)
         self._receiver = receiver
+        self._caller = caller
+
+    def caller_address(self) -> str:
+        """Returns the address of the caller, and not that of the sender."""
+        return self._caller
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the connection as that of any other caller."""
@@ -217,22 +224,22 @@
         if transport is None or transport.is_closing():
             return
         self._data += data
-        sender: str | None = None
+        offer: Offer | None = None
         try:
             length = preamble_length(self._data)
             if length is None or len(self._data) < length:
                 return
             if len(self._data) == length:
-                sender = self._receiver.judge(self._data)
+                offer = self._receiver.judge(self._data)
         except CodecError as exc:
             self._receiver.record_invalid(exc)
         self._end()
-        if sender is None:
+        if offer is None:
             transport.write(REFUSED)
             transport.close()
             return
         transport.write(ACCEPTED)
-        self._receiver.adopt(transport, sender)
+        self._receiver.adopt(transport, offer)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the wait for the preamble."""
--- a/packages/standins/tests/test_edge_connection_relay.py
+++ b/packages/standins/tests/test_edge_connection_relay.py
@@ -521,9 +521,9 @@
         self.addCleanup(caller.close)
         return caller
 
-    def preamble(self, receiver="router1"):
+    def preamble(self, receiver="router1", caller="127.0.0.1:1"):
         return encode_preamble(
-            self.sender.link.codec, "router0", 1, receiver, "127.0.0.1:1"
+            self.sender.link.codec, "router0", 1, receiver, caller
         )
 
     async def answer_to(self, *parts):
@@ -556,6 +556,26 @@
         bounds._memory.remove(usage)
         self.assertEqual(await self.answer_to(self.preamble()), b"+")
 
+    async def test_memory_counts_for_the_caller_and_not_for_its_sender(self):
+        # Callers that one host relays would be refused for each other.
+        head = (
+            b"POST /book/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: r1\r\n"
+            b"Content-Length: 60000\r\n\r\n"
+        )
+        callers = []
+        for number in (1, 2):
+            caller = await self.open()
+            address = f"127.0.0.{number}:1"
+            caller.writer.write(self.preamble(caller=address))
+            self.assertEqual(await caller.reader.read(1), b"+")
+            caller.writer.write(head + b"x" * 50_000)
+            callers.append(caller)
+        memory = self.receivers[0].caller_bounds._memory
+        await self.fleet.wait_until(lambda: len(memory._usages) == 2)
+        self.assertEqual(
+            {usage.peer for usage in memory._usages}, {"127.0.0.1", "127.0.0.2"}
+        )
+
     async def test_what_is_no_preamble_is_refused(self):
         for data in (
             b"GET / HTTP/1.1\r\n\r\n",
