Let relayed responses to slow callers stall longer than 2.5 s

Cause: a relayed connection has the limit of callers' connections on unacknowledged bytes at the receiver, 2.5 s. While its caller's buffers are full the sender reads nothing, so the window to the receiver stays full until a third of the kernel's send buffer is empty, and the receiver's kernel ended it. Change: the receiver uses the sender's limit of 10 s between peers. The new test fails before (reset) and passes after.

--- a/packages/router/chervilwall_router/edge/relaying/copying.py
+++ b/packages/router/chervilwall_router/edge/relaying/copying.py
@@ -1,6 +1,8 @@
 """Copying of bytes between the connection of a caller and one to a peer."""
 
 import asyncio
+import contextlib
+import socket
 from collections.abc import Callable
 from typing import cast
 
@@ -15,10 +17,25 @@
 # closed. The peer discards what a caller sends for up to 2 s after its last
 # response, so that a close does not reset the connection.
 LINGER_S = 2.5
+# Limit on unacknowledged bytes between peers. It is longer than the 2.5 s of
+# other connections, as the kernel counts a full window as unacknowledged: a
+# receiver leaves bytes unread that a caller sends ahead of a long response, and
+# a sender those of a response that its caller reads slowly. At 0.3 MB/s it
+# reads none for over 2.5 s, until a third of the kernel's buffer is sent.
+PEER_ACK_TIMEOUT_MS = 10_000
 # Bytes are taken out at once, so all connections share one buffer.
 _READ_BUFFER = memoryview(bytearray(READ_BYTES))
 
 
+def set_peer_ack_timeout(sock: socket.socket) -> None:
+    """Sets the limit on unacknowledged bytes of a connection between peers."""
+    option = getattr(socket, "TCP_USER_TIMEOUT", None)
+    # Fails only on a connection that has already ended.
+    if option is not None:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, option, PEER_ACK_TIMEOUT_MS)
+
+
 class RelaySide(asyncio.BufferedProtocol):
     """Read one connection of a relay and write to the other.
 
--- a/packages/router/chervilwall_router/edge/relaying/receiving.py
+++ b/packages/router/chervilwall_router/edge/relaying/receiving.py
@@ -14,6 +14,7 @@
 
 from chervilwall_router.edge.caller_connection import CallerConnection
 from chervilwall_router.edge.caller_context import ConnectionContext
+from chervilwall_router.edge.relaying.copying import set_peer_ack_timeout
 from chervilwall_router.edge.relaying.preamble import (
     ACCEPTED,
     REFUSED,
@@ -171,6 +172,7 @@
         self._parts.metrics.count("relay_received")
         transport.set_protocol(conn)
         conn.connection_made(transport)
+        set_peer_ack_timeout(transport.get_extra_info("socket"))
 
 
 class RelayedCallerConnection(CallerConnection):
--- a/packages/router/chervilwall_router/edge/relaying/sending.py
+++ b/packages/router/chervilwall_router/edge/relaying/sending.py
@@ -15,7 +15,11 @@
 from chervilwall.untrusted import parse_address
 
 from chervilwall_router.edge._dial import set_tcp_options
-from chervilwall_router.edge.relaying.copying import CopyingRelay, RelaySide
+from chervilwall_router.edge.relaying.copying import (
+    CopyingRelay,
+    RelaySide,
+    set_peer_ack_timeout,
+)
 from chervilwall_router.edge.relaying.preamble import ACCEPTED, encode_preamble
 
 LOG = logging.getLogger(__name__)
@@ -28,10 +32,6 @@
 # 100 ms is not taken for the silence of the peer.
 SILENCE_STEP_S = 0.025
 SILENCE_STEPS = 4
-# Limit on unacknowledged bytes to a peer. It is longer than the 2.5 s of other
-# connections, as a peer may leave bytes unread that a caller sends ahead of a
-# long response, and the kernel counts a full window as unacknowledged.
-PEER_ACK_TIMEOUT_MS = 10_000
 _STEP = "relay connection"
 
 
@@ -86,9 +86,7 @@
         super().connection_made(transport)
         sock = transport.get_extra_info("socket")
         set_tcp_options(sock)
-        option = getattr(socket, "TCP_USER_TIMEOUT", None)
-        if option is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, option, PEER_ACK_TIMEOUT_MS)
+        set_peer_ack_timeout(sock)
         assert self.transport is not None
         self.transport.write(self._preamble)
 
--- a/packages/standins/tests/test_edge_connection_relay.py
+++ b/packages/standins/tests/test_edge_connection_relay.py
@@ -28,6 +28,9 @@
 from chervilwall_standins.users.target import FakeTarget, UnframedEnd
 
 EVENTS = 12
+# How long and how much each 0.1 s a caller reads of a large response.
+STEADY_S = 7.0
+STEADY_BYTES = 30_000
 # A peer that does not answer may delay a request by 0.1 s.
 MAX_SILENCE_S = 0.4
 
@@ -163,6 +166,28 @@
         self.assertEqual(len(response.body), t.LARGE_BYTES)
         self.assertTrue(response.is_complete)
 
+    async def test_a_response_that_a_caller_reads_steadily_goes_on(self):
+        # The sender leaves bytes unread for over 2.5 s at a time, which was
+        # the receiver's limit on unacknowledged bytes.
+        self.plain.mode, self.plain.large_status = t.LARGE_BODY, 200
+        loop = asyncio.get_running_loop()
+        host, port = self.sender.settings.listen.callers.split(":")
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 15)
+        self.addCleanup(sock.close)
+        sock.setblocking(False)
+        await loop.sock_connect(sock, (host, int(port)))
+        writer = mock.Mock(drain=mock.AsyncMock())
+        await CallerConnection(mock.Mock(), writer).send(
+            "/read/x", timeout_remaining="30000"
+        )
+        await loop.sock_sendall(sock, writer.write.call_args.args[0])
+        until = loop.time() + STEADY_S
+        while loop.time() < until:
+            self.assertTrue(await loop.sock_recv(sock, STEADY_BYTES))
+            await asyncio.sleep(0.1)
+        self.assert_relayed()
+
     async def test_a_large_request_is_whole(self):
         body = bytes(range(256)) * 250
         response = await self.fleet.call("/book/x", body=body)
