Close no more connections for descriptors than the bound needs

Cause: a connection that was closed for its descriptor is read for 0.25 s, so that it is not reset, and counts until then. The next search after 0.05 s closed as many again. Change: connections that are being closed reduce the number to close.

--- a/packages/router/chervilwall_router/edge/caller_bounds.py
+++ b/packages/router/chervilwall_router/edge/caller_bounds.py
@@ -142,6 +142,7 @@
         self._searched_at = -SEARCH_INTERVAL_S
         # Time at which connections were last closed for their descriptors.
         self._closed_at = -CLOSE_S
+        self._closing: list[BoundedConnection] = []
         self._paused_log = LimitLog(events.CALLERS_PAUSED)
         self._refused_log = LimitLog(events.CALLERS_REFUSED)
         self._closed_log = LimitLog(events.CALLERS_CLOSED)
@@ -265,7 +266,7 @@
 
     def make_room(
         self,
-        connections: Iterable[BoundedConnection],
+        connections: Collection[BoundedConnection],
         count: int,
         requests: int,
     ) -> bool:
@@ -275,7 +276,7 @@
         if none is left, requests that arrive slowest are refused.
 
         Args:
-            connections (Iterable): All connections of callers.
+            connections (Collection): All connections of callers.
             count (int): Their number, with those being accepted.
             requests (int): Number of requests being served.
 
@@ -289,11 +290,16 @@
         now = self._clock()
         if now - self._searched_at >= SEARCH_INTERVAL_S:
             self._searched_at = now
-            surplus = budget.surplus(count, requests)
-            closed = self._close_idle(connections, surplus, now)
-            if not closed and is_full:
-                closed = self._refuse_slowest(connections, surplus, now)
+            # Those that were closed before are read a little longer.
+            self._closing = [c for c in self._closing if c in connections]
+            surplus = budget.surplus(count, requests) - len(self._closing)
+            closed: list[BoundedConnection] = []
+            if surplus > 0:
+                closed = self._close_idle(connections, surplus, now)
+                if not closed and is_full:
+                    closed = self._refuse_slowest(connections, surplus, now)
             if closed:
+                self._closing += closed
                 self._closed_at = now
         return not is_full
 
@@ -329,7 +335,7 @@
         connections: Iterable[BoundedConnection],
         surplus: int,
         now: float,
-    ) -> int:
+    ) -> list[BoundedConnection]:
         timed = [(conn.idle_s(now), conn) for conn in connections]
         idle = [(idle_s, conn) for idle_s, conn in timed if idle_s is not None]
         idle.sort(key=lambda item: item[0], reverse=True)
@@ -337,14 +343,14 @@
         for _, conn in chosen:
             conn.close_for_descriptor()
         self._count_closed("idle", len(chosen), now)
-        return len(chosen)
+        return [conn for _, conn in chosen]
 
     def _refuse_slowest(
         self,
         connections: Iterable[BoundedConnection],
         surplus: int,
         now: float,
-    ) -> int:
+    ) -> list[BoundedConnection]:
         rated = [(conn.receive_rate(now), conn) for conn in connections]
         slow = [(rate, conn) for rate, conn in rated if rate is not None]
         slow.sort(key=lambda item: item[0])
@@ -352,7 +358,7 @@
         for _, conn in chosen:
             conn.give_up(DESCRIPTOR_PROBLEM, is_brief=True)
         self._count_closed("slow", len(chosen), now)
-        return len(chosen)
+        return [conn for _, conn in chosen]
 
     def _count_closed(self, reason: str, count: int, now: float) -> None:
         if not count:
--- a/packages/router/tests/test_edge_ingress.py
+++ b/packages/router/tests/test_edge_ingress.py
@@ -12,7 +12,7 @@
 from chervilwall.descriptor_budget import DescriptorBudget
 from chervilwall.limit_history import LimitHistory
 from chervilwall.routing import CallerLimits
-from chervilwall_router.edge import caller_connection
+from chervilwall_router.edge import caller_bounds, caller_connection
 from chervilwall_router.edge.caller_bounds import CallerBounds
 from chervilwall_router.edge.caller_closes import CallerCloseLog
 from chervilwall_router.edge.caller_connection import (
@@ -49,11 +49,11 @@
         answer.send(200, (), req.id.encode(), has_known_end=known_end)
 
 
-def make_bounds(limit_bytes=1 << 25, descriptors=2000):
+def make_bounds(limit_bytes=1 << 25, descriptors=2000, metrics=None):
     return CallerBounds(
         CallerMemory(limit_bytes),
         DescriptorBudget(descriptors),
-        RouterMetrics(),
+        metrics or RouterMetrics(),
         time.monotonic,
     )
 
@@ -360,7 +360,10 @@
 
     async def asyncSetUp(self):
         self.handler = _Handler()
-        self.bounds = make_bounds(descriptors=self.DESCRIPTORS)
+        self.metrics = RouterMetrics()
+        self.bounds = make_bounds(
+            descriptors=self.DESCRIPTORS, metrics=self.metrics
+        )
         self.ingress = make_ingress(self.handler, self.bounds)
         self.ingress.listen("127.0.0.1", 0, backlog=128)
         self.addAsyncCleanup(self.stop)
@@ -404,3 +407,24 @@
         await self.end_requests()
         response = await self.receive(caller)
         self.assertTrue(response.startswith(b"HTTP/1.1 200"), response)
+
+    async def test_connections_that_are_closing_count_as_closed(self):
+        # Each is read for 0.25 s longer, in which each search closed as many
+        # again.
+        callers = [await self.connect() for _ in range(60)]
+        for caller in callers:
+            caller.send(request(1))
+        while len(self.handler.received) < len(callers):
+            await asyncio.sleep(0.01)
+        for _, done in self.handler.received:
+            done.set_result(None)
+        for caller in callers:
+            await self.receive(caller)
+        budget, counters = self.bounds.descriptors, self.metrics.counters
+        budget.register(int(0.91 * budget.limit) - len(callers))
+        surplus = budget.surplus(len(callers), 0)
+        for _ in range(4):
+            self.ingress._has_room()
+            await asyncio.sleep(caller_bounds.SEARCH_INTERVAL_S)
+        self.assertLess(surplus, len(callers) / 2)
+        self.assertEqual(counters["callers_closed_idle"], surplus)
