Count requests that run on after their callers have left

Cause: the end of a connection took its whole request out of the sum of callers' memory, also if the request had been sent to a target and was not cancelled. A caller that sent large bodies and left took memory without a bound. Change: the request counts until its task has ended. Measured: test_a_request_that_outlives_its_caller_is_counted fails before (0 bytes) and passes after; test_edge_ingress 16 passed; CrowdTest.test_callers_of_every_shape and test_bodies_in_one_write passed.

--- a/packages/router/chervilwall_router/edge/caller_connection.py
+++ b/packages/router/chervilwall_router/edge/caller_connection.py
@@ -135,12 +135,23 @@
         self._queue.clear()
         self._clear_pipelined()
         self._request = None
+        if self._active is not None and self._usage is not None:
+            self._count_until_done(self._active, self._usage)
+            self._usage = None
         self._context.bounds.remove_connection(self._usage)
         self._usage = None
         self.resume_writing()
         if self._active is not None:
             self._active.on_disconnect()
 
+    def _count_until_done(
+        self, active: ActiveRequest, usage: CallerUsage
+    ) -> None:
+        """Counts a request that may run on without its caller."""
+        bounds = self._context.bounds
+        bounds.update(usage, self, active.held_bytes, 0, Stage.COMPLETE)
+        active.task.add_done_callback(lambda _: bounds.remove(usage))
+
     def pause_writing(self) -> None:
         """Records that the write buffer is full, as the caller reads slowly."""
         if self._drained is None:
--- a/packages/router/tests/test_edge_ingress.py
+++ b/packages/router/tests/test_edge_ingress.py
@@ -241,6 +241,23 @@
         await self.run_loop()
         self.assertTrue(self.handler.received[0][1].cancelled())
 
+    async def test_a_request_that_outlives_its_caller_is_counted(self):
+        # Callers that send large bodies and leave would take any memory.
+        self.handler.may_cancel = lambda req: False
+        bounds = self.conn._context.bounds
+        body = b"x" * 100_000
+        head = request(1).partition(b"Content-Length")[0]
+        self.conn.data_received(
+            head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+        )
+        await self.run_loop()
+        self.conn.connection_lost(None)
+        self.assertGreater(bounds.total_bytes, len(body))
+        self.handler.received[0][1].set_result(None)
+        await self.run_loop()
+        self.assertEqual(bounds.total_bytes, 0)
+        self.assertFalse(bounds._readers)
+
 
 class AcceptTest(unittest.TestCase):
     """Tests accepting on uvloop while each loop iteration is slow.
