Count relays and their unsent bytes as memory of callers

Change: each relay counts as a connection, and its unsent bytes as those of a response that its caller reads slowly. No connection is relayed while memory is full.

--- a/packages/router/chervilwall_router/edge/caller_bounds.py
+++ b/packages/router/chervilwall_router/edge/caller_bounds.py
@@ -158,6 +158,11 @@
 
     # Memory.
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no further request may begin for lack of memory."""
+        return self._memory.is_full
+
     def add_connection(self) -> None:
         """Counts a connection that was opened."""
         self._memory.add_connection()
--- a/packages/router/chervilwall_router/edge/relaying/copying.py
+++ b/packages/router/chervilwall_router/edge/relaying/copying.py
@@ -82,12 +82,14 @@
         if self.other.is_open() and not self.other.has_ended:
             assert self.other.transport is not None
             self.other.transport.pause_reading()
+        self._relay.record_unsent()
 
     def resume_writing(self) -> None:
         """Reads from the other side again."""
         if self.other.is_open() and not self.other.has_ended:
             assert self.other.transport is not None
             self.other.transport.resume_reading()
+        self._relay.record_unsent()
         self._relay.on_sent(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -99,10 +101,14 @@
         """Returns whether the connection is open and not closing."""
         return self.transport is not None and not self.transport.is_closing()
 
+    def unsent_bytes(self) -> int:
+        """Returns the bytes in the write buffer."""
+        transport = self.transport
+        return transport.get_write_buffer_size() if transport else 0
+
     def has_unsent_data(self) -> bool:
         """Returns whether the write buffer holds bytes."""
-        transport = self.transport
-        return transport is not None and transport.get_write_buffer_size() > 0
+        return self.unsent_bytes() > 0
 
     def close(self) -> None:
         """Closes the connection after its unsent bytes."""
@@ -141,6 +147,8 @@
 
     Args:
         on_end (Callable): Called once, when both connections have ended.
+        on_unsent (Callable): Called with the unsent bytes of both connections
+            as one of them begins or ceases to have too many.
 
     Attributes:
         caller (RelaySide): Connection of the caller.
@@ -148,8 +156,13 @@
         copied_bytes (int): Bytes copied in both directions.
     """
 
-    def __init__(self, on_end: Callable[["CopyingRelay"], None]) -> None:
+    def __init__(
+        self,
+        on_end: Callable[["CopyingRelay"], None],
+        on_unsent: Callable[[int], None],
+    ) -> None:
         self._on_end = on_end
+        self._on_unsent = on_unsent
         self._linger_timer: asyncio.TimerHandle | None = None
         self._ends_caller_when_sent = False
         self.copied_bytes = 0
@@ -181,6 +194,11 @@
         elif not self._ends_caller_when_sent:
             self._close()
 
+    def record_unsent(self) -> None:
+        """Reports the unsent bytes of both connections."""
+        unsent = self.caller.unsent_bytes() + self.peer.unsent_bytes()
+        self._on_unsent(unsent)
+
     def on_sent(self, side: RelaySide) -> None:
         """Called when the write buffer of a side has been sent."""
         if side is self.caller and self._ends_caller_when_sent:
--- a/packages/router/chervilwall_router/edge/relaying/relays.py
+++ b/packages/router/chervilwall_router/edge/relaying/relays.py
@@ -119,6 +119,7 @@
                 parts.clock,
                 parts.rng,
                 parts.register_descriptors,
+                parts.ingress.context.bounds,
             )
         )
         self.receiver = RelayReceiver(
--- a/packages/router/chervilwall_router/edge/relaying/sending.py
+++ b/packages/router/chervilwall_router/edge/relaying/sending.py
@@ -1,6 +1,7 @@
 """Sending side: opens connections to peers and copies callers' bytes."""
 
 import asyncio
+import functools
 import logging
 import random
 import socket
@@ -8,6 +9,7 @@
 from typing import NamedTuple
 
 from chervilwall import events
+from chervilwall.caller_memory import CallerUsage, Stage
 from chervilwall.codec import FrameCodec
 from chervilwall.connection_relay import ConnectionRelay, RelayPeer
 from chervilwall.errors import CodecError
@@ -15,12 +17,14 @@
 from chervilwall.untrusted import parse_address
 
 from chervilwall_router.edge._dial import set_tcp_options
+from chervilwall_router.edge.caller_bounds import CallerBounds
 from chervilwall_router.edge.relaying.copying import (
     CopyingRelay,
     RelaySide,
     set_peer_ack_timeout,
 )
 from chervilwall_router.edge.relaying.preamble import ACCEPTED, encode_preamble
+from chervilwall_router.problem import Problem
 
 LOG = logging.getLogger(__name__)
 # A relay takes one descriptor for each side.
@@ -51,6 +55,7 @@
         rng (random.Random): Selects connections and peers.
         register_descriptors (Callable): Called with the number of descriptors
             that relays have taken, negative once they are free.
+        bounds (CallerBounds): Bounds the memory of all callers.
     """
 
     name: str
@@ -63,6 +68,40 @@
     clock: Callable[[], float]
     rng: random.Random
     register_descriptors: Callable[[int], None]
+    bounds: CallerBounds
+
+
+class _RelayMemory:
+    """Count the unsent bytes of a relay as memory of its caller.
+
+    They count as a complete request that expects no more bytes, which is
+    neither paused nor refused.
+
+    Args:
+        bounds (CallerBounds): Bounds the memory of all callers.
+        caller (str): Address of the caller.
+    """
+
+    def __init__(self, bounds: CallerBounds, caller: str) -> None:
+        self._bounds = bounds
+        self._usage = CallerUsage(caller)
+
+    def record(self, unsent_bytes: int) -> None:
+        """Records the unsent bytes."""
+        self._bounds.update(self._usage, self, unsent_bytes, 0, Stage.COMPLETE)
+
+    def end(self) -> None:
+        """Forgets the relay."""
+        self._bounds.remove(self._usage)
+
+    def hold(self) -> None:
+        """Does nothing, as no more bytes are expected."""
+
+    def release(self) -> None:
+        """Does nothing, as nothing is held."""
+
+    def give_up(self, problem: Problem) -> None:
+        """Does nothing, as the request may have run."""
 
 
 class _PeerSide(RelaySide):
@@ -182,7 +221,7 @@
         """
         parts = self._parts
         codec = parts.codec()
-        if codec is None or not parts.peers():
+        if codec is None or not parts.peers() or parts.bounds.is_full:
             return False
         if not parts.decision.should_relay(parts.rng, self.count()):
             return False
@@ -209,7 +248,7 @@
     async def _run(self, sock: socket.socket, codec: FrameCodec) -> None:
         """Relays a connection, or serves it here if no peer accepts it."""
         is_relayed = False
-        self._parts.register_descriptors(DESCRIPTORS_PER_RELAY)
+        self._count(1)
         try:
             is_relayed = await self._find_peer(sock, codec)
         except asyncio.CancelledError:
@@ -219,11 +258,19 @@
             events.log_failure(LOG, events.TASK_FAILED)
         finally:
             if not is_relayed:
-                self._parts.register_descriptors(-DESCRIPTORS_PER_RELAY)
+                self._count(-1)
         if not is_relayed:
             self._parts.metrics.count("relay_served_here")
             self._parts.serve(sock)
 
+    def _count(self, change: int) -> None:
+        """Counts relays that begin, or with a negative number end."""
+        self._parts.register_descriptors(change * DESCRIPTORS_PER_RELAY)
+        if change > 0:
+            self._parts.bounds.add_connection()
+        else:
+            self._parts.bounds.remove_connection(None)
+
     async def _find_peer(self, sock: socket.socket, codec: FrameCodec) -> bool:
         """Returns whether a peer has accepted the connection."""
         parts = self._parts
@@ -240,7 +287,10 @@
             if peer is None:
                 return False
             tried.add(peer.name)
-            relay = CopyingRelay(self._ended)
+            memory = _RelayMemory(parts.bounds, caller_host)
+            relay = CopyingRelay(
+                functools.partial(self._ended, memory), memory.record
+            )
             preamble = encode_preamble(
                 codec,
                 parts.name,
@@ -325,11 +375,12 @@
             relay.caller.reset()
         side.start()
 
-    def _ended(self, relay: CopyingRelay) -> None:
+    def _ended(self, memory: _RelayMemory, relay: CopyingRelay) -> None:
         """Records the end of a relay; does nothing if it did not begin."""
+        memory.end()
         name = self.relays.pop(relay, None)
         if name is None:
             return
-        self._parts.register_descriptors(-DESCRIPTORS_PER_RELAY)
+        self._count(-1)
         self._ended_bytes += relay.copied_bytes
         self._parts.decision.end(name)
--- a/packages/standins/tests/test_edge_connection_relay.py
+++ b/packages/standins/tests/test_edge_connection_relay.py
@@ -15,6 +15,7 @@
 from chervilwall.caller_memory import CallerUsage, Stage
 from chervilwall.codec import FrameCodec
 from chervilwall_router.edge.relaying import sending
+from chervilwall_router.edge.relaying.copying import MAX_UNSENT_BYTES
 from chervilwall_router.edge.relaying.preamble import encode_preamble
 from chervilwall_router.edge.relaying.relays import relay_address
 from chervilwall_standins.users import target as t
@@ -188,6 +189,28 @@
             await asyncio.sleep(0.1)
         self.assert_relayed()
 
+    async def test_unsent_bytes_count_as_memory_of_callers(self):
+        # Callers that read slowly would take any memory by relays.
+        self.plain.mode, self.plain.large_status = t.LARGE_BODY, 200
+        bounds = self.sender.caller_bounds
+        used = bounds.descriptors.used(0, 0)
+        caller = await self.connect()
+        await caller.send("/read/x", request_id="r1")
+        await self.fleet.wait_until(lambda: self.sender.relaying.sender.relays)
+        relay = next(iter(self.sender.relaying.sender.relays))
+        await self.fleet.wait_until(relay.caller.has_unsent_data)
+        await asyncio.sleep(0.3)
+        unsent = relay.caller.transport.get_write_buffer_size()
+        self.assertGreater(unsent, MAX_UNSENT_BYTES)
+        self.assertGreater(bounds.total_bytes, unsent)
+        self.assertEqual(bounds.descriptors.used(0, 0), used + 2)
+        response = await caller.receive()
+        self.assertTrue(response.is_complete)
+        caller.close()
+        await self.wait_for_no_relay()
+        self.assertEqual(bounds.total_bytes, 0)
+        self.assertEqual(bounds.descriptors.used(0, 0), used)
+
     async def test_a_large_request_is_whole(self):
         body = bytes(range(256)) * 250
         response = await self.fleet.call("/book/x", body=body)
