Bound what the kernel receives on relayed connections

Cause: callers' connections have a small receive buffer, as unread bytes are memory of the host. Connections between peers had the kernel's own limits of several megabytes, at a receiver that pauses a caller and at a sender whose caller reads slowly. Change: both sides of a connection between peers use receive_buffer_bytes. Measured: SO_RCVBUF was 131,072 on both and is 65,536, as on a direct connection; the new test fails before and passes after; RelayedRequestsTest, EndOfConnectionTest and PlannedStopTest pass.

--- a/packages/router/chervilwall_router/edge/relaying/copying.py
+++ b/packages/router/chervilwall_router/edge/relaying/copying.py
@@ -27,12 +27,21 @@
 _READ_BUFFER = memoryview(bytearray(READ_BYTES))
 
 
-def set_peer_ack_timeout(sock: socket.socket) -> None:
-    """Sets the limit on unacknowledged bytes of a connection between peers."""
-    option = getattr(socket, "TCP_USER_TIMEOUT", None)
+def set_peer_options(sock: socket.socket, receive_buffer_bytes: int) -> None:
+    """Sets limits of a connection between peers.
+
+    Args:
+        sock (socket.socket): The connection.
+        receive_buffer_bytes (int): Bytes that the kernel may receive before
+            they are read.
+    """
     # Fails only on a connection that has already ended.
-    if option is not None:
-        with contextlib.suppress(OSError):
+    with contextlib.suppress(OSError):
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+        )
+        option = getattr(socket, "TCP_USER_TIMEOUT", None)
+        if option is not None:
             sock.setsockopt(socket.IPPROTO_TCP, option, PEER_ACK_TIMEOUT_MS)
 
 
--- a/packages/router/chervilwall_router/edge/relaying/receiving.py
+++ b/packages/router/chervilwall_router/edge/relaying/receiving.py
@@ -14,7 +14,7 @@
 
 from chervilwall_router.edge.caller_connection import CallerConnection
 from chervilwall_router.edge.caller_context import ConnectionContext
-from chervilwall_router.edge.relaying.copying import set_peer_ack_timeout
+from chervilwall_router.edge.relaying.copying import set_peer_options
 from chervilwall_router.edge.relaying.preamble import (
     ACCEPTED,
     REFUSED,
@@ -48,6 +48,8 @@
             that it stops.
         context (ConnectionContext): What all connections of callers share.
         metrics (Metrics): Counts accepted and refused connections.
+        receive_buffer_bytes (int): Bytes that the kernel may receive on a
+            connection before they are read.
     """
 
     name: str
@@ -57,6 +59,7 @@
     is_stopping: Callable[[str], bool]
     context: ConnectionContext
     metrics: Metrics
+    receive_buffer_bytes: int
 
 
 class RelayReceiver:
@@ -172,7 +175,10 @@
         self._parts.metrics.count("relay_received")
         transport.set_protocol(conn)
         conn.connection_made(transport)
-        set_peer_ack_timeout(transport.get_extra_info("socket"))
+        set_peer_options(
+            transport.get_extra_info("socket"),
+            self._parts.receive_buffer_bytes,
+        )
 
 
 class RelayedCallerConnection(CallerConnection):
--- a/packages/router/chervilwall_router/edge/relaying/relays.py
+++ b/packages/router/chervilwall_router/edge/relaying/relays.py
@@ -120,6 +120,7 @@
                 parts.rng,
                 parts.register_descriptors,
                 parts.ingress.context.bounds,
+                cfg.callers.receive_buffer_bytes,
             )
         )
         self.receiver = RelayReceiver(
@@ -131,6 +132,7 @@
                 self._is_stopping,
                 parts.ingress.context,
                 parts.metrics,
+                cfg.callers.receive_buffer_bytes,
             )
         )
         parts.ingress.relays = self.sender
--- a/packages/router/chervilwall_router/edge/relaying/sending.py
+++ b/packages/router/chervilwall_router/edge/relaying/sending.py
@@ -21,7 +21,7 @@
 from chervilwall_router.edge.relaying.copying import (
     CopyingRelay,
     RelaySide,
-    set_peer_ack_timeout,
+    set_peer_options,
 )
 from chervilwall_router.edge.relaying.preamble import ACCEPTED, encode_preamble
 from chervilwall_router.problem import Problem
@@ -56,6 +56,8 @@
         register_descriptors (Callable): Called with the number of descriptors
             that relays have taken, negative once they are free.
         bounds (CallerBounds): Bounds the memory of all callers.
+        receive_buffer_bytes (int): Bytes that the kernel may receive on a
+            connection before they are read.
     """
 
     name: str
@@ -69,6 +71,7 @@
     rng: random.Random
     register_descriptors: Callable[[int], None]
     bounds: CallerBounds
+    receive_buffer_bytes: int
 
 
 class _RelayMemory:
@@ -110,10 +113,15 @@
     Args:
         relay (CopyingRelay): The relay.
         preamble (bytes): Preamble to send.
+        receive_buffer_bytes (int): Bytes that the kernel may receive before
+            they are read.
     """
 
-    def __init__(self, relay: CopyingRelay, preamble: bytes) -> None:
+    def __init__(
+        self, relay: CopyingRelay, preamble: bytes, receive_buffer_bytes: int
+    ) -> None:
         super().__init__(relay)
+        self._receive_buffer_bytes = receive_buffer_bytes
         self._preamble = preamble
         self._answer = bytearray(1)
         # The answer of the peer, empty if it ended the connection instead.
@@ -125,7 +133,7 @@
         super().connection_made(transport)
         sock = transport.get_extra_info("socket")
         set_tcp_options(sock)
-        set_peer_ack_timeout(sock)
+        set_peer_options(sock, self._receive_buffer_bytes)
         assert self.transport is not None
         self.transport.write(self._preamble)
 
@@ -298,7 +306,7 @@
                 peer.name,
                 f"{caller_host}:{caller_port}",
             )
-            side = _PeerSide(relay, preamble)
+            side = _PeerSide(relay, preamble, parts.receive_buffer_bytes)
             relay.join(side)
             if await self._open(peer, side):
                 await self._start(relay, side, sock, peer)
--- a/packages/standins/tests/test_edge_connection_relay.py
+++ b/packages/standins/tests/test_edge_connection_relay.py
@@ -211,6 +211,26 @@
         self.assertEqual(bounds.total_bytes, 0)
         self.assertEqual(bounds.descriptors.used(0, 0), used)
 
+    async def test_the_kernel_receives_no_more_than_for_direct_callers(self):
+        # Unread bytes are memory of the host; by itself the kernel keeps
+        # megabytes of each connection that is paused.
+        caller = await self.connect()
+        await caller.send("/read/x")
+        await caller.receive()
+        relay = next(iter(self.sender.relaying.sender.relays))
+        received = next(iter(self.receivers[0].relaying.receiver.connections))
+        sizes = [
+            transport.get_extra_info("socket").getsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF
+            )
+            for transport in (
+                relay.caller.transport,
+                relay.peer.transport,
+                received._transport,
+            )
+        ]
+        self.assertEqual(sizes, sizes[:1] * 3)
+
     async def test_a_large_request_is_whole(self):
         body = bytes(range(256)) * 250
         response = await self.fleet.call("/book/x", body=body)
