End pauses for memory also while a router stops

A caller that was paused then heard nothing until its connection was closed at the end of the grace period. Change: the loop that closes idle connections checks the pauses as well. Measured: the new test fails before (no response) and passes after (503, as the request has not run).

--- a/packages/router/chervilwall_router/edge/ingress.py
+++ b/packages/router/chervilwall_router/edge/ingress.py
@@ -178,7 +178,11 @@
             self._listener = None
 
     def close_idle(self) -> None:
-        """Closes the connections that carry no request."""
+        """Closes the connections that carry no request, as the router stops.
+
+        Pauses of the others still end in time.
+        """
+        self._bounds.check()
         for conn in list(self._connections):
             conn.close_if_idle()
 
--- a/packages/router/tests/test_edge_ingress.py
+++ b/packages/router/tests/test_edge_ingress.py
@@ -8,7 +8,7 @@
 from unittest import mock
 
 import uvloop
-from chervilwall.caller_memory import CallerMemory
+from chervilwall.caller_memory import MAX_PAUSE_S, CallerMemory
 from chervilwall.descriptor_budget import DescriptorBudget
 from chervilwall.limit_history import LimitHistory
 from chervilwall.routing import CallerLimits
@@ -445,3 +445,40 @@
             await asyncio.sleep(caller_bounds.SEARCH_INTERVAL_S)
         self.assertLess(surplus, len(callers) / 2)
         self.assertEqual(counters["callers_closed_idle"], surplus)
+
+
+class PausedAtStopTest(unittest.IsolatedAsyncioTestCase):
+    """Tests connections that are paused for memory as the router stops."""
+
+    def body_head(self, number, size):
+        head = request(number).partition(b"Content-Length")[0]
+        return head + b"Content-Length: %d\r\n\r\n" % size
+
+    async def test_a_paused_request_is_refused_during_a_stop(self):
+        # Pauses ended with the sweeps, which end as the router stops.
+        bounds = make_bounds(limit_bytes=1 << 20)
+        ingress = make_ingress(_Handler(), bounds)
+        ingress.listen("127.0.0.1", 0, backlog=128)
+        loop = asyncio.get_running_loop()
+        callers = [socket.create_connection(ingress.address) for _ in range(2)]
+        for caller in callers:
+            self.addCleanup(caller.close)
+            caller.setblocking(False)
+        size = 600_000
+        await loop.sock_sendall(
+            callers[0], self.body_head(1, size) + b"x" * size
+        )
+        while not ingress.request_tasks:
+            await asyncio.sleep(0.01)
+        await loop.sock_sendall(
+            callers[1], self.body_head(2, size) + b"x" * 20_000
+        )
+        while not bounds._memory.paused_count:
+            await asyncio.sleep(0.01)
+        ingress.stop()
+        until = loop.time() + MAX_PAUSE_S + 0.5
+        while loop.time() < until:
+            ingress.close_idle()
+            await asyncio.sleep(0.05)
+        response = await asyncio.wait_for(loop.sock_recv(callers[1], 4096), 1.0)
+        self.assertTrue(response.startswith(b"HTTP/1.1 503"), response)
