--- a/packages/core/chervilwall/caller_memory.py
+++ b/packages/core/chervilwall/caller_memory.py
@@ -214,7 +214,7 @@
             self._usages.add(usage)
         usage.rest_bytes = rest_bytes
         usage.stage = stage
-        return self._is_decision_due()
+        return self._is_decision_due(stage)
 
     def remove(self, usage: CallerUsage) -> bool:
         """Forgets what a connection held; returns whether to decide."""
@@ -223,8 +223,10 @@
         self._drop(usage)
         return self._paused_count > 0 and self._has_moved()
 
-    def _is_decision_due(self) -> bool:
-        if self.total_bytes > self.limit_bytes:
+    def _is_decision_due(self, stage: Stage) -> bool:
+        # A complete request cannot be given up: where the limit is exceeded by
+        # those, each of their writes would cost a decision.
+        if self.total_bytes > self.limit_bytes and stage is Stage.READING:
             return True
         is_relevant = self.is_high or self._paused_count > 0
         return is_relevant and self._has_moved()
