--- a/packages/core/chervilwall/caller_memory.py
+++ b/packages/core/chervilwall/caller_memory.py
@@ -159,6 +159,11 @@
         """Whether no further request may begin."""
         return self.total_bytes > self.limit_bytes
 
+    @property
+    def is_high(self) -> bool:
+        """Whether connections may be paused."""
+        return self.total_bytes > self._pause_bytes
+
     @property
     def paused_count(self) -> int:
         """Number of connections that are paused."""
@@ -209,7 +214,7 @@
             self._usages.add(usage)
         usage.rest_bytes = rest_bytes
         usage.stage = stage
-        return self._is_decision_due()
+        return self._is_decision_due(stage)
 
     def remove(self, usage: CallerUsage) -> bool:
         """Forgets what a connection held; returns whether to decide."""
@@ -218,12 +223,12 @@
         self._drop(usage)
         return self._paused_count > 0 and self._has_moved()
 
-    def _is_decision_due(self) -> bool:
-        if self.total_bytes > self.limit_bytes:
+    def _is_decision_due(self, stage: Stage) -> bool:
+        # A complete request cannot be given up: where the limit is exceeded by
+        # those, each of their writes would cost a decision.
+        if self.total_bytes > self.limit_bytes and stage is Stage.READING:
             return True
-        is_relevant = (
-            self.total_bytes > self._pause_bytes or self._paused_count > 0
-        )
+        is_relevant = self.is_high or self._paused_count > 0
         return is_relevant and self._has_moved()
 
     def _has_moved(self) -> bool:
@@ -301,7 +306,7 @@
         """Pauses and resumes connections; returns those that changed."""
         paused: list[CallerUsage] = []
         resumed: list[CallerUsage] = []
-        is_high = self.total_bytes > self._pause_bytes
+        is_high = self.is_high
         if not is_high and not self._paused_count:
             return paused, resumed
         room = self._large_bytes - self.total_bytes
--- a/packages/router/chervilwall_router/edge/caller_bounds.py
+++ b/packages/router/chervilwall_router/edge/caller_bounds.py
@@ -143,6 +143,7 @@
         self._has_searched_all = False
         # Time at which connections were last closed for their descriptors.
         self._closed_at = -CLOSE_S
+        self._closing: list[BoundedConnection] = []
         self._paused_log = LimitLog(events.CALLERS_PAUSED)
         self._refused_log = LimitLog(events.CALLERS_REFUSED)
         self._closed_log = LimitLog(events.CALLERS_CLOSED)
@@ -167,6 +168,11 @@
 
     # Memory.
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no further request may begin for lack of memory."""
+        return self._memory.is_full
+
     def add_connection(self) -> None:
         """Counts a connection that was opened."""
         self._memory.add_connection()
@@ -225,6 +231,16 @@
                 return DESCRIPTOR_PROBLEM
         return None
 
+    def has_spare_room(self, connections: int, requests: int) -> bool:
+        """Returns whether neither memory nor descriptors run short.
+
+        Args:
+            connections (int): Number of connections of callers.
+            requests (int): Number of requests being served.
+        """
+        is_high = self.descriptors.is_high(connections, requests)
+        return not (is_high or self._memory.is_high)
+
     def check(self) -> None:
         """Ends pauses that take too long; called from time to time."""
         if self._memory.paused_count:
@@ -263,7 +279,7 @@
 
     def make_room(
         self,
-        connections: Iterable[BoundedConnection],
+        connections: Collection[BoundedConnection],
         count: int,
         requests: int,
     ) -> bool:
@@ -273,7 +289,7 @@
         if none is left, requests that arrive slowest are refused.
 
         Args:
-            connections (Iterable): All connections of callers.
+            connections (Collection): All connections of callers.
             count (int): Their number, with those being accepted.
             requests (int): Number of requests being served.
 
@@ -290,11 +306,16 @@
             self._searched_at = now
             # Incomplete requests are looked at only if there is no room.
             self._has_searched_all = is_full
-            surplus = budget.surplus(count, requests)
-            closed = self._close_idle(connections, surplus, now)
-            if not closed and is_full:
-                closed = self._refuse_slowest(connections, surplus, now)
+            # Those that were closed before are read a little longer.
+            self._closing = [c for c in self._closing if c in connections]
+            surplus = budget.surplus(count, requests) - len(self._closing)
+            closed: list[BoundedConnection] = []
+            if surplus > 0:
+                closed = self._close_idle(connections, surplus, now)
+                if not closed and is_full:
+                    closed = self._refuse_slowest(connections, surplus, now)
             if closed:
+                self._closing += closed
                 self._closed_at = now
         return not is_full
 
@@ -330,7 +351,7 @@
         connections: Iterable[BoundedConnection],
         surplus: int,
         now: float,
-    ) -> int:
+    ) -> list[BoundedConnection]:
         timed = [(conn.idle_s(now), conn) for conn in connections]
         idle = [(idle_s, conn) for idle_s, conn in timed if idle_s is not None]
         idle.sort(key=lambda item: item[0], reverse=True)
@@ -338,14 +359,14 @@
         for _, conn in chosen:
             conn.close_for_descriptor()
         self._count_closed("idle", len(chosen), now)
-        return len(chosen)
+        return [conn for _, conn in chosen]
 
     def _refuse_slowest(
         self,
         connections: Iterable[BoundedConnection],
         surplus: int,
         now: float,
-    ) -> int:
+    ) -> list[BoundedConnection]:
         rated = [(conn.receive_rate(now), conn) for conn in connections]
         slow = [(rate, conn) for rate, conn in rated if rate is not None]
         slow.sort(key=lambda item: item[0])
@@ -353,7 +374,7 @@
         for _, conn in chosen:
             conn.give_up(DESCRIPTOR_PROBLEM, is_brief=True)
         self._count_closed("slow", len(chosen), now)
-        return len(chosen)
+        return [conn for _, conn in chosen]
 
     def _count_closed(self, reason: str, count: int, now: float) -> None:
         if not count:
--- a/packages/router/chervilwall_router/edge/relaying/copying.py
+++ b/packages/router/chervilwall_router/edge/relaying/copying.py
@@ -1,6 +1,8 @@
 """Copying of bytes between the connection of a caller and one to a peer."""
 
 import asyncio
+import contextlib
+import socket
 from collections.abc import Callable
 from typing import cast
 
@@ -15,10 +17,34 @@
 # closed. The peer discards what a caller sends for up to 2 s after its last
 # response, so that a close does not reset the connection.
 LINGER_S = 2.5
+# Limit on unacknowledged bytes between peers. It is longer than the 2.5 s of
+# other connections, as the kernel counts a full window as unacknowledged: a
+# receiver leaves bytes unread that a caller sends ahead of a long response, and
+# a sender those of a response that its caller reads slowly. At 0.3 MB/s it
+# reads none for over 2.5 s, until a third of the kernel's buffer is sent.
+PEER_ACK_TIMEOUT_MS = 10_000
 # Bytes are taken out at once, so all connections share one buffer.
 _READ_BUFFER = memoryview(bytearray(READ_BYTES))
 
 
+def set_peer_options(sock: socket.socket, receive_buffer_bytes: int) -> None:
+    """Sets limits of a connection between peers.
+
+    Args:
+        sock (socket.socket): The connection.
+        receive_buffer_bytes (int): Bytes that the kernel may receive before
+            they are read.
+    """
+    # Fails only on a connection that has already ended.
+    with contextlib.suppress(OSError):
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+        )
+        option = getattr(socket, "TCP_USER_TIMEOUT", None)
+        if option is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, option, PEER_ACK_TIMEOUT_MS)
+
+
 class RelaySide(asyncio.BufferedProtocol):
     """Read one connection of a relay and write to the other.
 
@@ -65,12 +91,14 @@
         if self.other.is_open() and not self.other.has_ended:
             assert self.other.transport is not None
             self.other.transport.pause_reading()
+        self._relay.record_unsent()
 
     def resume_writing(self) -> None:
         """Reads from the other side again."""
         if self.other.is_open() and not self.other.has_ended:
             assert self.other.transport is not None
             self.other.transport.resume_reading()
+        self._relay.record_unsent()
         self._relay.on_sent(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -82,10 +110,14 @@
         """Returns whether the connection is open and not closing."""
         return self.transport is not None and not self.transport.is_closing()
 
+    def unsent_bytes(self) -> int:
+        """Returns the bytes in the write buffer."""
+        transport = self.transport
+        return transport.get_write_buffer_size() if transport else 0
+
     def has_unsent_data(self) -> bool:
         """Returns whether the write buffer holds bytes."""
-        transport = self.transport
-        return transport is not None and transport.get_write_buffer_size() > 0
+        return self.unsent_bytes() > 0
 
     def close(self) -> None:
         """Closes the connection after its unsent bytes."""
@@ -124,6 +156,8 @@
 
     Args:
         on_end (Callable): Called once, when both connections have ended.
+        on_unsent (Callable): Called with the unsent bytes of both connections
+            as one of them begins or ceases to have too many.
 
     Attributes:
         caller (RelaySide): Connection of the caller.
@@ -131,8 +165,13 @@
         copied_bytes (int): Bytes copied in both directions.
     """
 
-    def __init__(self, on_end: Callable[["CopyingRelay"], None]) -> None:
+    def __init__(
+        self,
+        on_end: Callable[["CopyingRelay"], None],
+        on_unsent: Callable[[int], None],
+    ) -> None:
         self._on_end = on_end
+        self._on_unsent = on_unsent
         self._linger_timer: asyncio.TimerHandle | None = None
         self._ends_caller_when_sent = False
         self.copied_bytes = 0
@@ -164,6 +203,11 @@
         elif not self._ends_caller_when_sent:
             self._close()
 
+    def record_unsent(self) -> None:
+        """Reports the unsent bytes of both connections."""
+        unsent = self.caller.unsent_bytes() + self.peer.unsent_bytes()
+        self._on_unsent(unsent)
+
     def on_sent(self, side: RelaySide) -> None:
         """Called when the write buffer of a side has been sent."""
         if side is self.caller and self._ends_caller_when_sent:
--- a/packages/router/chervilwall_router/edge/relaying/receiving.py
+++ b/packages/router/chervilwall_router/edge/relaying/receiving.py
@@ -15,6 +15,7 @@
 from chervilwall_router.edge.caller_closes import CloseReason
 from chervilwall_router.edge.caller_connection import CallerConnection
 from chervilwall_router.edge.caller_context import ConnectionContext
+from chervilwall_router.edge.relaying.copying import set_peer_options
 from chervilwall_router.edge.relaying.preamble import (
     ACCEPTED,
     REFUSED,
@@ -52,6 +53,8 @@
         metrics (Metrics): Counts accepted and refused connections.
         hold_s (float): Longest time in seconds for which bytes of a response
             are held back to be sent together.
+        receive_buffer_bytes (int): Bytes that the kernel may receive on a
+            connection before they are read.
     """
 
     name: str
@@ -62,6 +65,7 @@
     context: ConnectionContext
     metrics: Metrics
     hold_s: float
+    receive_buffer_bytes: int
 
 
 class RelayReceiver:
@@ -143,11 +147,15 @@
         return offer
 
     def _accepts(self, offer: Offer) -> bool:
-        parts = self._parts
+        parts, context = self._parts, self._parts.context
         return (
             offer.preamble.receiver == parts.name
             and parts.is_ready()
             and parts.decision.accepts(len(self.connections))
+            # No connection is closed here to accept that of another host.
+            and context.bounds.has_spare_room(
+                len(context.connections), len(context.tasks)
+            )
         )
 
     def record_invalid(self, exc: CodecError) -> None:
@@ -176,6 +184,10 @@
         self._parts.metrics.count("relay_received")
         transport.set_protocol(conn)
         conn.connection_made(transport)
+        set_peer_options(
+            transport.get_extra_info("socket"),
+            self._parts.receive_buffer_bytes,
+        )
 
 
 class RelayedCallerConnection(CallerConnection):
@@ -254,6 +266,10 @@
         self._send_held()
         super().disconnect(reason, abort=abort)
 
+    def caller_address(self) -> str:
+        """Returns the address of the caller, and not that of the sender."""
+        return self.caller.rpartition(":")[0]
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the connection as that of any other caller."""
         if self._send_timer is not None:
--- a/packages/router/chervilwall_router/edge/relaying/relays.py
+++ b/packages/router/chervilwall_router/edge/relaying/relays.py
@@ -123,6 +123,8 @@
                 parts.clock,
                 parts.rng,
                 parts.register_descriptors,
+                parts.ingress.context.bounds,
+                cfg.callers.receive_buffer_bytes,
             )
         )
         self.receiver = RelayReceiver(
@@ -135,6 +137,7 @@
                 parts.ingress.context,
                 parts.metrics,
                 min(MAX_HOLD_S, HOLD_FRACTION * cfg.event_delay_ms / 1000),
+                cfg.callers.receive_buffer_bytes,
             )
         )
         parts.ingress.relays = self.sender
--- a/packages/router/chervilwall_router/edge/relaying/sending.py
+++ b/packages/router/chervilwall_router/edge/relaying/sending.py
@@ -1,6 +1,7 @@
 """Sending side: opens connections to peers and copies callers' bytes."""
 
 import asyncio
+import functools
 import logging
 import random
 import socket
@@ -8,6 +9,7 @@
 from typing import NamedTuple
 
 from chervilwall import events
+from chervilwall.caller_memory import CallerUsage, Stage
 from chervilwall.codec import FrameCodec
 from chervilwall.connection_relay import ConnectionRelay, RelayPeer
 from chervilwall.errors import CodecError
@@ -15,8 +17,14 @@
 from chervilwall.untrusted import parse_address
 
 from chervilwall_router.edge._dial import set_tcp_options
-from chervilwall_router.edge.relaying.copying import CopyingRelay, RelaySide
+from chervilwall_router.edge.caller_bounds import CallerBounds
+from chervilwall_router.edge.relaying.copying import (
+    CopyingRelay,
+    RelaySide,
+    set_peer_options,
+)
 from chervilwall_router.edge.relaying.preamble import ACCEPTED, encode_preamble
+from chervilwall_router.problem import Problem
 
 LOG = logging.getLogger(__name__)
 # A relay takes one descriptor for each side.
@@ -28,10 +36,6 @@
 # 100 ms is not taken for the silence of the peer.
 SILENCE_STEP_S = 0.025
 SILENCE_STEPS = 4
-# Limit on unacknowledged bytes to a peer. It is longer than the 2.5 s of other
-# connections, as a peer may leave bytes unread that a caller sends ahead of a
-# long response, and the kernel counts a full window as unacknowledged.
-PEER_ACK_TIMEOUT_MS = 10_000
 _STEP = "relay connection"
 
 
@@ -51,6 +55,9 @@
         rng (random.Random): Selects connections and peers.
         register_descriptors (Callable): Called with the number of descriptors
             that relays have taken, negative once they are free.
+        bounds (CallerBounds): Bounds the memory of all callers.
+        receive_buffer_bytes (int): Bytes that the kernel may receive on a
+            connection before they are read.
     """
 
     name: str
@@ -63,6 +70,41 @@
     clock: Callable[[], float]
     rng: random.Random
     register_descriptors: Callable[[int], None]
+    bounds: CallerBounds
+    receive_buffer_bytes: int
+
+
+class _RelayMemory:
+    """Count the unsent bytes of a relay as memory of its caller.
+
+    They count as a complete request that expects no more bytes, which is
+    neither paused nor refused.
+
+    Args:
+        bounds (CallerBounds): Bounds the memory of all callers.
+        caller (str): Address of the caller.
+    """
+
+    def __init__(self, bounds: CallerBounds, caller: str) -> None:
+        self._bounds = bounds
+        self._usage = CallerUsage(caller)
+
+    def record(self, unsent_bytes: int) -> None:
+        """Records the unsent bytes."""
+        self._bounds.update(self._usage, self, unsent_bytes, 0, Stage.COMPLETE)
+
+    def end(self) -> None:
+        """Forgets the relay."""
+        self._bounds.remove(self._usage)
+
+    def hold(self) -> None:
+        """Does nothing, as no more bytes are expected."""
+
+    def release(self) -> None:
+        """Does nothing, as nothing is held."""
+
+    def give_up(self, problem: Problem) -> None:
+        """Does nothing, as the request may have run."""
 
 
 class _PeerSide(RelaySide):
@@ -71,10 +113,15 @@
     Args:
         relay (CopyingRelay): The relay.
         preamble (bytes): Preamble to send.
+        receive_buffer_bytes (int): Bytes that the kernel may receive before
+            they are read.
     """
 
-    def __init__(self, relay: CopyingRelay, preamble: bytes) -> None:
+    def __init__(
+        self, relay: CopyingRelay, preamble: bytes, receive_buffer_bytes: int
+    ) -> None:
         super().__init__(relay)
+        self._receive_buffer_bytes = receive_buffer_bytes
         self._preamble = preamble
         self._answer = bytearray(1)
         # The answer of the peer, empty if it ended the connection instead.
@@ -86,9 +133,7 @@
         super().connection_made(transport)
         sock = transport.get_extra_info("socket")
         set_tcp_options(sock)
-        option = getattr(socket, "TCP_USER_TIMEOUT", None)
-        if option is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, option, PEER_ACK_TIMEOUT_MS)
+        set_peer_options(sock, self._receive_buffer_bytes)
         assert self.transport is not None
         self.transport.write(self._preamble)
 
@@ -184,7 +229,7 @@
         """
         parts = self._parts
         codec = parts.codec()
-        if codec is None or not parts.peers():
+        if codec is None or not parts.peers() or parts.bounds.is_full:
             return False
         if not parts.decision.should_relay(parts.rng, self.count()):
             return False
@@ -220,7 +265,7 @@
     async def _run(self, sock: socket.socket, codec: FrameCodec) -> None:
         """Relays a connection, or serves it here if no peer accepts it."""
         is_relayed = False
-        self._parts.register_descriptors(DESCRIPTORS_PER_RELAY)
+        self._count(1)
         try:
             is_relayed = await self._find_peer(sock, codec)
         except asyncio.CancelledError:
@@ -230,11 +275,19 @@
             events.log_failure(LOG, events.TASK_FAILED)
         finally:
             if not is_relayed:
-                self._parts.register_descriptors(-DESCRIPTORS_PER_RELAY)
+                self._count(-1)
         if not is_relayed:
             self._parts.metrics.count("relay_served_here")
             self._parts.serve(sock)
 
+    def _count(self, change: int) -> None:
+        """Counts relays that begin, or with a negative number end."""
+        self._parts.register_descriptors(change * DESCRIPTORS_PER_RELAY)
+        if change > 0:
+            self._parts.bounds.add_connection()
+        else:
+            self._parts.bounds.remove_connection()
+
     async def _find_peer(self, sock: socket.socket, codec: FrameCodec) -> bool:
         """Returns whether a peer has accepted the connection."""
         parts = self._parts
@@ -251,7 +304,10 @@
             if peer is None:
                 return False
             tried.add(peer.name)
-            relay = CopyingRelay(self._ended)
+            memory = _RelayMemory(parts.bounds, caller_host)
+            relay = CopyingRelay(
+                functools.partial(self._ended, memory), memory.record
+            )
             preamble = encode_preamble(
                 codec,
                 parts.name,
@@ -259,7 +315,7 @@
                 peer.name,
                 f"{caller_host}:{caller_port}",
             )
-            side = _PeerSide(relay, preamble)
+            side = _PeerSide(relay, preamble, parts.receive_buffer_bytes)
             relay.join(side)
             # None of the caller's bytes are sent before the peer accepts.
             answer = await self._exchange(peer, side)
@@ -343,11 +399,12 @@
             relay.caller.reset()
         side.start()
 
-    def _ended(self, relay: CopyingRelay) -> None:
+    def _ended(self, memory: _RelayMemory, relay: CopyingRelay) -> None:
         """Records the end of a relay; does nothing if it did not begin."""
+        memory.end()
         name = self.relays.pop(relay, None)
         if name is None:
             return
-        self._parts.register_descriptors(-DESCRIPTORS_PER_RELAY)
+        self._count(-1)
         self._ended_bytes += relay.copied_bytes
         self._parts.decision.end(name)
--- a/packages/router/tests/test_edge_ingress.py
+++ b/packages/router/tests/test_edge_ingress.py
@@ -8,11 +8,11 @@
 from unittest import mock
 
 import uvloop
-from chervilwall.caller_memory import CallerMemory
+from chervilwall.caller_memory import MAX_PAUSE_S, CallerMemory
 from chervilwall.descriptor_budget import DescriptorBudget
 from chervilwall.limit_history import LimitHistory
 from chervilwall.routing import CallerLimits
-from chervilwall_router.edge import caller_connection
+from chervilwall_router.edge import caller_bounds, caller_connection
 from chervilwall_router.edge.caller_bounds import CallerBounds
 from chervilwall_router.edge.caller_closes import CallerCloseLog
 from chervilwall_router.edge.caller_connection import (
@@ -49,22 +49,22 @@
         answer.send(200, (), req.id.encode(), has_known_end=known_end)
 
 
-def make_bounds(limit_bytes=1 << 25, descriptors=2000):
+def make_bounds(limit_bytes=1 << 25, descriptors=2000, metrics=None):
     return CallerBounds(
         CallerMemory(limit_bytes),
         DescriptorBudget(descriptors),
-        RouterMetrics(),
+        metrics or RouterMetrics(),
         time.monotonic,
     )
 
 
-def make_ingress(handler):
+def make_ingress(handler, bounds=None):
     return Ingress(
         handler,
         HeaderFormat(),
         time.monotonic,
         RouterMetrics(),
-        make_bounds(),
+        bounds or make_bounds(),
         1 << 16,
     )
 
@@ -241,6 +241,23 @@
         await self.run_loop()
         self.assertTrue(self.handler.received[0][1].cancelled())
 
+    async def test_a_request_that_outlives_its_caller_is_counted(self):
+        # Callers that send large bodies and leave would take any memory.
+        self.handler.may_cancel = lambda req: False
+        bounds = self.conn._context.bounds
+        body = b"x" * 100_000
+        head = request(1).partition(b"Content-Length")[0]
+        self.conn.data_received(
+            head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+        )
+        await self.run_loop()
+        self.conn.connection_lost(None)
+        self.assertGreater(bounds.total_bytes, len(body))
+        self.handler.received[0][1].set_result(None)
+        await self.run_loop()
+        self.assertEqual(bounds.total_bytes, 0)
+        self.assertFalse(bounds._readers)
+
 
 class AcceptTest(unittest.TestCase):
     """Tests accepting on uvloop while each loop iteration is slow.
@@ -351,3 +368,117 @@
         caller.send(request(2))
         self.assertEqual(await self.receive(caller), b"")
         self.assertEqual(self.handler.received, [])
+
+
+class DescriptorTest(unittest.IsolatedAsyncioTestCase):
+    """Tests requests and connections while descriptors run short."""
+
+    DESCRIPTORS = 400
+
+    async def asyncSetUp(self):
+        self.handler = _Handler()
+        self.metrics = RouterMetrics()
+        self.bounds = make_bounds(
+            descriptors=self.DESCRIPTORS, metrics=self.metrics
+        )
+        self.ingress = make_ingress(self.handler, self.bounds)
+        self.ingress.listen("127.0.0.1", 0, backlog=128)
+        self.addAsyncCleanup(self.stop)
+
+    async def stop(self):
+        self.ingress.stop()
+
+    async def connect(self):
+        count = self.ingress.stats().connections
+        caller = socket.create_connection(self.ingress.address)
+        caller.setblocking(False)
+        self.addCleanup(caller.close)
+        while self.ingress.stats().connections == count:
+            await asyncio.sleep(0.01)
+        return caller
+
+    async def receive(self, caller):
+        loop = asyncio.get_running_loop()
+        return await asyncio.wait_for(loop.sock_recv(caller, 4096), 5.0)
+
+    async def end_requests(self):
+        while not self.handler.received:
+            await asyncio.sleep(0.01)
+        for _, done in self.handler.received:
+            done.set_result(None)
+
+    async def test_a_request_does_not_close_its_own_connection(self):
+        # It counted as idle while its request was about to begin.
+        caller = await self.connect()
+        self.bounds.descriptors.register(self.bounds.descriptors.limit - 2)
+        caller.send(request(1))
+        await self.end_requests()
+        response = await self.receive(caller)
+        self.assertTrue(response.startswith(b"HTTP/1.1 200"), response)
+
+    async def test_a_request_behind_another_does_not_refuse_that_one(self):
+        # The refusal was read as the answer to the first request, which ran.
+        caller = await self.connect()
+        self.bounds.descriptors.register(self.bounds.descriptors.limit)
+        caller.send(request(1) + request(2)[:20])
+        await self.end_requests()
+        response = await self.receive(caller)
+        self.assertTrue(response.startswith(b"HTTP/1.1 200"), response)
+
+    async def test_connections_that_are_closing_count_as_closed(self):
+        # Each is read for 0.25 s longer, in which each search closed as many
+        # again.
+        callers = [await self.connect() for _ in range(60)]
+        for caller in callers:
+            caller.send(request(1))
+        while len(self.handler.received) < len(callers):
+            await asyncio.sleep(0.01)
+        for _, done in self.handler.received:
+            done.set_result(None)
+        for caller in callers:
+            await self.receive(caller)
+        budget, counters = self.bounds.descriptors, self.metrics.counters
+        budget.register(int(0.91 * budget.limit) - len(callers))
+        surplus = budget.surplus(len(callers), 0)
+        for _ in range(4):
+            self.ingress._has_room()
+            await asyncio.sleep(caller_bounds.SEARCH_INTERVAL_S)
+        self.assertLess(surplus, len(callers) / 2)
+        self.assertEqual(counters["callers_closed_idle"], surplus)
+
+
+class PausedAtStopTest(unittest.IsolatedAsyncioTestCase):
+    """Tests connections that are paused for memory as the router stops."""
+
+    def body_head(self, number, size):
+        head = request(number).partition(b"Content-Length")[0]
+        return head + b"Content-Length: %d\r\n\r\n" % size
+
+    async def test_a_paused_request_is_refused_during_a_stop(self):
+        # Pauses ended with the sweeps, which end as the router stops.
+        bounds = make_bounds(limit_bytes=1 << 20)
+        ingress = make_ingress(_Handler(), bounds)
+        ingress.listen("127.0.0.1", 0, backlog=128)
+        loop = asyncio.get_running_loop()
+        callers = [socket.create_connection(ingress.address) for _ in range(2)]
+        for caller in callers:
+            self.addCleanup(caller.close)
+            caller.setblocking(False)
+        size = 600_000
+        await loop.sock_sendall(
+            callers[0], self.body_head(1, size) + b"x" * size
+        )
+        while not ingress.request_tasks:
+            await asyncio.sleep(0.01)
+        await loop.sock_sendall(
+            callers[1], self.body_head(2, size) + b"x" * 20_000
+        )
+        while not bounds._memory.paused_count:
+            await asyncio.sleep(0.01)
+        ingress.stop()
+        until = loop.time() + MAX_PAUSE_S + 0.5
+        while loop.time() < until:
+            ingress.close_idle()
+            await asyncio.sleep(0.05)
+        response = await asyncio.wait_for(loop.sock_recv(callers[1], 4096), 1.0)
+        self.assertTrue(response.startswith(b"HTTP/1.1 503"), response)
--- a/packages/standins/tests/test_edge_connection_relay.py
+++ b/packages/standins/tests/test_edge_connection_relay.py
@@ -12,8 +12,10 @@
 from unittest import mock
 
 import uvloop
+from chervilwall.caller_memory import CallerUsage, Stage
 from chervilwall.codec import FrameCodec
 from chervilwall_router.edge.relaying import receiving, sending
+from chervilwall_router.edge.relaying.copying import MAX_UNSENT_BYTES
 from chervilwall_router.edge.relaying.preamble import encode_preamble
 from chervilwall_router.edge.relaying.relays import relay_address
 from chervilwall_standins.users import target as t
@@ -27,6 +29,9 @@
 from chervilwall_standins.users.target import FakeTarget, UnframedEnd
 
 EVENTS = 12
+# How long and how much each 0.1 s a caller reads of a large response.
+STEADY_S = 7.0
+STEADY_BYTES = 30_000
 # A peer that does not answer may delay a request by 0.1 s.
 MAX_SILENCE_S = 0.4
 
@@ -213,6 +218,70 @@
         self.assertEqual(len(response.body), t.LARGE_BYTES)
         self.assertTrue(response.is_complete)
 
+    async def test_a_response_that_a_caller_reads_steadily_goes_on(self):
+        # The sender leaves bytes unread for over 2.5 s at a time, which was
+        # the receiver's limit on unacknowledged bytes.
+        self.plain.mode, self.plain.large_status = t.LARGE_BODY, 200
+        loop = asyncio.get_running_loop()
+        host, port = self.sender.settings.listen.callers.split(":")
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 15)
+        self.addCleanup(sock.close)
+        sock.setblocking(False)
+        await loop.sock_connect(sock, (host, int(port)))
+        writer = mock.Mock(drain=mock.AsyncMock())
+        await CallerConnection(mock.Mock(), writer).send(
+            "/read/x", timeout_remaining="30000"
+        )
+        await loop.sock_sendall(sock, writer.write.call_args.args[0])
+        until = loop.time() + STEADY_S
+        while loop.time() < until:
+            self.assertTrue(await loop.sock_recv(sock, STEADY_BYTES))
+            await asyncio.sleep(0.1)
+        self.assert_relayed()
+
+    async def test_unsent_bytes_count_as_memory_of_callers(self):
+        # Callers that read slowly would take any memory by relays.
+        self.plain.mode, self.plain.large_status = t.LARGE_BODY, 200
+        bounds = self.sender.caller_bounds
+        used = bounds.descriptors.used(0, 0)
+        caller = await self.connect()
+        await caller.send("/read/x", request_id="r1")
+        await self.fleet.wait_until(lambda: self.sender.relaying.sender.relays)
+        relay = next(iter(self.sender.relaying.sender.relays))
+        await self.fleet.wait_until(relay.caller.has_unsent_data)
+        await asyncio.sleep(0.3)
+        unsent = relay.caller.transport.get_write_buffer_size()
+        self.assertGreater(unsent, MAX_UNSENT_BYTES)
+        self.assertGreater(bounds.total_bytes, unsent)
+        self.assertEqual(bounds.descriptors.used(0, 0), used + 2)
+        response = await caller.receive()
+        self.assertTrue(response.is_complete)
+        caller.close()
+        await self.wait_for_no_relay()
+        self.assertEqual(bounds.total_bytes, 0)
+        self.assertEqual(bounds.descriptors.used(0, 0), used)
+
+    async def test_the_kernel_receives_no_more_than_for_direct_callers(self):
+        # Unread bytes are memory of the host; by itself the kernel keeps
+        # megabytes of each connection that is paused.
+        caller = await self.connect()
+        await caller.send("/read/x")
+        await caller.receive()
+        relay = next(iter(self.sender.relaying.sender.relays))
+        received = next(iter(self.receivers[0].relaying.receiver.connections))
+        sizes = [
+            transport.get_extra_info("socket").getsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF
+            )
+            for transport in (
+                relay.caller.transport,
+                relay.peer.transport,
+                received._transport,
+            )
+        ]
+        self.assertEqual(sizes, sizes[:1] * 3)
+
     async def test_a_large_request_is_whole(self):
         body = bytes(range(256)) * 250
         response = await self.fleet.call("/book/x", body=body)
@@ -589,9 +658,9 @@
         self.addCleanup(caller.close)
         return caller
 
-    def preamble(self, receiver="router1"):
+    def preamble(self, receiver="router1", caller="127.0.0.1:1"):
         return encode_preamble(
-            self.sender.link.codec, "router0", 1, receiver, "127.0.0.1:1"
+            self.sender.link.codec, "router0", 1, receiver, caller
         )
 
     async def answer_to(self, *parts):
@@ -608,6 +677,42 @@
             await self.answer_to(data[:1], data[1:9], data[9:]), b"+"
         )
 
+    async def test_a_full_receiver_refuses(self):
+        # A receiver whose processor is idle may be full: of connections
+        # without a request, or of bodies that never end.
+        bounds = self.receivers[0].caller_bounds
+        limit = bounds.descriptors.limit
+        bounds.descriptors.register(limit)
+        self.assertEqual(await self.answer_to(self.preamble()), b"-")
+        bounds.descriptors.register(-limit)
+        usage = CallerUsage("127.0.0.9")
+        self.receivers[0].caller_bounds._memory.update(
+            usage, bounds._memory.limit_bytes, 0, Stage.COMPLETE, 0.0
+        )
+        self.assertEqual(await self.answer_to(self.preamble()), b"-")
+        bounds._memory.remove(usage)
+        self.assertEqual(await self.answer_to(self.preamble()), b"+")
+
+    async def test_memory_counts_for_the_caller_and_not_for_its_sender(self):
+        # Callers that one host relays would be refused for each other.
+        head = (
+            b"POST /book/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: r1\r\n"
+            b"Content-Length: 60000\r\n\r\n"
+        )
+        callers = []
+        for number in (1, 2):
+            caller = await self.open()
+            address = f"127.0.0.{number}:1"
+            caller.writer.write(self.preamble(caller=address))
+            self.assertEqual(await caller.reader.read(1), b"+")
+            caller.writer.write(head + b"x" * 50_000)
+            callers.append(caller)
+        memory = self.receivers[0].caller_bounds._memory
+        await self.fleet.wait_until(lambda: len(memory._usages) == 2)
+        self.assertEqual(
+            {usage.peer for usage in memory._usages}, {"127.0.0.1", "127.0.0.2"}
+        )
+
     async def test_what_is_no_preamble_is_refused(self):
         for data in (
             b"GET / HTTP/1.1\r\n\r\n",
