Ignore statements of cold targets older than their responses

Cause: a router repeats what it has assumed, twice and whenever a peer starts. A peer that had learned meanwhile from a response that the target is warm took such a repetition for a longer cold time, and limited the target again. Change: a peer's statement counts from the time at which it was made. One that is more than 0.2 s older than what the target itself has stated is ignored. Result: test_an_older_statement_does_not_undo_a_newer_response failed before.

--- a/packages/core/chervilwall/cold_targets.py
+++ b/packages/core/chervilwall/cold_targets.py
@@ -17,6 +17,8 @@
 - A changed registration of the same start shortens what the target had stated,
   and no assumption: it may have been written before that.
 - A registration that is read again unchanged says nothing new.
+- A statement of a peer counts from the time at which it was made there. One
+  that is older than what the target has stated, beyond REORDER_S, says nothing.
 """
 
 import enum
@@ -39,6 +41,9 @@
 MAX_REPORTED = 32
 # Smaller changes of the end of the cold time are not reported to peers.
 MATERIAL_CHANGE_S = 0.5
+# Statements may be received in another order than they were made, as responses
+# and datagrams take different times.
+REORDER_S = 0.2
 
 
 class ColdSource(enum.Enum):
@@ -323,16 +328,23 @@
         if known and known.start.born_ms > stated.start.born_ms:
             return
         before = known or _unknown(stated.start, stated.service)
-        is_newer = now - stated.age_ms / 1000 > before.at
+        stated_at = now - stated.age_ms / 1000
+        is_same_start = before.start == stated.start
+        is_outdated = stated_at < before.at - REORDER_S
+        if is_same_start and is_outdated and not before.is_assumed:
+            return
         after = before.with_end(
             now + cold_s,
             now,
             ColdSource.PEER,
-            may_shorten=before.start == stated.start
-            and is_newer
+            may_shorten=is_same_start
+            and stated_at > before.at
             and not stated.is_assumed,
             assumed=stated.is_assumed,
         )
+        if after is not before:
+            # A statement that is passed on grows no younger.
+            after = after._replace(at=max(before.at, stated_at))
         self._put(after, now)
 
     def report_all(self, now: float) -> None:
--- a/packages/core/tests/test_cold_targets.py
+++ b/packages/core/tests/test_cold_targets.py
@@ -211,6 +211,27 @@
         self.exchange(103.0)
         self.assertEqual(self.there.cold_end(TARGET), 102.0 + COLD_START_S)
 
+    def test_an_older_statement_does_not_undo_a_newer_response(self):
+        # Guards against a warm target that is limited again whenever a router
+        # repeats an assumption that a response has ended elsewhere, as each one
+        # does when a router starts.
+        self.here.record_unreachable(TARGET, 101.0)
+        self.exchange(101.1)
+        self.there.record_response(TARGET, 0.0, 102.0, 102.1)
+        self.exchange(102.5)
+        self.here.report_all(105.0)
+        self.assertEqual(len(self.exchange(105.0)), 1)
+        self.assertFalse(self.there.is_cold(TARGET, 105.1))
+
+    def test_a_statement_that_overtook_another_one_counts(self):
+        # Guards against a target that just became cold and counts as warm, as
+        # an earlier response of it was read later elsewhere.
+        self.there.record_unreachable(TARGET, 100.5)
+        self.here.record_response(TARGET, 8.0, 101.0, 101.1)
+        self.there.record_response(TARGET, 0.0, 101.0, 101.2)
+        self.exchange(101.2)
+        self.assertTrue(self.there.is_cold(TARGET, 101.3))
+
     def test_registrations_and_zones_are_not_reported(self):
         # Each router learns of them itself.
         self.here.record_registrations(
