Let hubs tell all routers of a large fleet which targets are cold

Cause: only hubs were told of cold targets. A router that became a hub, and the scheduler of a service, took a target for warm that had stated in a response that it is cold. And an assumption, such as after one failed connection, was ended only by a response to the router that had made it or to a hub: others did not know of it, so they reported no change. Change: hubs pass on changes that peers state, and short reports include them. Nothing is sent while no target becomes cold or warm. Result: test_hubs_tell_all_routers_of_cold_and_warm_targets failed before.

--- a/packages/core/chervilwall/cold_targets.py
+++ b/packages/core/chervilwall/cold_targets.py
@@ -312,12 +312,16 @@
             before, after, now
         )
 
-    def record_stated(self, stated: StatedCold, now: float) -> None:
+    def record_stated(
+        self, stated: StatedCold, now: float, *, passes_on: bool = False
+    ) -> None:
         """Records what a peer states of the cold time of a target.
 
         Args:
             stated (StatedCold): The statement.
             now (float): Monotonic time.
+            passes_on (bool): Whether the next reports state a change. Defaults
+                to False.
         """
         if not self.is_enabled:
             return
@@ -346,6 +350,8 @@
             # A statement that is passed on grows no younger.
             after = after._replace(at=max(before.at, stated_at))
         self._put(after, now)
+        if passes_on:
+            self._has_changed(before, after, now)
 
     def report_all(self, now: float) -> None:
         """Lets the next reports state all cold targets, as a router started."""
--- a/packages/router/chervilwall_router/edge/reports.py
+++ b/packages/router/chervilwall_router/edge/reports.py
@@ -108,6 +108,7 @@
         self._recent_prefixes = recent_prefixes
         self._sequence = 0
         self._round = 0
+        self._is_hub = False
         self._digests = DigestBuilder()
 
     def __repr__(self) -> str:
@@ -122,11 +123,12 @@
                 at every call, and all others at every second call.
         """
         recipients = self._parts.recipients()
+        self._is_hub = bool(recipients.short_report)
         self._round += 1
         is_due = urgent or not recipients.has_hubs or self._round % 2 == 0
         if not is_due and not recipients.short_report:
             return
-        report = self._build_report(is_hub=bool(recipients.short_report))
+        report = self._build_report(is_hub=self._is_hub)
         yield Outgoing(recipients.full_report, (report,))
         for message in self._parts.stream_records.messages():
             yield Outgoing(recipients.full_report, (message,))
@@ -134,6 +136,9 @@
             return
         # The short report omits what only schedulers need. In a large fleet,
         # sending that to every router would cost more than serving requests.
+        # Cold targets are included: a router that has just become a hub may
+        # schedule, and only the response of a target that is known to be cold
+        # tells that it is warm.
         now = self._parts.clock()
         updates = self._state.crashes.pending_updates(
             now, quarantined_only=True
@@ -145,7 +150,6 @@
             granted_tokens={},
             crashes=updates,
             limits=(),
-            cold=(),
         )
         yield Outgoing(recipients.short_report, (short_report,))
         digests = self._digests.build(
@@ -235,7 +239,8 @@
         self._record_leaving(name, report, now)
         self._record_limits(name, report, now)
         if report.cold:
-            self._parts.cold.apply_stated(report.cold)
+            # Other routers of a large fleet report only to hubs.
+            self._parts.cold.apply_stated(report.cold, passes_on=self._is_hub)
         self._state.load.set_peer(name, self._load_from_others(report), now)
         self._state.shares.set_peer(
             name, report.requested_tokens, report.granted_tokens, now
--- a/packages/standins/tests/test_edge_cold_targets.py
+++ b/packages/standins/tests/test_edge_cold_targets.py
@@ -267,6 +267,33 @@
             lambda: not any(self.cold(r, target) for r in self.fleet.routers)
         )
 
+    async def test_hubs_tell_all_routers_of_cold_and_warm_targets(self):
+        # Guards against a router that becomes a hub, and the scheduler, and
+        # does not know what only hubs were told, and against an assumption that
+        # no response ends, as the routers that get it do not know of it.
+        target = FakeTarget("p0", "plain")
+        await self.start(target, routers=10, mesh_most=4, cold_start_s=20.0)
+        routers = self.fleet.routers
+        # Until routers have heard of each other, more of them act as hubs.
+        await asyncio.sleep(2.5)
+        hubs = {name for r in routers for name in r.fleet.hubs()}
+        others = [r for r in routers if r.settings.name not in hubs]
+        first, last = others[0], others[-1]
+        known = first.registry.get(target.id)
+        first.cold.record_unreachable(known)
+        await self.fleet.wait_until(
+            lambda: all(self.cold(r, target) for r in routers), 1.5
+        )
+        target.become_cold(0.0)
+        target.cold_until -= 1.0
+        # A later request; the scheduler's pace allows it.
+        await asyncio.sleep(1.0)
+        response = await self.fleet.call("/read/x", router=routers.index(last))
+        self.assertEqual(response.status, 200)
+        await self.fleet.wait_until(
+            lambda: not any(self.cold(r, target) for r in routers), 1.2
+        )
+
     async def test_a_failed_connection_tells_the_scheduler(self):
         # Guards against a target that comes back cold under its id, before its
         # registration is read, and is sent what the scheduler grants.
