Tell a router that starts of cold targets at once

Cause: peers stated cold targets to a router that had just started in their next regular reports, up to 0.25 s later. If it became the scheduler at once, it took targets for warm whose cold time only responses, failed connections or the return of a zone had shown. Change: routers of a fleet without hubs report at once then, and all state it twice, as a datagram may be lost.

--- a/packages/core/chervilwall/cold_targets.py
+++ b/packages/core/chervilwall/cold_targets.py
@@ -353,11 +353,16 @@
         if passes_on:
             self._has_changed(before, after, now)
 
-    def report_all(self, now: float) -> None:
-        """Lets the next reports state all cold targets, as a router started."""
-        for target_id in self._limited:
-            if self._states[target_id].until > now:
-                self._unreported.setdefault(target_id, 1)
+    def report_all(self, now: float) -> bool:
+        """Lets the next reports state all cold targets, as a router started.
+
+        Returns:
+            Whether any target is cold.
+        """
+        cold = [i for i in self._limited if self._states[i].until > now]
+        for target_id in cold:
+            self._unreported[target_id] = CHANGE_REPEATS
+        return bool(cold)
 
     def take_report(self, now: float) -> tuple[StatedCold, ...]:
         """Returns what the next report states; empty if nothing changed."""
--- a/packages/router/chervilwall_router/edge/reports.py
+++ b/packages/router/chervilwall_router/edge/reports.py
@@ -108,7 +108,7 @@
         self._recent_prefixes = recent_prefixes
         self._sequence = 0
         self._round = 0
-        self._is_hub = False
+        self._is_hub = self._has_hubs = False
         self._digests = DigestBuilder()
 
     def __repr__(self) -> str:
@@ -124,6 +124,7 @@
         """
         recipients = self._parts.recipients()
         self._is_hub = bool(recipients.short_report)
+        self._has_hubs = recipients.has_hubs
         self._round += 1
         is_due = urgent or not recipients.has_hubs or self._round % 2 == 0
         if not is_due and not recipients.short_report:
@@ -225,8 +226,14 @@
             # It may schedule as soon as it is ready.
             self._state.limits.report_all()
             self._parts.send_reports_now()
-        if known_incarnation != incarnation:
-            self._state.cold.report_all(now)
+        if (
+            known_incarnation != incarnation
+            and self._state.cold.report_all(now)
+            and not self._has_hubs
+        ):
+            # It may schedule as soon as it is ready. In a large fleet, where
+            # that is rare, a report for each start would be too much.
+            self._parts.send_reports_now()
         if known_incarnation is None:
             events.log_event(LOG, events.PEER_REPORTING, peer=name)
         elif known_incarnation != incarnation:
--- a/packages/standins/tests/test_edge_cold_targets.py
+++ b/packages/standins/tests/test_edge_cold_targets.py
@@ -294,6 +294,25 @@
             lambda: not any(self.cold(r, target) for r in routers), 1.2
         )
 
+    async def test_a_router_that_starts_is_told_at_once(self):
+        # Guards against a router that schedules as soon as it is ready, and
+        # does not know of cold targets until its peers send their next reports.
+        target = FakeTarget("p0", "plain")
+        await self.start(target, routers=3, cold_start_s=20.0)
+        peers = list(self.fleet.routers)
+        for router in peers:
+            known = router.registry.get(target.id)
+            router.cold.record_unreachable(known)
+        # Reports that state it twice.
+        await asyncio.sleep(1.0)
+        for router in peers:
+            # No report follows, unless it is sent at once.
+            router.link._timer.cancel()
+            router.link._schedule_reports = lambda pause_s: None
+        router = await self.fleet.add_router("r9")
+        await self.fleet.wait_until(router.registry.all, 1.0)
+        await self.fleet.wait_until(lambda: self.cold(router, target), 1.0)
+
     async def test_a_failed_connection_tells_the_scheduler(self):
         # Guards against a target that comes back cold under its id, before its
         # registration is read, and is sent what the scheduler grants.
