Do not send on an expired grant of a cold target that is repeated

Cause: a scheduler repeats a grant whose datagram was lost, after up to 0.3 s. It states at least 1 ms for it, as 0 means no limit, and a router with an open connection sent the request within that time. Change: a grant with no more than that millisecond left is returned.

--- a/packages/router/chervilwall_router/edge/cold_notices.py
+++ b/packages/router/chervilwall_router/edge/cold_notices.py
@@ -30,6 +30,9 @@
 # Event loop lag from which a connection may have timed out because of this
 # host. It is half the time that a connection may take.
 OWN_TIMEOUT_LAG_S = 0.25
+# Least time that a scheduler states for a grant, also if it has expired and is
+# repeated because its first datagram was lost.
+MIN_STATED_S = 0.001
 
 
 class ColdNotices:
@@ -153,7 +156,8 @@
             return ""
         # The datagram with the grant may have waited for as long as the event
         # loop was behind.
-        if now - granted_at + self._lag_s() > send_within_s:
+        age_s = now - granted_at + self._lag_s()
+        if age_s >= send_within_s - MIN_STATED_S:
             return "the grant of a cold target expired"
         return ""
 
