Report the store as unreachable while checks of a watch fail

Cause: a hub that was cut off from the store without a reset reported it as reachable until its watch timed out, after up to 27 s. If all hubs were cut off, no other router followed the store, and an evacuation took effect that late. Change: a failed check of a waiting watch counts as a failed call until a check is answered or the watch ends. Result: test_an_outage_shows_while_a_watch_waits failed before.

--- a/packages/router/chervilwall_router/edge/store_watch.py
+++ b/packages/router/chervilwall_router/edge/store_watch.py
@@ -136,6 +136,8 @@
         self._is_cut = False
         # Whether a check of the current watch failed.
         self._has_failed_check = False
+        # Whether the last check failed while the watch goes on.
+        self._is_silent = False
         self._recovered_at = -math.inf
 
     def __repr__(self) -> str:
@@ -148,8 +150,12 @@
 
     @property
     def unavailable(self) -> bool:
-        """Whether nothing has been read yet or the last call failed."""
-        return self._failures > 0 or not self._has_read
+        """Whether nothing has been read yet or the last call failed.
+
+        A check is such a call: a watch that is cut off without a reset fails
+        only at the end of its wait.
+        """
+        return self._failures > 0 or self._is_silent or not self._has_read
 
     async def run(self) -> None:
         """Watches until cancelled, beginning with a list of all objects."""
@@ -255,6 +261,7 @@
         finally:
             task.cancel()
             self._call = None
+            self._is_silent = False
         return None if task.cancelled() else task.result()
 
     async def _has_missed_change(self, since: StoreRevision) -> bool:
@@ -263,8 +270,9 @@
             listing = await self._store.list_objects(self.kind, stale=True)
         except PlatformError as exc:
             LOG.debug("the check of a watch failed: %s", exc)
-            self._has_failed_check = True
+            self._has_failed_check = self._is_silent = True
             return False
+        self._is_silent = False
         known = max(since, self._handler.revision)
         if any(item.position > known for item in listing.objects):
             return True
--- a/packages/router/tests/test_edge_store_watch.py
+++ b/packages/router/tests/test_edge_store_watch.py
@@ -200,6 +200,34 @@
                 await asyncio.sleep(0.01)
         self.assertEqual(self.seen[1], ("changes", 6, self.now + LAPSE_GRACE_S))
 
+    async def test_an_outage_shows_while_a_watch_waits(self):
+        # Guards against hubs that are cut off from the store without a reset:
+        # until their watches time out, the routers that reach the store would
+        # follow them, and miss an evacuation.
+        listing = ObjectList(5, ())
+        states = []
+
+        def note(step):
+            def run():
+                states.append(watch.unavailable)
+                if isinstance(step, Exception):
+                    raise step
+                return step
+
+            return run
+
+        silent = PlatformUnavailableError("silent")
+        store = _SilentStore(
+            listing, note(silent), note(silent), note(listing), note(listing)
+        )
+        watch = self.make_checked_watch(store)
+        task = asyncio.create_task(watch.run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(2.0):
+            while len(states) < 4:
+                await asyncio.sleep(0.01)
+        self.assertEqual(states, [False, True, True, False])
+
     async def test_an_older_list_shows_no_removal(self):
         store = _SilentStore(
             ObjectList(5, (StoredObject("t0", 5, b"{}"),)),
