Tell a scheduler that a target it grants as warm is cold

Cause: routers do not report that targets are cold because their zone returned to service, as each learns of the return itself. A scheduler that missed a short evacuation granted these targets as warm, and a router that had seen it returned each grant until the end of the cold time. The same held if both reports of a failed connection were lost. Change: a router that returns such a grant states the cold time in its next reports. Result: test_a_scheduler_that_takes_a_target_for_warm_is_told failed before.

--- a/packages/core/chervilwall/cold_targets.py
+++ b/packages/core/chervilwall/cold_targets.py
@@ -364,6 +364,11 @@
             self._unreported[target_id] = CHANGE_REPEATS
         return bool(cold)
 
+    def report(self, target: RegisteredTarget) -> None:
+        """Lets the next reports state the cold time of a target."""
+        if target.id in self._states:
+            self._unreported.setdefault(target.id, CHANGE_REPEATS)
+
     def take_report(self, now: float) -> tuple[StatedCold, ...]:
         """Returns what the next report states; empty if nothing changed."""
         if not self._unreported:
--- a/packages/router/chervilwall_router/edge/cold_notices.py
+++ b/packages/router/chervilwall_router/edge/cold_notices.py
@@ -152,6 +152,8 @@
         now = self._clock()
         if math.isinf(send_within_s):
             if self._cold.is_cold(target, now):
+                # The scheduler takes it for warm, and may have missed why not.
+                self._cold.report(target)
                 return "the target became cold"
             return ""
         # The datagram with the grant may have waited for as long as the event
--- a/packages/router/tests/test_edge_cold_notices.py
+++ b/packages/router/tests/test_edge_cold_notices.py
@@ -7,6 +7,7 @@
 from chervilwall.cold_rates import GRANT_TTL_S
 from chervilwall.cold_targets import ColdTargets
 from chervilwall.registry import RegisteredTarget
+from chervilwall.routing import Service
 from chervilwall_router.edge.cold_notices import ColdNotices
 
 TARGET = RegisteredTarget("t", "svc", "a:1", "z", 8)
@@ -36,6 +37,24 @@
         self.assertNotEqual(self.reason(0.0002, 0.001), "")
         self.assertNotEqual(self.reason(0.0, 0.001), "")
 
+    def test_a_scheduler_that_takes_a_target_for_warm_is_told(self):
+        # Guards against a scheduler that never saw a short evacuation, or lost
+        # what it was told: each of its grants would be returned until the end
+        # of the cold time.
+        cold = ColdTargets(True)
+        service = Service("svc", cold_start_s=20.0, cold_per_s=9.3)
+        cold.configure({"svc": service}, 100.0)
+        notices = ColdNotices(
+            cold, mock.Mock(), mock.Mock(), lambda: 0.0, lambda: 100.0
+        )
+        notices.record_zone_returned([TARGET])
+        self.assertEqual(cold.take_report(100.0), ())
+        self.assertNotEqual(
+            notices.withdrawal_reason(TARGET, 100.0, math.inf), ""
+        )
+        (stated,) = cold.take_report(100.0)
+        self.assertEqual(stated.start, TARGET.start)
+
 
 if __name__ == "__main__":
     unittest.main()
