Ignore failed connections to an earlier address of a target

Cause: a connection that failed at the address of an earlier start, such as one that a request had been granted before the target registered elsewhere, made the later start count as cold. Change: it says nothing if a later start at another address is known. Result: test_a_failure_at_an_earlier_address_says_nothing failed before.

--- a/packages/core/chervilwall/cold_targets.py
+++ b/packages/core/chervilwall/cold_targets.py
@@ -304,6 +304,8 @@
         before = self._states.get(target.id) or _unknown(
             target.start, target.service
         )
+        if _has_moved(target.start, before.start):
+            return False
         after = before.with_end(
             now + cold_s, now, source, may_shorten=False, assumed=True
         )
@@ -467,6 +469,11 @@
     )
 
 
+def _has_moved(start: TargetStart, known: TargetStart) -> bool:
+    """Returns whether a later start of a target is known at another address."""
+    return known.born_ms > start.born_ms and known.address != start.address
+
+
 def _to_stated(state: ColdState, now: float) -> StatedCold:
     remaining_ms = math.ceil(max(0.0, state.until - now) * 1000)
     age_ms = max(0, math.ceil((now - state.at) * 1000))
--- a/packages/core/tests/test_cold_targets.py
+++ b/packages/core/tests/test_cold_targets.py
@@ -85,6 +85,14 @@
         self.cold.record_unreachable(old, 103.0)
         self.assertEqual(self.until(), 103.0 + COLD_START_S)
 
+    def test_a_failure_at_an_earlier_address_says_nothing(self):
+        # Guards against a warm target that is limited because a request was
+        # granted, or is probed, at the address of its earlier start.
+        old = self.register(100.0)
+        self.register(101.0, born_ms=9, address="a:2")
+        self.assertFalse(self.cold.record_unreachable(old, 102.0))
+        self.assertIsNone(self.until())
+
     def test_a_target_that_comes_back_under_its_id_is_cold_before_it_registers(
         self,
     ):
