Count targets that accept no probe as cold

Cause: a target that crashes under its requests is probed, and the failed probe did not count as a connection that could not be opened. Once the target was back under its id, and before its registration was read, it was sent requests as a warm one. Change: a failed probe counts like the failed connection of a request. Result: test_a_failed_probe_tells_that_a_target_may_come_back_cold failed before.

--- a/packages/router/chervilwall_router/edge/cold_notices.py
+++ b/packages/router/chervilwall_router/edge/cold_notices.py
@@ -6,7 +6,7 @@
 import errno
 import logging
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 
 from chervilwall import events
 from chervilwall.cold_targets import ColdTargets, StatedCold
@@ -116,6 +116,25 @@
         is_urgent = self._cold.record_unreachable(target, self._clock())
         self._publish(is_urgent)
 
+    async def watch_probe(
+        self, probe: Awaitable[None], target: RegisteredTarget
+    ) -> None:
+        """Waits for a probe, and records a target that accepts no connection.
+
+        Args:
+            probe (Awaitable): Opens a connection to the target.
+            target (RegisteredTarget): The target.
+
+        Raises:
+            DialError: The connection could not be opened.
+        """
+        try:
+            await probe
+        except DialError as exc:
+            if not self.is_own_fault(exc):
+                self.record_unreachable(target)
+            raise
+
     def record_zone_returned(self, targets: Iterable[RegisteredTarget]) -> None:
         """Records that the zone of some targets returned to service."""
         self._cold.record_zone_returned(targets, self._clock())
--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -177,7 +177,9 @@
                 name=self._cfg.name,
                 ledger=state.crashes,
                 registry=self.registry,
-                probe=self.connections.probe,
+                probe=lambda target: self.cold.watch_probe(
+                    self.connections.probe(target), target
+                ),
                 send_reports_now=lambda: self.link.send_reports_now(),
                 on_quarantine_change=self._quarantine_changed,
                 metrics=self.metrics,
--- a/packages/standins/tests/test_edge_cold_targets.py
+++ b/packages/standins/tests/test_edge_cold_targets.py
@@ -313,6 +313,20 @@
         await self.fleet.wait_until(router.registry.all, 1.0)
         await self.fleet.wait_until(lambda: self.cold(router, target), 1.0)
 
+    async def test_a_failed_probe_tells_that_a_target_may_come_back_cold(self):
+        # Guards against a target that crashes under all of its requests and is
+        # sent what it got before, once it is back and not yet registered.
+        target = FakeTarget("p0", "plain")
+        target.response_delay_s = 5.0
+        await self.start(target, routers=1)
+        router = self.fleet.routers[0]
+        call = asyncio.ensure_future(self.fleet.call("/read/x"))
+        await self.fleet.wait_until(lambda: target.received)
+        target.crash()
+        response = await call
+        self.assertGreaterEqual(response.status, 500)
+        await self.fleet.wait_until(lambda: self.cold(router, target), 0.5)
+
     async def test_a_failed_connection_tells_the_scheduler(self):
         # Guards against a target that comes back cold under its id, before its
         # registration is read, and is sent what the scheduler grants.
