State each cold target once before any is repeated

Cause: a report states at most 32 targets, and the first ones were repeated before the others were stated. A router that started while a large zone was cold learned of the last targets after several reports. Change: what is to be repeated goes to the end of the queue. Result: test_all_targets_are_stated_once_before_any_is_repeated failed before.

--- a/packages/core/chervilwall/cold_targets.py
+++ b/packages/core/chervilwall/cold_targets.py
@@ -377,9 +377,10 @@
             return ()
         stated = []
         for target_id in list(self._unreported)[:MAX_REPORTED]:
-            self._unreported[target_id] -= 1
-            if self._unreported[target_id] <= 0:
-                del self._unreported[target_id]
+            # Those that are stated again come after all others.
+            left = self._unreported.pop(target_id) - 1
+            if left > 0:
+                self._unreported[target_id] = left
             state = self._states.get(target_id)
             if state is not None:
                 stated.append(_to_stated(state, now))
--- a/packages/core/tests/test_cold_targets.py
+++ b/packages/core/tests/test_cold_targets.py
@@ -4,6 +4,7 @@
 
 from chervilwall.cold_targets import (
     MAX_COLD_S,
+    MAX_REPORTED,
     RISE_S,
     ColdSource,
     ColdTargets,
@@ -254,6 +255,19 @@
         self.exchange(102.0)
         self.assertTrue(self.there.is_cold(TARGET, 103.0))
 
+    def test_all_targets_are_stated_once_before_any_is_repeated(self):
+        # Guards against a router that starts as a large zone returns, and is
+        # told of the last targets after repetitions of the first ones.
+        targets = [TARGET._replace(id=f"t{n}") for n in range(MAX_REPORTED + 8)]
+        self.here.record_zone_returned(targets, 101.0)
+        self.here.report_all(102.0)
+        stated = [*self.exchange(102.0), *self.exchange(102.25)]
+        self.assertEqual(
+            {item.start.target_id for item in stated}, {t.id for t in targets}
+        )
+        self.assertEqual(len(self.exchange(102.5)), len(targets) - 24)
+        self.assertEqual(self.exchange(102.75), ())
+
     def test_a_statement_about_an_earlier_start_is_ignored(self):
         self.here.record_unreachable(TARGET, 101.0)
         new = TARGET._replace(born_ms=9)
