Keep a running request's grant when the scheduler repeats it

Cause: a grant that crosses a reminder is sent twice. The router returned the second one, and the scheduler counted the running request as ended: its target seemed to have room, and the real outcome was ignored. Change: a repeated grant of a request that runs on it is ignored. Result: test_a_grant_that_is_repeated_does_not_end_the_request failed before.

--- a/packages/core/chervilwall/running_requests.py
+++ b/packages/core/chervilwall/running_requests.py
@@ -48,6 +48,11 @@
         """Adds a request under its number."""
         self._requests[number] = request
 
+    def is_granted_by(self, number: int, granter: Granter) -> bool:
+        """Returns whether a request runs on a grant of a granter."""
+        request = self._requests.get(number)
+        return request is not None and request.granter == granter
+
     def record_prefill_done(self, number: int) -> None:
         """Records that the target has processed the prompt of a request.
 
--- a/packages/router/chervilwall_router/edge/scheduling.py
+++ b/packages/router/chervilwall_router/edge/scheduling.py
@@ -223,12 +223,20 @@
             if inbox is not None:
                 inbox.put_nowait(item)
             elif isinstance(item, edge_messages.PlacementGranted):
-                self._send_ended(
-                    sender, item.number, cell_messages.OUTCOME_CANCELLED
-                )
+                self._return_grant(sender, item.number)
         else:
             self._granting.receive(sender, item)
 
+    def _return_grant(self, sender: SchedulerPeer, number: int) -> None:
+        """Returns a grant that no request waits for.
+
+        A scheduler repeats a grant if it crosses a reminder; the request runs
+        on it then.
+        """
+        granter = Granter(sender.name, sender.incarnation)
+        if not self._parts.running_requests.is_granted_by(number, granter):
+            self._send_ended(sender, number, cell_messages.OUTCOME_CANCELLED)
+
     def reconcile_grants(
         self, name: str, loads: tuple[GranterLoad, ...]
     ) -> None:
--- a/packages/router/tests/test_edge_scheduling.py
+++ b/packages/router/tests/test_edge_scheduling.py
@@ -123,6 +123,24 @@
         _, took_s = await self.acquire()
         self.assertLess(took_s, REMINDER_INTERVAL_S / 2)
 
+    async def test_a_grant_that_is_repeated_does_not_end_the_request(self):
+        # Guards against a scheduler that counts a running request as ended, as
+        # its grant crossed a reminder and was sent twice.
+        self.answers = [self.granted, self.granted]
+        placed, _ = await self.acquire()
+
+        def ended():
+            kind = edge_messages.PlacementEnded
+            return [item for item in self.sent if isinstance(item, kind)]
+
+        with placed:
+            self.scheduling.receive(SCHEDULER, self.granted(placed.number))
+            self.assertEqual(ended(), [])
+        self.assertEqual(len(ended()), 1)
+        # A grant of a request that has ended is returned.
+        self.scheduling.receive(SCHEDULER, self.granted(placed.number))
+        self.assertEqual(len(ended()), 2)
+
     async def test_the_silence_of_a_target_is_reported_once(self):
         self.answers = [self.granted]
         placed, _ = await self.acquire()
