Count a network that is unreachable as a fault of this host

Cause: a host without a network or a route failed to connect to every target, and each of these counted as cold. Change: ENETDOWN and ENETUNREACH count like a lack of descriptors or ports. Result: test_a_host_without_network_says_nothing_of_targets failed before.

--- a/packages/router/chervilwall_router/edge/cold_notices.py
+++ b/packages/router/chervilwall_router/edge/cold_notices.py
@@ -25,6 +25,8 @@
         errno.ENOBUFS,
         errno.ENOMEM,
         errno.EADDRNOTAVAIL,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
     )
 )
 # Event loop lag from which a connection may have timed out because of this
--- a/packages/router/tests/test_edge_cold_notices.py
+++ b/packages/router/tests/test_edge_cold_notices.py
@@ -1,11 +1,13 @@
 """Tests of which grants of cold targets are still used."""
 
+import errno
 import math
 import unittest
 from unittest import mock
 
 from chervilwall.cold_rates import GRANT_TTL_S
 from chervilwall.cold_targets import ColdTargets
+from chervilwall.errors import DialError
 from chervilwall.registry import RegisteredTarget
 from chervilwall.routing import Service
 from chervilwall_router.edge.cold_notices import ColdNotices
@@ -56,5 +58,29 @@
         self.assertEqual(stated.start, TARGET.start)
 
 
+class OwnFaultTest(unittest.TestCase):
+    def is_own_fault(self, cause):
+        notices = ColdNotices(
+            ColdTargets(True),
+            mock.Mock(),
+            mock.Mock(),
+            lambda: 0.0,
+            mock.Mock(),
+        )
+        exc = DialError("failed", step="dial target", peer="a:1")
+        exc.__cause__ = cause
+        return notices.is_own_fault(exc)
+
+    def test_a_host_without_network_says_nothing_of_targets(self):
+        # Guards against targets that all count as cold because one host has
+        # no descriptors, ports or network.
+        for code in (errno.EMFILE, errno.EADDRNOTAVAIL, errno.ENETUNREACH):
+            with self.subTest(errno.errorcode[code]):
+                self.assertTrue(self.is_own_fault(OSError(code, "")))
+        for code in (errno.ECONNREFUSED, errno.ECONNRESET, errno.EHOSTUNREACH):
+            with self.subTest(errno.errorcode[code]):
+                self.assertFalse(self.is_own_fault(OSError(code, "")))
+
+
 if __name__ == "__main__":
     unittest.main()
