Do not tell a scheduler of the last moments of a cold time

Cause: a router that returned a grant just before the end that it knew stated it, and the scheduler's cold time ended later by the delay of that report.

--- a/packages/core/chervilwall/cold_targets.py
+++ b/packages/core/chervilwall/cold_targets.py
@@ -372,9 +372,14 @@
             self._unreported_to_all[target_id] = 1
         return bool(cold)
 
-    def report(self, target: RegisteredTarget) -> None:
-        """Lets the next reports state the cold time of a target."""
-        if target.id in self._states:
+    def report(self, target: RegisteredTarget, now: float) -> None:
+        """Lets the next reports state the cold time of a target.
+
+        Not if it ends within MATERIAL_CHANGE_S: routers know the end to within
+        the delay of reports.
+        """
+        state = self._states.get(target.id)
+        if state is not None and state.until - now >= MATERIAL_CHANGE_S:
             self._unreported.setdefault(target.id, CHANGE_REPEATS)
 
     def take_report(self, now: float) -> tuple[StatedCold, ...]:
--- a/packages/router/chervilwall_router/edge/cold_notices.py
+++ b/packages/router/chervilwall_router/edge/cold_notices.py
@@ -167,7 +167,7 @@
         if math.isinf(send_within_s):
             if self._cold.is_cold(target, now):
                 # The scheduler takes it for warm, and may have missed why not.
-                self._cold.report(target)
+                self._cold.report(target, now)
                 return "the target became cold"
             return ""
         # The datagram with the grant may have waited for as long as the event
--- a/packages/router/tests/test_edge_cold_notices.py
+++ b/packages/router/tests/test_edge_cold_notices.py
@@ -57,6 +57,21 @@
         (stated,) = cold.take_report(100.0)
         self.assertEqual(stated.start, TARGET.start)
 
+    def test_a_scheduler_is_not_told_of_the_last_moments(self):
+        # Guards against cold times that routers prolong at each other, as a
+        # statement ends later by the time that it takes.
+        cold = ColdTargets(True)
+        service = Service("svc", cold_start_s=20.0, cold_per_s=9.3)
+        cold.configure({"svc": service}, 80.0)
+        cold.record_zone_returned([TARGET], 80.2)
+        notices = ColdNotices(
+            cold, mock.Mock(), mock.Mock(), lambda: 0.0, lambda: 100.0
+        )
+        self.assertNotEqual(
+            notices.withdrawal_reason(TARGET, 100.0, math.inf), ""
+        )
+        self.assertEqual(cold.take_report(100.0), ())
+
 
 class OwnFaultTest(unittest.TestCase):
     def is_own_fault(self, cause):
