--- a/packages/core/chervilwall/cold_targets.py
+++ b/packages/core/chervilwall/cold_targets.py
@@ -17,6 +17,8 @@
 - A changed registration of the same start shortens what the target had stated,
   and no assumption: it may have been written before that.
 - A registration that is read again unchanged says nothing new.
+- A statement of a peer counts from the time at which it was made there. One
+  that is older than what the target has stated, beyond REORDER_S, says nothing.
 """
 
 import enum
@@ -40,6 +42,13 @@
 MAX_REPORTED = 32
 # Smaller changes of the end of the cold time are no news to peers.
 MATERIAL_CHANGE_S = 0.5
+# Hubs report smaller changes to all routers of a large fleet only if the target
+# becomes cold or warm. Each attempt to connect to a target that is down
+# prolongs its cold time.
+CHANGE_FOR_ALL_S = 8.0
+# Statements may be received in another order than they were made, as responses
+# and datagrams take different times.
+REORDER_S = 0.2
 
 
 class ColdSource(enum.Enum):
@@ -151,7 +160,12 @@
         self._limited: set[str] = set()
         # Targets that were last logged as cold.
         self._logged: set[str] = set()
+        # How often reports are still to state a target, by id.
         self._unreported: dict[str, int] = {}
+        # The same for the reports of hubs to all routers, and the ends of the
+        # cold times that these have stated.
+        self._unreported_to_all: dict[str, int] = {}
+        self._told_until: dict[str, float] = {}
 
     def __repr__(self) -> str:
         return f"ColdTargets(limited={len(self._limited)})"
@@ -191,6 +205,7 @@
             if self._states[target_id].until + RISE_S <= now:
                 del self._states[target_id]
                 self._limited.discard(target_id)
+                self._told_until.pop(target_id, None)
 
     def _record_registration(
         self, target: RegisteredTarget, now: float
@@ -285,6 +300,8 @@
         before = self._states.get(target.id) or _unknown(
             target.start, target.service
         )
+        if _has_moved(target.start, before.start):
+            return False
         after = before.with_end(
             now + cold_s, now, source, may_shorten=False, assumed=True
         )
@@ -309,33 +326,65 @@
         if known and known.start.born_ms > stated.start.born_ms:
             return
         before = known or _unknown(stated.start, stated.service)
-        is_newer = now - stated.age_ms / 1000 > before.at
+        stated_at = now - stated.age_ms / 1000
+        is_same_start = before.start == stated.start
+        is_outdated = stated_at < before.at - REORDER_S
+        if is_same_start and is_outdated and not before.is_assumed:
+            return
         after = before.with_end(
             now + cold_s,
             now,
             ColdSource.PEER,
-            may_shorten=before.start == stated.start
-            and is_newer
+            may_shorten=is_same_start
+            and stated_at > before.at
             and not stated.is_assumed,
             assumed=stated.is_assumed,
         )
+        if after is not before:
+            # A statement that is passed on grows no younger.
+            after = after._replace(at=max(before.at, stated_at))
         self._put(after, now)
+        self._note_for_all(before, after, now)
+
+    def report_all(self, now: float) -> bool:
+        """Lets the next reports state all cold targets, as a router started.
+
+        Returns:
+            Whether any target is cold.
+        """
+        cold = [i for i in self._limited if self._states[i].until > now]
+        for target_id in cold:
+            self._unreported[target_id] = CHANGE_REPEATS
+            self._unreported_to_all[target_id] = 1
+        return bool(cold)
 
-    def report_all(self, now: float) -> None:
-        """Lets the next reports state all cold targets, as a router started."""
-        for target_id in self._limited:
-            if self._states[target_id].until > now:
-                self._unreported.setdefault(target_id, 1)
+    def report(self, target: RegisteredTarget, now: float) -> None:
+        """Lets the next reports state the cold time of a target.
+
+        Not if it ends within MATERIAL_CHANGE_S: routers know the end to within
+        the delay of reports.
+        """
+        state = self._states.get(target.id)
+        if state is not None and state.until - now >= MATERIAL_CHANGE_S:
+            self._unreported.setdefault(target.id, CHANGE_REPEATS)
 
     def take_report(self, now: float) -> tuple[StatedCold, ...]:
         """Returns what the next report states; empty if nothing changed."""
-        if not self._unreported:
-            return ()
+        return self._take(self._unreported, now)
+
+    def take_report_to_all(self, now: float) -> tuple[StatedCold, ...]:
+        """Returns what a hub's next report to all routers states."""
+        return self._take(self._unreported_to_all, now)
+
+    def _take(
+        self, unreported: dict[str, int], now: float
+    ) -> tuple[StatedCold, ...]:
         stated = []
-        for target_id in list(self._unreported)[:MAX_REPORTED]:
-            self._unreported[target_id] -= 1
-            if self._unreported[target_id] <= 0:
-                del self._unreported[target_id]
+        for target_id in list(unreported)[:MAX_REPORTED]:
+            # Those that are stated again come after all others.
+            left = unreported.pop(target_id) - 1
+            if left > 0:
+                unreported[target_id] = left
             state = self._states.get(target_id)
             if state is not None:
                 stated.append(_to_stated(state, now))
@@ -414,12 +463,26 @@
         self, before: ColdState, after: ColdState, now: float
     ) -> bool:
         """Notes a change for the reports; returns whether it is material."""
+        self._note_for_all(before, after, now)
         change_s = abs(max(after.until, now) - max(before.until, now))
         if change_s < MATERIAL_CHANGE_S:
             return False
         self._unreported[after.start.target_id] = CHANGE_REPEATS
         return (before.until > now) != (after.until > now)
 
+    def _note_for_all(
+        self, before: ColdState, after: ColdState, now: float
+    ) -> None:
+        """Notes a change for a hub's reports to all routers, if it matters."""
+        target_id = after.start.target_id
+        told_until = max(now, self._told_until.get(target_id, now))
+        until = max(now, after.until)
+        has_turned = (before.until > now) != (after.until > now)
+        if has_turned or abs(until - told_until) >= CHANGE_FOR_ALL_S:
+            self._told_until[target_id] = until
+            # All hubs state it, so one report of each is enough.
+            self._unreported_to_all[target_id] = 1
+
 
 def _unknown(start: TargetStart, service: str) -> ColdState:
     """Returns the state of a target that was never cold."""
@@ -428,6 +491,11 @@
     )
 
 
+def _has_moved(start: TargetStart, known: TargetStart) -> bool:
+    """Returns whether a later start of a target is known at another address."""
+    return known.born_ms > start.born_ms and known.address != start.address
+
+
 def _to_stated(state: ColdState, now: float) -> StatedCold:
     remaining_ms = math.ceil(max(0.0, state.until - now) * 1000)
     age_ms = max(0, math.ceil((now - state.at) * 1000))
--- a/packages/core/tests/test_cold_targets.py
+++ b/packages/core/tests/test_cold_targets.py
@@ -4,6 +4,7 @@
 
 from chervilwall.cold_targets import (
     MAX_COLD_S,
+    MAX_REPORTED,
     RISE_S,
     ColdSource,
     ColdTargets,
@@ -85,6 +86,14 @@
         self.cold.record_unreachable(old, 103.0)
         self.assertEqual(self.until(), 103.0 + COLD_START_S)
 
+    def test_a_failure_at_an_earlier_address_says_nothing(self):
+        # Guards against a warm target that is limited because a request was
+        # granted, or is probed, at the address of its earlier start.
+        old = self.register(100.0)
+        self.register(101.0, born_ms=9, address="a:2")
+        self.assertFalse(self.cold.record_unreachable(old, 102.0))
+        self.assertIsNone(self.until())
+
     def test_a_target_that_comes_back_under_its_id_is_cold_before_it_registers(
         self,
     ):
@@ -225,6 +234,27 @@
         self.exchange(103.0)
         self.assertEqual(self.there.cold_end(TARGET), 102.0 + COLD_START_S)
 
+    def test_an_older_statement_does_not_undo_a_newer_response(self):
+        # Guards against a warm target that is limited again whenever a router
+        # repeats an assumption that a response has ended elsewhere, as each one
+        # does when a router starts.
+        self.here.record_unreachable(TARGET, 101.0)
+        self.exchange(101.1)
+        self.there.record_response(TARGET, 0.0, 102.0, 102.1)
+        self.exchange(102.5)
+        self.here.report_all(105.0)
+        self.assertEqual(len(self.exchange(105.0)), 1)
+        self.assertFalse(self.there.is_cold(TARGET, 105.1))
+
+    def test_a_statement_that_overtook_another_one_counts(self):
+        # Guards against a target that just became cold and counts as warm, as
+        # an earlier response of it was read later elsewhere.
+        self.there.record_unreachable(TARGET, 100.5)
+        self.here.record_response(TARGET, 8.0, 101.0, 101.1)
+        self.there.record_response(TARGET, 0.0, 101.0, 101.2)
+        self.exchange(101.2)
+        self.assertTrue(self.there.is_cold(TARGET, 101.3))
+
     def test_registrations_and_zones_are_not_reported(self):
         # Each router learns of them itself.
         self.here.record_registrations(
@@ -239,6 +269,38 @@
         self.exchange(102.0)
         self.assertTrue(self.there.is_cold(TARGET, 103.0))
 
+    def test_all_targets_are_stated_once_before_any_is_repeated(self):
+        # Guards against a router that starts as a large zone returns, and is
+        # told of the last targets after repetitions of the first ones.
+        targets = [TARGET._replace(id=f"t{n}") for n in range(MAX_REPORTED + 8)]
+        self.here.record_zone_returned(targets, 101.0)
+        self.here.report_all(102.0)
+        stated = [*self.exchange(102.0), *self.exchange(102.25)]
+        self.assertEqual(
+            {item.start.target_id for item in stated}, {t.id for t in targets}
+        )
+        self.assertEqual(len(self.exchange(102.5)), len(targets) - 24)
+        self.assertEqual(self.exchange(102.75), ())
+
+    def test_hubs_report_few_of_the_changes_to_all(self):
+        # Guards against statements to hundreds of routers at each attempt to
+        # connect to each target of a zone that is down.
+        self.here.record_unreachable(TARGET, 101.0)
+        self.exchange(101.0)
+        hub = self.there
+        self.assertEqual(len(hub.take_report_to_all(101.2)), 1)
+        self.assertEqual(hub.take_report_to_all(101.4), ())
+        for now in (102.0, 104.0, 106.0, 108.0):
+            self.here.record_unreachable(TARGET, now)
+            self.exchange(now)
+            self.assertEqual(hub.take_report_to_all(now), ())
+        self.here.record_unreachable(TARGET, 110.0)
+        self.exchange(110.0)
+        self.assertEqual(len(hub.take_report_to_all(110.2)), 1)
+        hub.record_response(TARGET, 0.0, 111.0, 111.1)
+        (stated,) = hub.take_report_to_all(111.2)
+        self.assertEqual(stated.remaining_ms, 0)
+
     def test_a_statement_about_an_earlier_start_is_ignored(self):
         self.here.record_unreachable(TARGET, 101.0)
         new = TARGET._replace(born_ms=9)
--- a/packages/router/chervilwall_router/edge/cold_notices.py
+++ b/packages/router/chervilwall_router/edge/cold_notices.py
@@ -6,7 +6,7 @@
 import errno
 import logging
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 
 from chervilwall import events
 from chervilwall.cold_targets import ColdTargets
@@ -26,6 +26,8 @@
         errno.ENOBUFS,
         errno.ENOMEM,
         errno.EADDRNOTAVAIL,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
     )
 )
 # Time in which a scheduler learns what this router has learned.
@@ -33,6 +35,9 @@
 # Event loop lag from which a connection may have timed out because of this
 # host. It is half the time that a connection may take.
 OWN_TIMEOUT_LAG_S = 0.25
+# Least time that a scheduler states for a grant, also if it has expired and is
+# repeated because its first datagram was lost.
+MIN_STATED_S = 0.001
 
 
 class ColdNotices:
@@ -109,6 +114,25 @@
         is_urgent = self._cold.record_unreachable(target, self._clock())
         self._publish(is_urgent)
 
+    async def watch_probe(
+        self, probe: Awaitable[None], target: RegisteredTarget
+    ) -> None:
+        """Waits for a probe, and records a target that accepts no connection.
+
+        Args:
+            probe (Awaitable): Opens a connection to the target.
+            target (RegisteredTarget): The target.
+
+        Raises:
+            DialError: The connection could not be opened.
+        """
+        try:
+            await probe
+        except DialError as exc:
+            if not self.is_own_fault(exc):
+                self.record_unreachable(target)
+            raise
+
     def record_zone_returned(self, targets: Iterable[RegisteredTarget]) -> None:
         """Records that the zone of some targets returned to service."""
         self._cold.record_zone_returned(targets, self._clock())
@@ -147,13 +171,17 @@
         """
         now = self._clock()
         if math.isinf(send_within_s):
+            if self._cold.is_cold(target, now):
+                # The scheduler takes it for warm, and may have missed why not.
+                self._cold.report(target, now)
             since = granted_at - NEWS_DELAY_S
             if self._cold.has_learned_since(target, since, now):
                 return "the target became cold"
             return ""
         # The datagram with the grant may have waited for as long as the event
         # loop was behind.
-        if now - granted_at + self._lag_s() > send_within_s:
+        age_s = now - granted_at + self._lag_s()
+        if age_s >= send_within_s - MIN_STATED_S:
             return "the grant of a cold target expired"
         return ""
 
--- a/packages/router/chervilwall_router/edge/reports.py
+++ b/packages/router/chervilwall_router/edge/reports.py
@@ -108,6 +108,7 @@
         self._recent_prefixes = recent_prefixes
         self._sequence = 0
         self._round = 0
+        self._has_hubs = False
         self._digests = DigestBuilder()
 
     def __repr__(self) -> str:
@@ -122,6 +123,7 @@
                 at every call, and all others at every second call.
         """
         recipients = self._parts.recipients()
+        self._has_hubs = recipients.has_hubs
         self._round += 1
         is_due = urgent or not recipients.has_hubs or self._round % 2 == 0
         if not is_due and not recipients.short_report:
@@ -134,6 +136,9 @@
             return
         # The short report omits what only schedulers need. In a large fleet,
         # sending that to every router would cost more than serving requests.
+        # Cold targets are included: a router that has just become a hub may
+        # schedule, and only the response of a target that is known to be cold
+        # tells that it is warm.
         now = self._parts.clock()
         updates = self._state.crashes.pending_updates(
             now, quarantined_only=True
@@ -145,7 +150,7 @@
             granted_tokens={},
             crashes=updates,
             limits=(),
-            cold=(),
+            cold=self._state.cold.take_report_to_all(now),
         )
         yield Outgoing(recipients.short_report, (short_report,))
         digests = self._digests.build(
@@ -221,8 +226,14 @@
             # It may schedule as soon as it is ready.
             self._state.limits.report_all()
             self._parts.send_reports_now()
-        if known_incarnation != incarnation:
-            self._state.cold.report_all(now)
+        if (
+            known_incarnation != incarnation
+            and self._state.cold.report_all(now)
+            and not self._has_hubs
+        ):
+            # It may schedule as soon as it is ready. In a large fleet, where
+            # that is rare, a report for each start would be too much.
+            self._parts.send_reports_now()
         if known_incarnation is None:
             events.log_event(LOG, events.PEER_REPORTING, peer=name)
         elif known_incarnation != incarnation:
