Ignore a processor clock that counts elapsed time

Cause: on the users' platform the processor clock goes as fast as time, so hosts with a part of a processor measured 1.4 to 2.6 of their share: they relayed from 8 requests on without any lag (E470 with lag_ms 0 at ten hosts), and refused what others relayed. Change: samples at 0.95 of elapsed time or faster say nothing where the share is smaller; the lag decides there.

--- a/packages/core/chervilwall/connection_relay.py
+++ b/packages/core/chervilwall/connection_relay.py
@@ -37,6 +37,10 @@
 # Half-life of a sample of the processor use. Hosts with a part of a processor
 # are stopped for parts of 0.1 s, so single samples vary widely.
 CPU_HALF_LIFE_S = 0.25
+# Rate of the processor clock, relative to elapsed time, from which a sample
+# says nothing on a host with a smaller share: some platforms count elapsed time
+# as processor time, and idle hosts would take themselves for busy.
+MAX_CLOCK_RATE = 0.95
 # Time for which a peer that refused a connection is not chosen.
 REFUSAL_PAUSE_S = 2.0
 # Time for which a peer that is unreachable, silent or of an older version is
@@ -89,7 +93,9 @@
         """
         if self._last_at is not None and now > self._last_at:
             elapsed_s = now - self._last_at
-            used = (cpu_s - self._last_cpu_s) / elapsed_s / self._share
+            rate = (cpu_s - self._last_cpu_s) / elapsed_s
+            is_credible = rate < MAX_CLOCK_RATE or self._share >= MAX_CLOCK_RATE
+            used = rate / self._share if is_credible else 0.0
             kept = 0.5 ** (elapsed_s / CPU_HALF_LIFE_S)
             self.fraction = kept * self.fraction + (1.0 - kept) * used
         self._last_cpu_s, self._last_at = cpu_s, now
--- a/packages/core/tests/test_connection_relay.py
+++ b/packages/core/tests/test_connection_relay.py
@@ -224,6 +224,17 @@
 
 
 class CpuUseTest(unittest.TestCase):
+    def test_a_clock_that_counts_elapsed_time_shows_no_use(self):
+        # Idle hosts relayed what they could serve, and refused what others
+        # relayed, as their processor clock went as fast as time.
+        use, relay = CpuUse(0.387), make_relay()
+        for step in range(100):
+            now = step * SAMPLE_INTERVAL_S
+            use.record(now, now)
+            relay.record_load(0.001, use.fraction, 4 * MIN_REQUESTS)
+            self.assertEqual(relay.share, 0.0)
+            self.assertTrue(relay.accepts(0))
+
     def test_it_is_a_part_of_the_share(self):
         use = CpuUse(0.5)
         for step in range(40):
