Name the evacuation setting in our own words

Cause: the setting had the platform's name, which belongs in platform/ and in the template alone. Change: evacuation_ms in the settings, code and pages; comments that spoke of hearing and telling are plain.

--- a/packages/core/tests/test_cold_targets.py
+++ b/packages/core/tests/test_cold_targets.py
@@ -271,7 +271,7 @@
 
     def test_all_targets_are_stated_once_before_any_is_repeated(self):
         # Guards against a router that starts as a large zone returns, and is
-        # told of the last targets after repetitions of the first ones.
+        # informed about the last targets after repetitions of the first ones.
         targets = [TARGET._replace(id=f"t{n}") for n in range(MAX_REPORTED + 8)]
         self.here.record_zone_returned(targets, 101.0)
         self.here.report_all(102.0)
--- a/packages/core/tests/test_evacuations.py
+++ b/packages/core/tests/test_evacuations.py
@@ -72,7 +72,7 @@
         self.assertEqual(self.state.excess, len(MANY) - MAX_ZONES)
 
     def test_the_place_of_a_removed_name_needs_a_list_once_full(self):
-        # The router may have heard of 64 names from a peer that left out more.
+        # The router may have received 64 names from a peer that left out more.
         self.state.merge(at(5), MANY[:MAX_ZONES], NOW)
         self.assertFalse(self.state.can_update([MANY[0]]))
         self.assertTrue(self.state.can_update(["unknown"]))
--- a/packages/operator/tests/test_evacuation_view.py
+++ b/packages/operator/tests/test_evacuation_view.py
@@ -10,7 +10,7 @@
 from chervilwall_ctl import commands
 from chervilwall_ctl.main import main
 from chervilwall_standins.users.evacuation_case import (
-    EVACUATE_MS,
+    EVACUATION_MS,
     KIND,
     make_targets,
 )
@@ -22,7 +22,9 @@
 class EvacuationsCommandTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.fleet = EdgeFleet(
-            *make_targets("east", "west"), routers=3, evacuate_ms=EVACUATE_MS
+            *make_targets("east", "west"),
+            routers=3,
+            evacuation_ms=EVACUATION_MS,
         )
         await self.fleet.__aenter__()
         self.addAsyncCleanup(self.fleet.__aexit__)
--- a/packages/router/chervilwall_router/edge/edge_router.py
+++ b/packages/router/chervilwall_router/edge/edge_router.py
@@ -258,7 +258,7 @@
         self.evacuations = EvacuationState(
             EvacuationParts(
                 registry=self.registry,
-                evacuate_ms=self._cfg.evacuate_ms,
+                evacuation_ms=self._cfg.evacuation_ms,
                 on_change=self._zones_changed,
                 on_zones_returned=self._zones_returned,
                 is_hub=lambda: self._cfg.name in self.fleet.hubs(),
--- a/packages/router/chervilwall_router/edge/evacuation_state.py
+++ b/packages/router/chervilwall_router/edge/evacuation_state.py
@@ -35,7 +35,7 @@
     Args:
         registry (TargetRegistry): Registry whose targets in evacuated zones get
             no new requests.
-        evacuate_ms (float | None): Maximum time in milliseconds until an
+        evacuation_ms (float | None): Maximum time in milliseconds until an
             evacuation takes effect, None if zones cannot be evacuated.
         on_change (Callable): Called after the registry has a different set of
             evacuated zones.
@@ -52,7 +52,7 @@
     """
 
     registry: TargetRegistry
-    evacuate_ms: float | None
+    evacuation_ms: float | None
     on_change: Callable[[], None]
     on_zones_returned: Callable[[frozenset[str]], None]
     is_hub: Callable[[], bool]
@@ -80,7 +80,7 @@
         self._parts = parts
         self._evacuations = Evacuations()
         self._waits_since: float | None = None
-        self.is_enabled = parts.evacuate_ms is not None
+        self.is_enabled = parts.evacuation_ms is not None
         self._is_known = not self.is_enabled
         if self.is_enabled:
             parts.registry.set_evacuated_zones(None)
@@ -104,7 +104,7 @@
         Args:
             longest_s (float): Interval of the checks of other kinds.
         """
-        bound_s = (self._parts.evacuate_ms or 0.0) / 1000
+        bound_s = (self._parts.evacuation_ms or 0.0) / 1000
         return min(longest_s, bound_s / CHECKS_PER_BOUND)
 
     def names(self) -> frozenset[str]:
--- a/packages/router/chervilwall_router/edge/settings.py
+++ b/packages/router/chervilwall_router/edge/settings.py
@@ -162,7 +162,7 @@
             the fleet is larger than `mesh_most`.
         event_delay_ms (float): Maximum time in milliseconds that this host may
             take to relay an event of a stream.
-        evacuate_ms (float | None): Maximum time in milliseconds until no
+        evacuation_ms (float | None): Maximum time in milliseconds until no
             request is sent to a zone that operators evacuate. Defaults to None:
             zones cannot be evacuated, and the store is not asked about it.
         log (LogSettings): Logging.
@@ -188,7 +188,7 @@
     bootstrap: bool = False
     relay: bool | None = None
     event_delay_ms: Milliseconds = 200.0
-    evacuate_ms: Milliseconds | None = None
+    evacuation_ms: Milliseconds | None = None
     log: LogSettings = LogSettings(format="json")
     waiting: WaitSettings = WaitSettings()
     placement: PlacementSettings = PlacementSettings()
--- a/packages/router/tests/test_edge_evacuation_state.py
+++ b/packages/router/tests/test_edge_evacuation_state.py
@@ -55,11 +55,11 @@
         self.registry.put(TARGET)
         self.state = self.make_state(5000.0)
 
-    def make_state(self, evacuate_ms):
+    def make_state(self, evacuation_ms):
         return EvacuationState(
             EvacuationParts(
                 registry=self.registry,
-                evacuate_ms=evacuate_ms,
+                evacuation_ms=evacuation_ms,
                 on_change=lambda: self.calls.append("change"),
                 on_zones_returned=self.record_returned,
                 is_hub=lambda: self.is_hub,
--- a/packages/standins/chervilwall_standins/users/evacuation_case.py
+++ b/packages/standins/chervilwall_standins/users/evacuation_case.py
@@ -10,7 +10,7 @@
 from chervilwall_standins.users.target import FakeTarget
 
 KIND = "evacuations"
-EVACUATE_MS = 5000.0
+EVACUATION_MS = 5000.0
 # Routers on a busy machine refuse nothing because of their own delay.
 EVENT_DELAY_MS = 10_000.0
 CONCURRENT_CALLS = 9
@@ -32,7 +32,7 @@
             **options (Any): Options of EdgeFleet.
         """
         defaults = {
-            "evacuate_ms": EVACUATE_MS,
+            "evacuation_ms": EVACUATION_MS,
             "event_delay_ms": EVENT_DELAY_MS,
         }
         self.fleet = EdgeFleet(*targets, **(defaults | options))
--- a/packages/standins/chervilwall_standins/users/fleet.py
+++ b/packages/standins/chervilwall_standins/users/fleet.py
@@ -271,7 +271,7 @@
             AMPLE_RETRIES.
         memory_mb (float): Memory of each router. Defaults to that of its
             settings.
-        evacuate_ms (float | None): Time until an evacuation takes effect.
+        evacuation_ms (float | None): Time until an evacuation takes effect.
             Defaults to None, zones cannot be evacuated.
         service_fields (dict): Further fields of each service in the
             configuration. Defaults to none.
@@ -290,7 +290,7 @@
         routes: list[dict] | None = None,
         retries: RetrySettings = AMPLE_RETRIES,
         memory_mb: float = 150.0,
-        evacuate_ms: float | None = None,
+        evacuation_ms: float | None = None,
         service_fields: dict | None = None,
         cold: ColdSettings | None = None,
         relay: bool | None = None,
@@ -307,7 +307,7 @@
         self._mesh_most = mesh_most
         self._retries = retries
         self._memory_mb = memory_mb
-        self._evacuate_ms = evacuate_ms
+        self._evacuate_ms = evacuation_ms
         self._relay = relay
         self._event_delay_ms = event_delay_ms
         self._stack = contextlib.AsyncExitStack()
@@ -456,7 +456,7 @@
             retries=self._retries,
             mesh_most=self._mesh_most,
             memory_mb=self._memory_mb,
-            evacuate_ms=self._evacuate_ms,
+            evacuation_ms=self._evacuate_ms,
             relay=self._relay,
             event_delay_ms=self._event_delay_ms,
             bootstrap=bootstrap,
--- a/packages/standins/chervilwall_standins/users/process_fleet.py
+++ b/packages/standins/chervilwall_standins/users/process_fleet.py
@@ -41,7 +41,7 @@
         stop (ShutdownSettings): How it stops. Defaults to SHORT_STOP.
         retries (RetrySettings): Retry budget of the fleet. Defaults to
             DEFAULT_RETRIES.
-        evacuate_ms (float | None): Time until an evacuation takes effect.
+        evacuation_ms (float | None): Time until an evacuation takes effect.
             Defaults to None, zones cannot be evacuated.
         overrides (Mapping | None): Further settings. Defaults to none.
 
@@ -57,7 +57,7 @@
         folder: pathlib.Path,
         stop: ShutdownSettings = SHORT_STOP,
         retries: RetrySettings = DEFAULT_RETRIES,
-        evacuate_ms: float | None = None,
+        evacuation_ms: float | None = None,
         overrides: Mapping[str, object] | None = None,
     ) -> None:
         self._store = store
@@ -74,7 +74,7 @@
         self.settings: EdgeSettings = msgspec.structs.replace(
             cfg,
             retries=retries,
-            evacuate_ms=evacuate_ms,
+            evacuation_ms=evacuation_ms,
             **(overrides or {}),
         )
         self._path.write_bytes(msgspec.json.encode(self.settings))
@@ -152,7 +152,7 @@
         stop (ShutdownSettings): How they stop. Defaults to SHORT_STOP.
         retries (RetrySettings): Retry budget of the fleet. Defaults to
             DEFAULT_RETRIES.
-        evacuate_ms (float | None): Time until an evacuation takes effect.
+        evacuation_ms (float | None): Time until an evacuation takes effect.
             Defaults to None, zones cannot be evacuated.
         overrides (Sequence): Further settings of each router, in order.
             Defaults to none.
@@ -164,7 +164,7 @@
         routers: int,
         stop: ShutdownSettings = SHORT_STOP,
         retries: RetrySettings = DEFAULT_RETRIES,
-        evacuate_ms: float | None = None,
+        evacuation_ms: float | None = None,
         overrides: Sequence[Mapping[str, object]] = (),
     ) -> None:
         self.store = FakeStore()
@@ -173,7 +173,7 @@
         self._router_count = routers
         self._stop = stop
         self._retries = retries
-        self._evacuate_ms = evacuate_ms
+        self._evacuate_ms = evacuation_ms
         self._overrides = dict(enumerate(overrides))
         self._stack = contextlib.AsyncExitStack()
 
--- a/packages/standins/tests/test_edge_connection_relay.py
+++ b/packages/standins/tests/test_edge_connection_relay.py
@@ -500,7 +500,7 @@
     async def test_a_stopping_router_accepts_nothing(self):
         receiver = self.receivers[0]
         receiver.begin_shutdown()
-        # The sender has not heard of it yet.
+        # The sender has received no report of it yet.
         peers = list(self.sender.relaying._peers)
         self.sender.relaying._usable_peers = lambda now: peers
         self.sender.relaying._peers = peers
--- a/packages/standins/tests/test_edge_evacuation.py
+++ b/packages/standins/tests/test_edge_evacuation.py
@@ -506,7 +506,7 @@
 
     async def test_without_the_setting_the_store_is_not_asked(self):
         east, west = make_targets("east", "west")
-        await self.start(east, west, routers=2, evacuate_ms=None)
+        await self.start(east, west, routers=2, evacuation_ms=None)
         store = self.fleet.store
         await store.put(KIND, "east", {})
         await asyncio.sleep(2.5)
--- a/packages/standins/tests/test_edge_evacuation_processes.py
+++ b/packages/standins/tests/test_edge_evacuation_processes.py
@@ -15,7 +15,7 @@
 
 from chervilwall_standins.users import store as s
 from chervilwall_standins.users.evacuation_case import (
-    EVACUATE_MS,
+    EVACUATION_MS,
     KIND,
     make_targets,
 )
@@ -51,7 +51,7 @@
         for target in self.targets:
             target.response_delay_s = 0.02
         self.fleet = ProcessFleet(
-            *self.targets, routers=ROUTERS, evacuate_ms=EVACUATE_MS
+            *self.targets, routers=ROUTERS, evacuation_ms=EVACUATION_MS
         )
         self.statuses = Counter()
         self.is_over = False
