--- a/packages/standins/tests/test_edge_cold_targets.py
+++ b/packages/standins/tests/test_edge_cold_targets.py
@@ -278,7 +278,7 @@
         target = FakeTarget("p0", "plain")
         await self.start(target, routers=10, mesh_most=4, cold_start_s=20.0)
         routers = self.fleet.routers
-        # More routers act as hubs until they have received each other's reports.
+        # More routers act as hubs until they have received reports.
         await asyncio.sleep(2.5)
         hubs = {name for r in routers for name in r.fleet.hubs()}
         others = [r for r in routers if r.settings.name not in hubs]
