review: case 6 also shows a booking that runs twice

Cause: two heads that the parser reads as one count as not executed. Change: the second answer is in turn a rejection and a confirmation.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,9 +1,14 @@
-"""An answer that breaks off in its head, before a late second answer."""
+"""An answer that breaks off in its head, before a late second answer.
+
+The second answer is, in turn, the confirmation of another booking and a
+rejection, each of the request before it on the channel.
+"""
 
 import asyncio
 import pathlib
 import sys
 import weakref
+from collections import Counter
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib-2"))
@@ -49,34 +54,67 @@
     return head + data
 
 
-def make_answer(trouble, spoiled):
-    count = 0
-    # The last request that was answered on each channel.
-    answered = weakref.WeakKeyDictionary()
+def rejection(request_id):
+    """Returns the answer of an engine that is full."""
+    return (
+        f"HTTP/1.1 503 -\r\nAttempt-Id: {request_id}\r\nNot-Executed: 1\r\n"
+        "Content-Length: 0\r\n\r\n"
+    ).encode()
 
-    async def answer(engine, headers, body, reader, writer):
-        nonlocal count
-        await asyncio.sleep(WORK_S)
+
+class Spoiler:
+    """Spoils each fiftieth answer of the faulty engine.
+
+    In every second case the engine has rejected the request before it on the
+    channel, as it was full.
+    """
+
+    def __init__(self, record, trouble):
+        self._record, self._trouble = record, trouble
+        self._count = 0
+        # The last request that was answered on each channel, and its answer.
+        self._answered = weakref.WeakKeyDictionary()
+        self._rejected_on = None
+        self.rejected = 0
+        self.spoiled = []
+        self.ran = Counter()
+
+    async def answer(self, engine, headers, body, reader, writer):
         request_id = headers["attempt-id"]
-        data = whole_answer(request_id)
+        last_id, last = self._answered.get(writer, ("", b""))
+        is_due = False
         if engine.name == FAULTY:
-            count += 1
-            last_id = answered.get(writer)
-            if trouble and count >= SPOILED_EACH and last_id:
-                count = 0
-                spoiled.append(request_id)
-                engine.record.add(
-                    f"engine {engine.name} breaks off its answer to"
-                    f" {request_id} and answers {last_id} once more"
+            self._count += 1
+            is_due = self._count >= SPOILED_EACH
+        after_rejection = len(self.spoiled) % 2 == 0
+        if is_due and after_rejection and self._rejected_on is None:
+            self.rejected += 1
+            self._rejected_on = writer
+            self._record.add(f"engine {engine.name} rejects {request_id}")
+            await self._send(writer, request_id, rejection(request_id))
+            return
+        if after_rejection:
+            is_due = is_due and writer is self._rejected_on
+        self.ran[request_id] += 1
+        whole = data = whole_answer(request_id)
+        if is_due and last:
+            self._count, self._rejected_on = 0, None
+            if self._trouble:
+                self.spoiled.append(request_id)
+                self._record.add(
+                    f"engine {engine.name} has run {request_id}, breaks off its"
+                    f" answer and answers {last_id} once more: {last[:14]!r}"
                 )
                 name = b"Response-Signature: "
                 cut = data.index(name) + len(name) + SIGNATURE_BYTES
-                data = data[:cut] + whole_answer(last_id)
+                data = data[:cut] + last
+        await asyncio.sleep(WORK_S)
+        await self._send(writer, request_id, data, whole)
+
+    async def _send(self, writer, request_id, data, whole=b""):
         writer.write(data)
         await writer.drain()
-        answered[writer] = request_id
-
-    return answer
+        self._answered[writer] = (request_id, whole or data)
 
 
 async def consume(router, record, number, ends_at, wrong):
@@ -117,12 +155,12 @@
 
 async def main(trouble):
     record = Record(FOLDER)
-    spoiled, wrong = [], []
-    answer = make_answer(trouble, spoiled)
+    spoiler = Spoiler(record, trouble)
+    wrong = []
     async with (
         Store() as store,
-        Engine("i-1", "app", record, answer) as one,
-        Engine("i-2", "app", record, answer) as two,
+        Engine("i-1", "app", record, spoiler.answer) as one,
+        Engine("i-2", "app", record, spoiler.answer) as two,
     ):
         routes = [route("book", "app", "non_idempotent", max_attempts=1)]
         store.put("config", "main", desired_state(1, routes, ["app"]))
@@ -139,10 +177,17 @@
                         for n in range(CONSUMERS)
                     )
                 )
-    result = f"{len(spoiled)} answers spoiled, {len(wrong)} foreign successes"
+    twice = [i for i, count in spoiler.ran.items() if count > 1]
+    for request_id in twice:
+        record.add(f"{request_id} has run twice")
+    result = (
+        f"{len(spoiler.spoiled)} answers spoiled, {spoiler.rejected} requests"
+        f" rejected; {len(twice)} requests ran twice, {len(wrong)} consumers"
+        " got the answer to another request"
+    )
     record.add(result)
     print(result)
-    return bool(wrong)
+    return bool(twice or wrong)
 
 
 sys.exit(run_case(main))
