Do not read the heads of two answers as one

Cause: where an answer breaks off in its head, the parser reads the status line of the next answer on the connection as the end of a header's value. Of two ids the first one counted, and "not run" counted wherever it stood. Joined heads always hold the second status line, unless the parser fails by itself.

--- a/packages/core/chervilwall/http_messages.py
+++ b/packages/core/chervilwall/http_messages.py
@@ -137,6 +137,9 @@
             none or one that cannot be read.
         malformed_load (str): A statement that cannot be read, for the log, ""
             if there is none.
+        contradiction (str): Why it cannot be the head of one response, "" if
+            nothing shows that. It may be those of two, of which the first broke
+            off, so that none of its statements can be relied on.
     """
 
     status: int
@@ -155,6 +158,7 @@
     cold_for_s: float | None = None
     load: StatedLoad | None = None
     malformed_load: str = ""
+    contradiction: str = ""
 
     @property
     def is_success(self) -> bool:
--- a/packages/router/chervilwall_router/edge/_head.py
+++ b/packages/router/chervilwall_router/edge/_head.py
@@ -6,6 +6,7 @@
 from chervilwall.http_messages import Headers
 
 _FORBIDDEN = re.compile(r"[\r\n\0]")
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
 
 def encode_head(first_line: str, headers: Headers) -> bytes:
@@ -33,3 +34,19 @@
 def decode_headers(raw: list[tuple[bytes, bytes]]) -> Headers:
     """Decodes header names and values from Latin-1."""
     return tuple((n.decode("latin1"), v.decode("latin1")) for n, v in raw)
+
+
+def has_status_line(reason: bytes, raw: list[tuple[bytes, bytes]]) -> bool:
+    """Returns whether the head of a response holds a further status line.
+
+    If so, the response may have broken off in its head, before that of another
+    response: a parser reads both as one.
+
+    Args:
+        reason (bytes): Reason phrase of the response.
+        raw (list): Names and values of its headers.
+    """
+    if _STATUS_LINE.search(reason) is not None:
+        return True
+    values = b"\n".join([value for _, value in raw])
+    return _STATUS_LINE.search(values) is not None
--- a/packages/router/chervilwall_router/edge/exchange.py
+++ b/packages/router/chervilwall_router/edge/exchange.py
@@ -12,7 +12,11 @@
 from chervilwall.protocol import WireFormat
 
 from chervilwall_router.edge._framing import FramingCounter
-from chervilwall_router.edge._head import decode_headers, encode_head
+from chervilwall_router.edge._head import (
+    decode_headers,
+    encode_head,
+    has_status_line,
+)
 from chervilwall_router.edge._repeated_head import RepeatedHeadDetector
 from chervilwall_router.edge.kept_responses import KeptResponses
 from chervilwall_router.edge.target_connection import TargetConnection
@@ -152,6 +156,7 @@
         self._request_id = ""
         self._is_first_request = False
         self._is_head_request = False
+        self._reason_phrase = b""
         self._raw_headers: list[tuple[bytes, bytes]] = []
         self._in_head = True
         self._head_bytes = 0
@@ -348,10 +353,15 @@
             self.reusable = False
         if self._completion is not None:
             self.abort("the body ends inside the head of another response")
+        self._reason_phrase = b""
         self._raw_headers = []
         self._in_head = True
         self._is_unmatched = False
 
+    def on_status(self, phrase: bytes) -> None:
+        """Collects the reason phrase, which may come in parts."""
+        self._reason_phrase += phrase
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header; trailers after the body are ignored."""
         if self._in_head:
@@ -374,7 +384,13 @@
         head = self._wire.decode_response_head(
             status, decode_headers(self._raw_headers)
         )
+        fault = head.contradiction
+        if has_status_line(self._reason_phrase, self._raw_headers):
+            fault = "it holds the head of another response"
         self._raw_headers = []
+        if fault:
+            self.abort(f"contradictory response head: {fault}")
+            return
         mismatch = self._find_mismatch(head)
         if mismatch is not None:
             self._is_unmatched = True
