Do not fill up a body with the begin of a second answer

What callers saw: by tests only, complete answers whose last bytes are those of another answer's head. Cause: a body with a length was held back only if it ended with five bytes of a status line or more, and line ends behind a head without a body were not noticed, as the parser leaves them out. Change: the first byte of a status line is enough to wait for 10 ms, and bytes behind the body in the same read end the exchange as broken. Result: test_a_second_answer_does_not_end_a_body_with_a_length failed before and passes; the tests of test_edge_exchange pass.

--- a/packages/router/chervilwall_router/edge/_repeated_head.py
+++ b/packages/router/chervilwall_router/edge/_repeated_head.py
@@ -20,12 +20,14 @@
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})(?: " + _REASON + rb")?\r?\n")
 # A status line that was cut off. Text that names a version of HTTP or a status
 # has a blank before it.
-_CUT_STATUS_LINE = re.compile(
-    rb"(?<! )HTTP/"
-    rb"(?:1(?:\.(?:[01](?: (?:\d{0,2}|\d{3}(?: "
+_CUT = (
+    rb"HTTP/(?:1(?:\.(?:[01](?: (?:\d{0,2}|\d{3}(?: "
     + _REASON
-    + rb")?\r?))?)?)?)?\Z"
+    + rb")?\r?))?)?)?)?"
 )
+_CUT_STATUS_LINE = re.compile(rb"(?<! )" + _CUT + rb"\Z")
+# One whose further bytes may follow the body.
+_BEGUN_STATUS_LINE = re.compile(rb"(?:H|HT|HTT|HTTP|" + _CUT + rb")\Z")
 _HEADER_LINE = re.compile(rb"(" + _NAME + rb"):([^\r\n]*)\r?\n")
 _CUT_HEADER_LINE = re.compile(rb"(?:" + _NAME + rb"(?::[^\r\n]*)?)?\r?")
 
@@ -94,10 +96,21 @@
 
     def ends_inside_head(self) -> bool:
         """Returns whether the bytes end inside the head of a response."""
+        return self._ends_inside(_CUT_STATUS_LINE)
+
+    def may_end_inside_head(self) -> bool:
+        """Returns whether bytes that follow may go on with a head.
+
+        Unlike for ends_inside_head(), the first byte of a status line is
+        enough: few bodies end so, and even fewer with bytes behind them.
+        """
+        return self._ends_inside(_BEGUN_STATUS_LINE)
+
+    def _ends_inside(self, status_line: re.Pattern[bytes]) -> bool:
         if self._status:
             is_header = _CUT_HEADER_LINE.fullmatch(self._rest) is not None
             return self._has_line_ends and is_header
-        return _CUT_STATUS_LINE.search(self._rest) is not None
+        return status_line.search(self._rest) is not None
 
     def _add_line(self, line: bytes) -> bool:
         """Adds a line to the head; returns whether a target's head is whole.
--- a/packages/router/chervilwall_router/edge/exchange.py
+++ b/packages/router/chervilwall_router/edge/exchange.py
@@ -174,6 +174,8 @@
         # Completes a body that ends like the beginning of a head, unless more
         # bytes follow.
         self._completion: asyncio.TimerHandle | None = None
+        # Bytes of such a body that the last read brought.
+        self._last_chunk = b""
         # Why reading is paused: the caller is slow, or too much is kept.
         self._awaits_caller = False
         self._is_held = False
@@ -289,6 +291,10 @@
             self.reusable = False
             self.abort(f"malformed response: {exc}")
             return
+        if self._completion is not None and not data.endswith(self._last_chunk):
+            # The parser does not report line ends behind a response.
+            self.abort("the body ends inside the head of another response")
+            return
         if self._in_head and self._head_bytes > MAX_HEAD_BYTES:
             self.abort(
                 f"response head of {self._head_bytes} bytes exceeds"
@@ -433,10 +439,11 @@
             if len(self.skipped) >= MAX_UNMATCHED_RESPONSES:
                 self.abort(f"{len(self.skipped)} responses to other requests")
             return
-        self._deliver_body()
+        chunk = self._deliver_body()
         if self._is_done():
             return
-        if self._repeats is not None and self._repeats.ends_inside_head():
+        if self._repeats is not None and self._repeats.may_end_inside_head():
+            self._last_chunk = chunk
             loop = asyncio.get_running_loop()
             self._completion = loop.call_later(REST_WAIT_S, self._complete)
             return
@@ -469,12 +476,19 @@
             return None if is_own else SkipReason.OTHER_ID
         return None if self._is_first_request else SkipReason.NO_ID
 
-    def _deliver_body(self) -> None:
-        """Passes the body bytes that one read brought to the receiver."""
+    def _deliver_body(self) -> bytes:
+        """Passes the body bytes that one read brought to the receiver.
+
+        Returns:
+            These bytes.
+        """
         chunk = b"".join(self._pending_body)
         self._pending_body.clear()
-        if not chunk or self._is_done():
-            return
+        if chunk and not self._is_done():
+            self._deliver(chunk)
+        return chunk
+
+    def _deliver(self, chunk: bytes) -> None:
         self._body_bytes += len(chunk)
         if self._repeats is not None and self._repeats.feed(chunk):
             self.abort("another response follows inside the body")
--- a/packages/router/tests/test_edge_joined_answers.py
+++ b/packages/router/tests/test_edge_joined_answers.py
@@ -102,6 +102,16 @@
         for whole in (WITH_LENGTH, CHUNKED, UNFRAMED):
             await self.check(whole, self.head_cuts(whole))
 
+    async def test_a_second_answer_does_not_end_a_body_with_a_length(self):
+        # A body that ends with the first bytes of a status line, an exact fit
+        # of the second answer, and anything between.
+        body_at = len(WITH_LENGTH) - len(BODY)
+        for size in range(1, len(WITH_LENGTH)):
+            whole = WITH_LENGTH.replace(b" 80", b" %d" % (size + 10))
+            await self.check(
+                whole, [body_at + 10 + (len(whole) - len(WITH_LENGTH))]
+            )
+
     async def test_a_head_with_repeated_headers_is_believed(self):
         head = (
             b"HTTP/1.1 200 Ok, as in HTTP/1.1\r\nAttempt-Id: r1\r\n"
