Find a second answer inside a chunk

Cause: bodies in chunks were not searched for the head of another response. The framing of chunks breaks there only at the end of the announced chunk; by then the blank line behind the head had completed an event. Change: every body is searched before its events are split.

--- a/packages/router/chervilwall_router/edge/_repeated_head.py
+++ b/packages/router/chervilwall_router/edge/_repeated_head.py
@@ -1,4 +1,4 @@
-"""Detection of a further response in a body that is not chunked."""
+"""Detection of a further response in a body."""
 
 import re
 from collections.abc import Collection
@@ -35,10 +35,11 @@
 class RepeatedHeadDetector:
     """Find the head of a response among the bytes of a body.
 
-    A body without length or chunks has no end but that of its connection, and
-    one with a length that breaks off goes on with what its target sends next,
-    so nothing else tells a further response from the body. A body may also
-    quote a response. A head is taken for one that a target sent
+    A body without length or chunks has no end but that of its connection. One
+    with a length, or a chunk, that breaks off goes on with what its target
+    sends next, and the framing of chunks breaks only behind that. So nothing
+    else tells a further response from the body. A body may also quote a
+    response. A head is taken for one that a target sent
     if it names a request of the connection, or if it names none and is signed
     or states that a request was not run. One that is cut off by the end of the
     body may have named anything, if its lines end as those of a head do.
--- a/packages/router/chervilwall_router/edge/exchange.py
+++ b/packages/router/chervilwall_router/edge/exchange.py
@@ -168,8 +168,6 @@
         self._informational_count = 0
         self._is_unmatched = False
         self._pending_body: list[bytes] = []
-        # None for a chunked body: its framing breaks where another response
-        # begins.
         self._repeats: RepeatedHeadDetector | None = None
         # Completes a body that ends like the beginning of a head, unless more
         # bytes follow.
@@ -404,10 +402,7 @@
             return
         self._on_head(head)
         self.head = head
-        if not head.is_chunked:
-            self._repeats = RepeatedHeadDetector(
-                self._conn.request_ids, self._wire
-            )
+        self._repeats = RepeatedHeadDetector(self._conn.request_ids, self._wire)
         self._receiver.receive_head(head)
         if self._is_head_request:
             self.is_complete = True
@@ -442,13 +437,22 @@
         chunk = self._deliver_body()
         if self._is_done():
             return
-        if self._repeats is not None and self._repeats.may_end_inside_head():
+        if self._may_lack_bytes():
             self._last_chunk = chunk
             loop = asyncio.get_running_loop()
             self._completion = loop.call_later(REST_WAIT_S, self._complete)
             return
         self._complete()
 
+    def _may_lack_bytes(self) -> bool:
+        """Returns whether a body that met its length may have broken off.
+
+        The last chunk of a chunked body shows that it did not.
+        """
+        if self.head is None or self.head.is_chunked or self._repeats is None:
+            return False
+        return self._repeats.may_end_inside_head()
+
     def _complete(self) -> None:
         """Ends the exchange with a whole response."""
         if self._is_done():
--- a/packages/router/tests/test_edge_joined_answers.py
+++ b/packages/router/tests/test_edge_joined_answers.py
@@ -112,6 +112,18 @@
                 whole, [body_at + 10 + (len(whole) - len(WITH_LENGTH))]
             )
 
+    async def test_a_second_answer_in_a_chunk_ends_no_event(self):
+        body_at = CHUNKED.index(BODY)
+        for cut in range(body_at, body_at + len(BODY) + 2):
+            for name, other in OTHERS.items():
+                for size in READ_SIZES:
+                    exchange, body = await self.receive(
+                        CHUNKED[:cut], other, size
+                    )
+                    with self.subTest(cut=cut - body_at, other=name):
+                        self.assertFalse(exchange.is_complete)
+                        self.assertNotIn(b"\r\n\r\n", body)
+
     async def test_a_head_with_repeated_headers_is_believed(self):
         head = (
             b"HTTP/1.1 200 Ok, as in HTTP/1.1\r\nAttempt-Id: r1\r\n"
