Keep a silent target until another one takes its request over

Reads ended with 502. Cause: a silent target was left as soon as another one had granted a place. Whether that takes the request is known only by its response. Change: the request is sent to the second target while the first one keeps it. The second answer is held back at its head, and a decision without I/O says which target goes on: a success takes over, a refusal or failure ends nothing, and without a response in 0.25 s the second one takes over, as two may work for 0.4 s at most. Sending is apart from supervising.

--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -1,19 +1,18 @@
 """A single attempt to run a request on a target."""
 
 import asyncio
-import math
+import contextlib
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from chervilwall import cell_messages
-from chervilwall.errors import DialError, RequestRefusedError
-from chervilwall.http_messages import ResponseHead
-from chervilwall.quarantine_status import QuarantineStatus
+from chervilwall.errors import RequestRefusedError
 from chervilwall.registry import RegisteredTarget
+from chervilwall.takeover import Takeover, TakeoverState, decide_takeover
 
-from chervilwall_router.edge.connections import max_idle_connections
 from chervilwall_router.edge.crash_evidence import WatchedAttempt
 from chervilwall_router.edge.exchange import Ending, Exchange
+from chervilwall_router.edge.held_answer import HeldAnswer
 from chervilwall_router.edge.relay import BufferedRelay, StreamRelay, may_relay
 from chervilwall_router.edge.request_types import (
     AdmittedRequest,
@@ -23,11 +22,8 @@
     outcome_of,
 )
 from chervilwall_router.edge.scheduling import PlacedRequest
-from chervilwall_router.edge.target_connection import TargetConnection
+from chervilwall_router.edge.sent_attempt import AttemptSender, SentAttempt
 
-# Seconds subtracted from the time limit sent to a target, so that its response
-# arrives before the caller's limit.
-RETURN_MARGIN_S = 0.01
 # An attempt that may be retried is abandoned after too long a silence of its
 # target, once another target has room. The limit is the largest of
 # MIN_SILENCE_S and the multiples below.
@@ -80,6 +76,28 @@
         """Returns why the request must not be begun any more, "" if it may."""
         ...
 
+    def may_take_over(self) -> bool:
+        """Returns whether a target that was sent the request may serve it."""
+        ...
+
+    def record_failed_takeover(self, attempt: Attempt) -> None:
+        """Records that a target did not take over the request."""
+        ...
+
+
+class _Replacement(NamedTuple):
+    """Target that takes over the request of a silent one.
+
+    Args:
+        grant (PlacedRequest): Its grant.
+        sent (SentAttempt): The attempt in progress on it.
+        answer (HeldAnswer): The begin of its answer.
+    """
+
+    grant: PlacedRequest
+    sent: SentAttempt
+    answer: HeldAnswer
+
 
 class AttemptRunner:
     """Send a request to a target and supervise its answer.
@@ -89,9 +107,6 @@
         admitted (AdmittedRequest): Request to send.
         replacements (Replacements): Finds a target in place of a silent one.
 
-    Attributes:
-        replacement (PlacedRequest | None): Grant of the target that replaces
-            that of the last attempt, if its result is SILENT.
     """
 
     def __init__(
@@ -103,13 +118,29 @@
         self._parts = parts
         self._admitted = admitted
         self._replacements = replacements
+        self._sender = AttemptSender(parts, admitted)
         self._grant: PlacedRequest | None = None
         self._silent_bytes = 0
-        self.replacement: PlacedRequest | None = None
+        self._replacement: _Replacement | None = None
 
     def __repr__(self) -> str:
         return f"AttemptRunner(request={self._admitted.req.id!r})"
 
+    @property
+    def replacement(self) -> PlacedRequest | None:
+        """Grant of the target that takes over from that of the last attempt.
+
+        The next run() must be with this grant. None unless the last result was
+        SILENT.
+        """
+        return self._replacement.grant if self._replacement else None
+
+    def close(self) -> None:
+        """Ends an attempt that took over and was not run to its end."""
+        if self._replacement is not None:
+            with self._replacement.sent:
+                self._replacement = None
+
     async def run(
         self, grant: PlacedRequest, relay: BufferedRelay | StreamRelay
     ) -> Attempt:
@@ -125,61 +156,31 @@
         """
         self._grant = grant
         self._silent_bytes = 0
-        self.replacement = None
-        target = grant.choice.target
-        crashes, fingerprints = self._parts.crashes, self._admitted.fingerprints
-        status = crashes.status(fingerprints)
-        if not math.isinf(grant.send_within_s):
-            # Lets the event loop measure its lag, which counts for the age of
-            # the grant.
-            await asyncio.sleep(0)
-        try:
-            conn = await self._parts.connections.acquire(target)
-        except DialError as exc:
-            return self._record_unreachable(target, exc)
-        reason = self._withdrawal_reason(target, status)
-        if reason:
-            conn.close()
-            return Attempt(AttemptResult.WITHDRAWN, target, reason=reason)
-        reason = self._parts.cold.withdrawal_reason(
-            target, grant.started_at, grant.send_within_s
-        )
-        if reason:
-            # The next grant finds an open connection.
-            self._keep_connection(target, conn, None)
-            return Attempt(
-                AttemptResult.WITHDRAWN,
-                target,
-                reason=reason,
-                may_try_again=True,
-            )
-        request_id = self._admitted.req.id
-        with crashes.attempt(target, request_id, fingerprints) as watched:
-
-            def on_head(head: ResponseHead) -> None:
-                self._parts.on_response_head(target, head, watched.begun_at)
-                crashes.record_head(target, head, watched.begun_at)
-
-            exchange = Exchange(
-                conn,
-                self._parts.wire,
+        replacement, self._replacement = self._replacement, None
+        if replacement is not None:
+            sent = replacement.sent
+            sent.release(replacement.answer, relay)
+        else:
+            outcome = await self._sender.send(
+                grant,
                 relay,
-                on_head,
-                self._parts.kept,
-                target.id,
+                last_event_id=lambda: relay.last_event_id,
+                withdrawal_reason=self._replacements.end_reason,
             )
-            result = AttemptResult.BROKEN
-            try:
-                result = await self._exchange(exchange, target, relay)
-                if (
-                    result is AttemptResult.ANSWERED
-                    and exchange.ending is Ending.CLOSED
-                    and not await self._confirm(target, watched)
-                ):
-                    exchange.reason = "target ended with its answer"
-                    result = AttemptResult.BROKEN
-            finally:
-                self._release_connection(exchange, target, conn)
+            if isinstance(outcome, Attempt):
+                return outcome
+            sent = outcome
+        exchange, watched, target = sent.exchange, sent.watched, sent.target
+        crashes = self._parts.crashes
+        with sent:
+            result = await self._supervise(sent, relay)
+            if (
+                result is AttemptResult.ANSWERED
+                and exchange.ending is Ending.CLOSED
+                and not await self._confirm(target, watched)
+            ):
+                exchange.reason = "target ended with its answer"
+                result = AttemptResult.BROKEN
             watched.answered = result in _NO_CRASH_EVIDENCE
         partial_bytes = relay.partial_bytes
         if result is AttemptResult.BROKEN:
@@ -203,20 +204,9 @@
             self._silent_bytes,
         )
         if outcome_of(attempt) == cell_messages.OUTCOME_COMPLETED:
-            crashes.record_success(fingerprints)
+            crashes.record_success(self._admitted.fingerprints)
         return attempt
 
-    def _record_unreachable(
-        self, target: RegisteredTarget, exc: DialError
-    ) -> Attempt:
-        """Records a failure to connect to a target; returns the attempt."""
-        if self._parts.cold.is_own_fault(exc):
-            return Attempt(AttemptResult.WITHDRAWN, target, reason=exc.reason)
-        self._parts.cold.record_unreachable(target)
-        if exc.refused:
-            self._parts.crashes.record_connection_refused(target)
-        return Attempt(AttemptResult.NOT_SENT, target, reason=exc.reason)
-
     async def _confirm(
         self, target: RegisteredTarget, watched: WatchedAttempt
     ) -> bool:
@@ -232,62 +222,16 @@
     def _left_s(self) -> float:
         return max(0.0, self._admitted.deadline_at - self._parts.clock())
 
-    def _withdrawal_reason(
-        self, target: RegisteredTarget, status: QuarantineStatus
-    ) -> str:
-        """Returns why a request must not be sent any more, "" if it may.
-
-        Opening a connection takes time, in which what spoke for the target or
-        the request may have changed.
-
-        Args:
-            target (RegisteredTarget): Target that it was about to be sent to.
-            status (QuarantineStatus): Status of the request before.
-        """
-        if not self._parts.scheduling.takes_requests(target):
-            return "the target stopped taking requests"
-        now = self._parts.crashes.status(self._admitted.fingerprints)
-        if now.has_worsened_since(status):
-            return "a target crashed under the request"
-        return self._replacements.end_reason()
-
-    async def _exchange(
-        self,
-        exchange: Exchange,
-        target: RegisteredTarget,
-        relay: BufferedRelay | StreamRelay,
+    async def _supervise(
+        self, sent: SentAttempt, relay: BufferedRelay | StreamRelay
     ) -> AttemptResult:
-        admitted = self._admitted
-        clock = self._parts.clock
-        remaining_s = admitted.deadline_at - clock()
-        if remaining_s <= RETURN_MARGIN_S:
-            exchange.reason = (
-                "the time limit passed before the request was sent"
-            )
-            return AttemptResult.WITHDRAWN
-        last_event_id = (
-            relay.last_event_id if isinstance(relay, StreamRelay) else 0
-        )
-        # The headers are not kept while the target works: many short ones take
-        # much memory.
-        work = exchange.start(
-            admitted.req,
-            self._parts.wire.encode_target_headers(
-                admitted.req,
-                target,
-                team=admitted.team,
-                remaining_s=remaining_s - RETURN_MARGIN_S,
-                last_event_id=last_event_id,
-            ),
-        )
-        try:
-            if await self._wait_for_end(
-                work, relay, lambda: exchange.is_paused
-            ):
-                return self._classify(exchange, relay)
-        finally:
-            work.cancel()
-        is_replaced = self.replacement is not None
+        """Waits for the end of an attempt; returns its result."""
+        exchange = sent.exchange
+        if await self._wait_for_end(
+            sent.work, relay, lambda: exchange.is_paused
+        ):
+            return self._classify(exchange, relay)
+        is_replaced = self._replacement is not None
         return AttemptResult.SILENT if is_replaced else AttemptResult.TIMED_OUT
 
     async def _wait_for_end(
@@ -349,24 +293,23 @@
         can no longer be replaced, such as after a part of it was sent.
 
         Returns:
-            Whether there is a replacement, for which a retry was spent.
+            Whether another target takes over; a retry was spent for it.
         """
         assert self._grant is not None
         self._grant.record_silence()
         self._silent_bytes = relay.sent_bytes
         event_count = getattr(relay, "events", 0)
 
-        def is_replaceable() -> bool:
+        def is_silent() -> bool:
             has_event = getattr(relay, "events", 0) != event_count
-            if work.done() or has_event or is_paused():
-                return False
-            return self._replacements.may_replace()
+            return not (work.done() or has_event or is_paused())
 
         asking = asyncio.ensure_future(self._replacements.acquire_replacement())
+        grant: PlacedRequest | None = None
         try:
-            while is_replaceable():
+            while is_silent() and self._replacements.may_replace():
                 if asking.done():
-                    self.replacement = self._take_replacement(asking)
+                    grant = self._take_replacement(asking)
                     break
                 await asyncio.wait(
                     (work, asking),
@@ -374,10 +317,122 @@
                     return_when=asyncio.FIRST_COMPLETED,
                 )
         finally:
-            if self.replacement is None:
+            if grant is None:
                 asking.cancel()
                 asking.add_done_callback(_release_grant)
-        return self.replacement is not None
+        if grant is None:
+            return False
+        return await self._try_takeover(grant, work, relay, is_silent)
+
+    async def _try_takeover(
+        self,
+        grant: PlacedRequest,
+        work: "asyncio.Future[None]",
+        relay: BufferedRelay | StreamRelay,
+        is_silent: Callable[[], bool],
+    ) -> bool:
+        """Sends the request to a second target while the first one keeps it.
+
+        Args:
+            grant (PlacedRequest): Grant of the second target.
+            work (asyncio.Future): Done when the exchange with the first ends.
+            relay (BufferedRelay | StreamRelay): Receives its answer.
+            is_silent (Callable): Returns whether the first one is still silent.
+
+        Returns:
+            Whether the second target takes over.
+        """
+        answer = HeldAnswer()
+        sending = asyncio.ensure_future(
+            self._sender.send(
+                grant,
+                answer,
+                last_event_id=lambda: relay.last_event_id,
+                withdrawal_reason=lambda: (
+                    "" if is_silent() else "the silent target goes on"
+                ),
+            )
+        )
+        with contextlib.ExitStack() as cleanup:
+            cleanup.enter_context(grant)
+            cleanup.callback(_release_sent, sending)
+            await asyncio.wait(
+                (sending, work), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not sending.done():
+                return False
+            sent = sending.result()
+            if isinstance(sent, SentAttempt):
+                decision = await self._await_takeover(
+                    sent, answer, work, is_silent
+                )
+                if decision is Takeover.TAKEN:
+                    self._replacement = _Replacement(grant, sent, answer)
+                    cleanup.pop_all()
+                    return True
+                attempt = self._end_takeover(sent, answer, decision)
+            else:
+                attempt = sent
+            grant.outcome = outcome_of(attempt)
+            self._replacements.record_failed_takeover(attempt)
+        return False
+
+    async def _await_takeover(
+        self,
+        sent: SentAttempt,
+        answer: HeldAnswer,
+        work: "asyncio.Future[None]",
+        is_silent: Callable[[], bool],
+    ) -> Takeover:
+        """Waits until it is decided which of two targets keeps the request."""
+        clock = self._parts.clock
+        sent_at = clock()
+        while True:
+            is_needed = is_silent() and self._replacements.may_take_over()
+            state = TakeoverState(
+                is_needed=is_needed and self._left_s() > 0.0,
+                head=answer.head,
+                has_ended=sent.work.done(),
+                is_complete=sent.exchange.is_complete,
+                elapsed_s=clock() - sent_at,
+            )
+            decision = decide_takeover(state)
+            if decision is not Takeover.UNDECIDED:
+                return decision
+            waited_for = [work, sent.work]
+            if answer.head is None:
+                waited_for.append(answer.arrival)
+            await asyncio.wait(
+                waited_for,
+                timeout=min(PROGRESS_INTERVAL_S, self._left_s()),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+
+    def _end_takeover(
+        self, sent: SentAttempt, answer: HeldAnswer, decision: Takeover
+    ) -> Attempt:
+        """Ends an attempt on a target that does not take over; returns it."""
+        exchange, head = sent.exchange, answer.head
+        result = AttemptResult.BROKEN
+        if decision is Takeover.NOT_NEEDED:
+            result = AttemptResult.NOT_NEEDED
+            exchange.reason = "the silent target goes on"
+        elif exchange.is_complete and head is not None and may_relay(head):
+            result = AttemptResult.ANSWERED
+            if head.not_executed:
+                result = AttemptResult.NOT_EXECUTED
+        with sent:
+            sent.watched.answered = result in _NO_CRASH_EVIDENCE
+        if result is AttemptResult.BROKEN:
+            self._parts.crashes.examine(sent.target, sent.watched)
+        return Attempt(
+            result,
+            sent.target,
+            exchange.head,
+            exchange.reason,
+            exchange.ending,
+            skipped=tuple(exchange.skipped),
+        )
 
     def _take_replacement(
         self, asking: "asyncio.Future[PlacedRequest]"
@@ -420,47 +475,26 @@
             return AttemptResult.BROKEN
         return AttemptResult.ANSWERED
 
-    def _release_connection(
-        self,
-        exchange: Exchange,
-        target: RegisteredTarget,
-        conn: TargetConnection,
-    ) -> None:
-        exchange.close()
-        if not exchange.reusable:
-            return
-        head = exchange.head
-        self._keep_connection(target, conn, head.idle_limit_s if head else None)
-
-    def _keep_connection(
-        self,
-        target: RegisteredTarget,
-        conn: TargetConnection,
-        idle_limit_s: float | None,
-    ) -> None:
-        """Keeps an idle connection to a target for the next request.
-
-        Args:
-            target (RegisteredTarget): The target.
-            conn (TargetConnection): The connection.
-            idle_limit_s (float | None): Idle timeout that the target announced,
-                in seconds, or None.
-        """
-        table = self._parts.table()
-        service = table.services.get(target.service) if table else None
-        limit = service.max_connections if service else 0
-        self._parts.connections.release(
-            target,
-            conn,
-            idle_limit_s=idle_limit_s,
-            max_idle_connections=max_idle_connections(
-                limit, self._parts.known_router_count()
-            ),
-        )
-
 
 def _release_grant(asking: "asyncio.Future[PlacedRequest]") -> None:
     """Ends a grant that was asked for and is not used."""
     if not asking.cancelled() and asking.exception() is None:
         with asking.result():
             pass
+
+
+def _release_sent(
+    sending: "asyncio.Future[SentAttempt | Attempt]",
+) -> None:
+    """Ends the sending of a request, and the attempt if it was sent."""
+    sending.cancel()
+    sending.add_done_callback(_end_sent)
+
+
+def _end_sent(sending: "asyncio.Future[SentAttempt | Attempt]") -> None:
+    if sending.cancelled() or sending.exception() is not None:
+        return
+    sent = sending.result()
+    if isinstance(sent, SentAttempt):
+        with sent:
+            pass
--- a/packages/router/chervilwall_router/edge/exchange.py
+++ b/packages/router/chervilwall_router/edge/exchange.py
@@ -244,6 +244,15 @@
         self._finish(reason)
         self._conn.close()
 
+    def reject(self, reason: str) -> None:
+        """Fails the exchange even if it is complete.
+
+        A receiver that took the body only after its end may not accept it.
+        """
+        self.is_complete = self.reusable = False
+        self.abort(reason)
+        self.reason = reason
+
     @property
     def is_paused(self) -> bool:
         """Whether this router reads no further for now."""
--- a/packages/router/chervilwall_router/edge/request_run.py
+++ b/packages/router/chervilwall_router/edge/request_run.py
@@ -20,11 +20,7 @@
     StreamVersions,
 )
 
-from chervilwall_router.edge.attempts import (
-    MIN_SILENCE_S,
-    RETURN_MARGIN_S,
-    AttemptRunner,
-)
+from chervilwall_router.edge.attempts import MIN_SILENCE_S, AttemptRunner
 from chervilwall_router.edge.caller_closes import CloseReason
 from chervilwall_router.edge.caller_response import CallerResponse, Framing
 from chervilwall_router.edge.dispatcher import REASON_CRASHES
@@ -48,6 +44,7 @@
     outcome_of,
 )
 from chervilwall_router.edge.scheduling import PlacedRequest
+from chervilwall_router.edge.sent_attempt import RETURN_MARGIN_S
 from chervilwall_router.problem import EXECUTED_UNKNOWN, Problem
 
 LOG = logging.getLogger(__name__)
@@ -132,6 +129,7 @@
         try:
             await self._run_attempts(answer)
         finally:
+            self._attempts.close()
             self._parts.kept.remove(self._kept_failure)
 
     async def _run_attempts(self, answer: CallerResponse) -> None:
@@ -439,9 +437,26 @@
 
     def may_replace(self) -> bool:
         """Returns whether another target may take over the request now."""
+        if self._not_executed > MAX_NOT_EXECUTED_RETRIES:
+            return False
         may_retry = self._may_retry(in_progress=1) and self._has_budget()
         return may_retry and self._has_other_target()
 
+    def may_take_over(self) -> bool:
+        """Returns whether a target that was sent the request may serve it."""
+        relay = self._relay
+        assert relay is not None
+        is_quarantined = self._quarantine_status().is_quarantined
+        return relay.may_be_replaced and not is_quarantined
+
+    def record_failed_takeover(self, attempt: Attempt) -> None:
+        """Records that a target did not take over the request."""
+        self._tried.add(attempt.target.id)
+        if attempt.result is AttemptResult.NOT_EXECUTED:
+            self._not_executed += 1
+        self._record_attempt(attempt)
+        self._readmit_target(attempt)
+
     def _has_other_target(self) -> bool:
         """Returns whether a target is left that may take over the request."""
         version, relay = None, self._relay
--- a/packages/router/chervilwall_router/edge/request_types.py
+++ b/packages/router/chervilwall_router/edge/request_types.py
@@ -47,6 +47,8 @@
     BROKEN = "broken"
     # Abandoned after too long a silence of the target.
     SILENT = "silent"
+    # Abandoned, as the silent target that it was to replace went on.
+    NOT_NEEDED = "not needed"
     # The deadline of the request passed.
     TIMED_OUT = "timed out"
 
@@ -57,6 +59,7 @@
     AttemptResult.NOT_EXECUTED: cell_messages.OUTCOME_REFUSED,
     AttemptResult.BROKEN: cell_messages.OUTCOME_BROKEN,
     AttemptResult.SILENT: cell_messages.OUTCOME_TIMEOUT,
+    AttemptResult.NOT_NEEDED: cell_messages.OUTCOME_CANCELLED,
     AttemptResult.TIMED_OUT: cell_messages.OUTCOME_TIMEOUT,
 }
 
--- a/packages/standins/tests/test_edge_silent_targets.py
+++ b/packages/standins/tests/test_edge_silent_targets.py
@@ -81,6 +81,101 @@
         self.assertTrue(response.is_complete)
 
 
+class TakeoverTest(unittest.IsolatedAsyncioTestCase):
+    """Tests of a second target that is sent the request of a silent one."""
+
+    async def start(self, silent, other, **route):
+        self.silent, self.other = silent, other
+        fields = {"max_attempts": 3, "timeout_ms": 8000} | route
+        routes = [make_route("job", "svc", **fields)]
+        self.fleet = EdgeFleet(silent, other, routes=routes)
+        await self.fleet.__aenter__()
+        self.addAsyncCleanup(self.fleet.__aexit__)
+
+    async def start_streams(self, silent_s, **options):
+        await self.start(
+            FakeTarget("m0", "svc", events=EVENTS, event_interval_s=silent_s),
+            FakeTarget("m1", "svc", events=EVENTS, **options),
+            kind="streaming",
+            resumable=True,
+        )
+
+    async def call_silent(self):
+        """Sends requests until one is sent to the silent target first."""
+        for number in range(8):
+            response = await self.fleet.call(
+                "/job/x",
+                request_id=f"r{number}",
+                timeout_remaining="8000",
+                token_usage="100,40",
+            )
+            if f"r{number}" in self.silent.executed:
+                return f"r{number}", response
+        raise AssertionError("the silent target got no request")
+
+    def assert_whole(self, response):
+        self.assertEqual(response.status, 200)
+        self.assertTrue(response.is_complete)
+        ids = [x for x in response.body.split(b"\n") if x.startswith(b"id: ")]
+        self.assertEqual(ids, [b"id: %d" % n for n in range(1, EVENTS + 1)])
+
+    async def test_a_stream_is_not_lost_to_a_target_that_breaks_off(self):
+        for mode in (t.OVERLOADED, t.RESET, t.UNSIGNED, t.ERROR):
+            with self.subTest(mode=mode):
+                await self.start_streams(SILENCE_S)
+                self.other.mode = mode
+                self.assert_whole((await self.call_silent())[1])
+
+    async def test_a_stream_is_not_lost_to_a_target_that_cannot_be_reached(
+        self,
+    ):
+        await self.start_streams(SILENCE_S)
+        self.other.end_cleanly()
+        self.assert_whole((await self.call_silent())[1])
+
+    async def test_a_stream_is_not_lost_to_another_target_at_an_address(self):
+        await self.start_streams(SILENCE_S)
+        # It answers 421 to requests for the id that is registered.
+        self.other.id = "m2"
+        self.assert_whole((await self.call_silent())[1])
+
+    async def test_a_read_is_not_lost_to_a_target_that_refuses(self):
+        await self.start(FakeTarget("p0", "svc"), FakeTarget("p1", "svc"))
+        self.silent.response_delay_s = SILENCE_S
+        self.other.mode = t.OVERLOADED
+        _, response = await self.call_silent()
+        self.assertEqual(response.status, 200)
+        self.assertTrue(response.body.startswith(b"p0:"))
+
+    async def test_a_read_is_answered_by_the_target_that_takes_over(self):
+        await self.start(FakeTarget("p0", "svc"), FakeTarget("p1", "svc"))
+        self.silent.response_delay_s = 7.0
+        request_id, response = await self.call_silent()
+        self.assertEqual(response.body, f"p1:{request_id}".encode())
+
+    async def test_a_stream_that_goes_on_meanwhile_has_each_event_once(self):
+        # It goes on shortly before and after the other one is asked.
+        for silent_s in (0.95, 1.0, 1.05, 1.1, 1.2):
+            with self.subTest(silent_s=silent_s):
+                await self.start_streams(silent_s, event_interval_s=0.3)
+                self.assert_whole((await self.call_silent())[1])
+
+    async def test_two_targets_work_on_a_stream_for_less_than_allowed(self):
+        await self.start_streams(7.0)
+        targets = (self.silent, self.other)
+        for target in targets:
+            target.mode = t.HANG
+        calling = asyncio.ensure_future(
+            self.fleet.call("/job/x", timeout_remaining="8000")
+        )
+        self.addCleanup(calling.cancel)
+        while not all(target.received for target in targets):
+            await asyncio.sleep(0.01)
+        first = min(targets, key=lambda target: target.received[0].at)
+        await asyncio.sleep(0.4)
+        self.assertEqual(first.cancelled, ["r1"])
+
+
 class FullTargetsTest(unittest.IsolatedAsyncioTestCase):
     """Tests of silent targets while all places of the others are taken."""
 
