Take no response with a status that HTTP does not know

What callers saw: the body of an answer with status 000 to 199 in front of that of the next answer, as one complete, signed 200; 600 and above as they were. Cause: each status below 200 counted as informational, but its body was collected where the head announced one. Change: a status outside 100 to 599, and an informational response that announces a body, end the exchange as broken, also on the product's own path.

--- a/packages/router/chervilwall_router/edge/exchange.py
+++ b/packages/router/chervilwall_router/edge/exchange.py
@@ -8,6 +8,7 @@
 import httptools
 from chervilwall.errors import CodecError, OversizedError
 from chervilwall.http_messages import Headers, InboundRequest, ResponseHead
+from chervilwall.http_status import MIN_FINAL_STATUS, find_status_fault
 from chervilwall.kept_bytes import KeptResponse, Standing
 from chervilwall.protocol import WireFormat
 
@@ -385,7 +386,12 @@
         if self._is_done():
             return
         status = self._parser.get_status_code()
-        if status < 200:
+        fault = find_status_fault(status, self._raw_headers)
+        if fault:
+            # Without its framing, nothing shows where the next one begins.
+            self.abort(fault)
+            return
+        if status < MIN_FINAL_STATUS:
             self._informational_count += 1
             return
         self._in_head = False
--- a/packages/router/chervilwall_router/target_client.py
+++ b/packages/router/chervilwall_router/target_client.py
@@ -10,6 +10,7 @@
 from chervilwall import cell_messages
 from chervilwall.classify import CallerRequest
 from chervilwall.config import Target
+from chervilwall.http_status import MIN_FINAL_STATUS, is_known_status
 from chervilwall.protocol import ResponseSink
 from tornado.http1connection import (
     HTTP1Connection,
@@ -204,7 +205,11 @@
     ) -> None:
         """Handles the head of the response; informational ones are ignored."""
         assert isinstance(start_line, ResponseStartLine)
-        if start_line.code < 200:
+        if not is_known_status(start_line.code):
+            self.record_failure(f"HTTP has no status {start_line.code:03}")
+            self._stream.close()
+            return
+        if start_line.code < MIN_FINAL_STATUS:
             return
         self._restart_timer()
         self._status = start_line.code
@@ -219,7 +224,8 @@
     async def data_received(self, chunk: bytes) -> None:
         """Handles a chunk of the body."""
         self._body_tail = (self._body_tail + chunk)[-USAGE_TAIL_BYTES:]
-        if self._withheld:
+        # Without a status there is no answer that the body could belong to.
+        if self._withheld or not self._status:
             return
         self.cancel_timer()
         try:
--- a/packages/router/tests/test_target_client.py
+++ b/packages/router/tests/test_target_client.py
@@ -63,6 +63,17 @@
         outcome, _ = await self.send(head + ANSWER)
         self.assertNotEqual(outcome, cell_messages.OUTCOME_COMPLETED)
 
+    async def test_a_status_that_http_does_not_know_is_no_answer(self):
+        for status in (b"000", b"099", b"600", b"999"):
+            for rest in (b"Content-Length: 4\r\n\r\nbody", b"\r\nbody"):
+                with self.subTest(status=status, rest=rest):
+                    outcome, body = await self.send(
+                        b"HTTP/1.1 " + status + b" X\r\n" + rest
+                    )
+                    self.assertEqual(
+                        (outcome, body), (cell_messages.OUTCOME_BROKEN, b"")
+                    )
+
 
 class TargetRequestTest(unittest.TestCase):
     def test_a_team_key_never_reaches_a_target(self):
