Wait for a reset after an early answer without framing

What callers saw: 200 with a signature and a part of the body, ended as whole, where a target answered a long upload before it had read it and then reset the connection. Streams the same. Cause: the router closed the connection at the end of the target's side, and so never saw the reset that followed. Change: for a request of more than 16 KiB, an answer that ends with its connection is whole only if no reset follows in 1 s and the target's host has taken the request.

--- a/packages/router/chervilwall_router/edge/_dial.py
+++ b/packages/router/chervilwall_router/edge/_dial.py
@@ -19,6 +19,8 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_COUNT = 2
+# State of a connection that has ended, in the first byte of TCP_INFO.
+_TCP_CLOSE = 7
 
 
 def set_tcp_options(sock: socket.socket) -> None:
@@ -63,6 +65,30 @@
     return int.from_bytes(count, sys.byteorder)
 
 
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Returns the number of sent bytes that the peer's host has not confirmed.
+
+    Those that it has confirmed may still be unread there.
+    """
+    count = bytearray(4)
+    # Fails only on a connection that has already ended.
+    with contextlib.suppress(OSError):
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)
+    return int.from_bytes(count, sys.byteorder)
+
+
+def has_ended(sock: socket.socket) -> bool:
+    """Returns whether a connection that was not closed here has ended.
+
+    The peer closing its side does not end it, but a reset does. False where the
+    operating system does not tell.
+    """
+    with contextlib.suppress(OSError, AttributeError):
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return info[0] == _TCP_CLOSE
+    return False
+
+
 async def dial(address: str, timeout_s: float, *, step: str) -> IOStream:
     """Opens a connection.
 
--- a/packages/router/chervilwall_router/edge/exchange.py
+++ b/packages/router/chervilwall_router/edge/exchange.py
@@ -32,6 +32,13 @@
 MAX_INFORMATIONAL_RESPONSES = 8
 # Time for the rest of a head whose beginning met the length of a body.
 REST_WAIT_S = 0.01
+# A request with a longer body may be answered before it has been read. Its
+# answer, if it ends with the connection, is whole only if no reset follows in
+# this time: the target's host resets the connection when a process closes it
+# without having read everything.
+LONG_BODY_BYTES = 1 << 14
+END_SETTLE_S = 1.0
+END_CHECK_INTERVAL_S = 0.05
 # Memory of one header besides its bytes: two strings in a pair, in a list.
 HEADER_OVERHEAD_BYTES = 192
 # The parser copies an unfinished trailer at each read.
@@ -175,6 +182,9 @@
         self._completion: asyncio.TimerHandle | None = None
         # Bytes of such a body that the last read brought.
         self._last_chunk = b""
+        self._has_long_request = False
+        # Checks for a reset after the target has closed its side.
+        self._end_check: asyncio.TimerHandle | None = None
         # Why reading is paused: the caller is slow, or too much is kept.
         self._awaits_caller = False
         self._is_held = False
@@ -208,6 +218,7 @@
         self._done = asyncio.get_running_loop().create_future()
         self._request_id = req.id
         self._is_head_request = req.method == "HEAD"
+        self._has_long_request = len(req.body) > LONG_BODY_BYTES
         self._is_first_request = not self._conn.has_carried_request
         self._conn.request_ids.append(req.id)
         self._conn.attach(self)
@@ -257,7 +268,8 @@
     @property
     def is_paused(self) -> bool:
         """Whether this router reads no further for now."""
-        return self._awaits_caller or self._is_held
+        is_ending = self._end_check is not None
+        return self._awaits_caller or self._is_held or is_ending
 
     # Callbacks of KeptResponses.
 
@@ -333,6 +345,40 @@
             self._uncounted_bytes = 0
             self._count_kept(self._kept)
 
+    def on_eof(self) -> bool:
+        """Waits for a reset before an answer to a long request counts as whole.
+
+        Returns:
+            Whether the connection stays open for that.
+        """
+        if (
+            self._is_done()
+            or not self._has_long_request
+            or not self._ends_at_close()
+        ):
+            return False
+        loop = asyncio.get_running_loop()
+        self._check_end(loop.time() + END_SETTLE_S)
+        return True
+
+    def _check_end(self, settles_at: float) -> None:
+        """Ends an exchange whose target has closed its side, at `settles_at`.
+
+        It ends before if the connection is reset.
+        """
+        loop = asyncio.get_running_loop()
+        if self._conn.has_ended():
+            self.abort("the connection was reset after the target's end")
+        elif loop.time() < settles_at:
+            self._end_check = loop.call_later(
+                END_CHECK_INTERVAL_S, self._check_end, settles_at
+            )
+        elif self._conn.has_unacknowledged_data():
+            self.abort("the target ended before it had taken the request")
+        else:
+            self._end_at_close()
+            self._conn.close()
+
     def on_connection_lost(self, reason: str, *, clean: bool) -> None:
         """Ends the exchange after the connection closed.
 
@@ -345,20 +391,24 @@
         self.reusable = False
         if not self._is_done():
             self.ending = Ending.CLOSED if clean else Ending.LOST
-        head = self.head
-        ends_at_close = head is not None and not head.is_delimited
-        if (
-            clean
-            and ends_at_close
-            and not self._is_done()
-            and not self._in_head
-        ):
-            if self._repeats is not None and self._repeats.ends_inside_head():
-                reason = "the body ends inside the head of a response"
-            else:
-                self.is_complete = True
+        if clean and not self._is_done() and self._ends_at_close():
+            self._end_at_close()
         self._finish(reason)
 
+    def _ends_at_close(self) -> bool:
+        """Returns whether the response ends with its connection."""
+        head = self.head
+        return head is not None and not head.is_delimited and not self._in_head
+
+    def _end_at_close(self) -> None:
+        """Ends the exchange with the connection, as its target closed that."""
+        self.ending = Ending.CLOSED
+        if self._repeats is not None and self._repeats.ends_inside_head():
+            self._finish("the body ends inside the head of a response")
+            return
+        self.is_complete = True
+        self._finish("")
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
@@ -564,8 +614,9 @@
         return self._done is None or self._done.done()
 
     def _finish(self, reason: str) -> None:
-        if self._completion is not None:
-            self._completion.cancel()
+        for timer in (self._completion, self._end_check):
+            if timer is not None:
+                timer.cancel()
         if not self.is_complete:
             self.reason = self.reason or reason
         if self._done is not None and not self._done.done():
--- a/packages/router/chervilwall_router/edge/target_connection.py
+++ b/packages/router/chervilwall_router/edge/target_connection.py
@@ -6,7 +6,11 @@
 
 from chervilwall.errors import DialError
 
-from chervilwall_router.edge._dial import set_tcp_options
+from chervilwall_router.edge._dial import (
+    has_ended,
+    set_tcp_options,
+    unacknowledged_bytes,
+)
 from chervilwall_router.settings import split_address
 
 # Requests of a connection whose responses may still be repeated.
@@ -20,6 +24,14 @@
         """Handles received bytes."""
         ...
 
+    def on_eof(self) -> bool:
+        """Handles that the target closed its side without an error.
+
+        Returns:
+            Whether to keep the connection open; the handler closes it then.
+        """
+        ...
+
     def on_connection_lost(self, reason: str, *, clean: bool) -> None:
         """Handles the end of the connection.
 
@@ -62,9 +74,14 @@
         else:
             self._handler.receive(data)
 
-    def eof_received(self) -> None:
-        """Records that the target closed its side without an error."""
+    def eof_received(self) -> bool:
+        """Records that the target closed its side without an error.
+
+        Returns:
+            Whether the connection stays open.
+        """
         self._has_received_eof = True
+        return self._handler is not None and self._handler.on_eof()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Reports the end of the connection to the handler."""
@@ -95,6 +112,20 @@
         transport = self._transport
         return transport is not None and transport.get_write_buffer_size() > 0
 
+    def has_ended(self) -> bool:
+        """Returns whether the connection has ended, as by a reset."""
+        transport = self._transport
+        if transport is None:
+            return True
+        return has_ended(transport.get_extra_info("socket"))
+
+    def has_unacknowledged_data(self) -> bool:
+        """Returns whether the target's host lacks some of what was sent."""
+        transport = self._transport
+        if transport is None or self.has_unsent_data():
+            return True
+        return unacknowledged_bytes(transport.get_extra_info("socket")) > 0
+
     def pause(self) -> None:
         """Pauses reading until `resume` is called."""
         if self._transport is not None:
