--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -91,7 +91,7 @@
     Args:
         grant (PlacedRequest): Its grant.
         sent (SentAttempt): The attempt in progress on it.
-        answer (HeldAnswer): The begin of its answer.
+        answer (HeldAnswer): The beginning of its answer.
     """
 
     grant: PlacedRequest
@@ -106,7 +106,6 @@
         parts (RequestContext): Dependencies.
         admitted (AdmittedRequest): Request to send.
         replacements (Replacements): Finds a target in place of a silent one.
-
     """
 
     def __init__(
@@ -333,6 +332,8 @@
     ) -> bool:
         """Sends the request to a second target while the first one keeps it.
 
+        The first one goes on with it unless the second one takes over.
+
         Args:
             grant (PlacedRequest): Grant of the second target.
             work (asyncio.Future): Done when the exchange with the first ends.
--- a/packages/router/chervilwall_router/edge/held_answer.py
+++ b/packages/router/chervilwall_router/edge/held_answer.py
@@ -1,4 +1,4 @@
-"""The begin of an answer that is held back until it may be relayed."""
+"""The beginning of an answer that is held back until it may be relayed."""
 
 import asyncio
 
@@ -8,7 +8,7 @@
 
 
 class HeldAnswer:
-    """Keep the begin of an answer until a receiver takes it.
+    """Keep the beginning of an answer until a receiver takes it.
 
     Reading pauses after the read that brought the head, so that little is kept.
 
