Bound the ids that callers choose by their bytes

Cause: tables of ids were bounded by the number of entries, and the length of an id by nothing. Change: an id of more than 128 characters is replaced by a digest where it is decoded, alike for prompt parts, requests, resumed streams and the request that a response names. Targets get what the caller sent.

--- a/packages/router/tests/test_edge_wire.py
+++ b/packages/router/tests/test_edge_wire.py
@@ -5,7 +5,7 @@
 
 from chervilwall.errors import CodecError
 from configuration import StoreDecoder
-from headers import HeaderFormat
+from headers import MAX_ID_CHARS, HeaderFormat
 
 REGISTRATION = {
     "backend": "model",
@@ -39,6 +39,50 @@
                 self.decode(version=version)
 
 
+class LongIdTest(unittest.TestCase):
+    """Tests that tables of ids, bounded by number, are bounded in bytes."""
+
+    def decode_request(self, *, request_id="a2", part="5c1e", resumes=""):
+        headers = (
+            ("Host", "a.example"),
+            ("Attempt-Id", request_id),
+            ("Prompt-Prefix", f"{part}:60"),
+            ("Resumes", resumes),
+        )
+        return HeaderFormat().decode_request_head("POST", "/x", headers, 0.0)
+
+    def test_no_id_that_a_caller_chooses_is_kept_at_any_length(self):
+        for size in (129, 15_000):
+            text = "a" * size
+            req = self.decode_request(request_id=text, part=text, resumes=text)
+            for short in (req.id, req.prompt_parts[0].id, req.resumes):
+                self.assertLessEqual(len(short), MAX_ID_CHARS)
+            # The target gets what the caller sent.
+            self.assertIn(("Attempt-Id", text), req.headers)
+            self.assertIn(("Prompt-Prefix", f"{text}:60"), req.headers)
+
+    def test_long_ids_that_differ_stay_different(self):
+        texts = ["a" * 15_000, "a" * 14_999 + "b", "a" * 129]
+        for field in ("request_id", "part", "resumes"):
+            reqs = [self.decode_request(**{field: text}) for text in texts]
+            ids = {(r.id, r.prompt_parts[0].id, r.resumes) for r in reqs}
+            self.assertEqual(len(ids), len(texts))
+
+    def test_a_response_names_a_long_id_like_its_request(self):
+        text = "a" * 15_000
+        head = HeaderFormat().decode_response_head(200, (("Attempt-Id", text),))
+        self.assertEqual(
+            head.request_id, self.decode_request(request_id=text).id
+        )
+
+    def test_ids_of_the_usual_length_are_kept_as_they_are(self):
+        text = "9c41d07be2a35f68" * 8
+        req = self.decode_request(request_id=text, part=text, resumes=text)
+        self.assertEqual(
+            (req.id, req.prompt_parts[0].id, req.resumes), (text,) * 3
+        )
+
+
 class ColdTargetTest(unittest.TestCase):
     """Tests of what the platform says of cold targets."""
 
