Let callers read slowly

Cause: the kernel closes a connection whose bytes stay unacknowledged for 2.5 s, and counts a full window as that. A slow reader's window opens only in large steps. Between routers this was known, and the limit was 10 s. Change: 10 s also for connections of callers, relayed ones included.

--- a/packages/router/chervilwall_router/edge/_dial.py
+++ b/packages/router/chervilwall_router/edge/_dial.py
@@ -15,6 +15,10 @@
 
 # The kernel closes a connection whose data stays unacknowledged this long.
 ACK_TIMEOUT_MS = 2500
+# The same for a peer that may read slowly. The kernel counts a full window as
+# unacknowledged, and the peer's kernel opens it again only in large steps: a
+# third of its buffer, or the largest segment of the path (64 KiB on loopback).
+SLOW_READER_ACK_TIMEOUT_MS = 10_000
 # Probes of an idle connection detect an unresponsive peer in about 3 s.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -23,14 +27,22 @@
 _TCP_CLOSE = 7
 
 
-def set_tcp_options(sock: socket.socket) -> None:
-    """Enables detection of an unresponsive peer and disables Nagle's delay."""
+def set_tcp_options(
+    sock: socket.socket, ack_timeout_ms: int = ACK_TIMEOUT_MS
+) -> None:
+    """Enables detection of an unresponsive peer and disables Nagle's delay.
+
+    Args:
+        sock (socket.socket): The connection.
+        ack_timeout_ms (int): Time for which sent bytes may stay unacknowledged,
+            in milliseconds. Defaults to ACK_TIMEOUT_MS.
+    """
     options = (
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, ACK_TIMEOUT_MS),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, ack_timeout_ms),
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     )
     for level, option, value in options:
--- a/packages/router/chervilwall_router/edge/caller_connection.py
+++ b/packages/router/chervilwall_router/edge/caller_connection.py
@@ -12,6 +12,7 @@
 from chervilwall.limit_history import LimitHistory
 
 from chervilwall_router.edge._dial import (
+    SLOW_READER_ACK_TIMEOUT_MS,
     set_reset_on_close,
     set_tcp_options,
     unread_bytes,
@@ -107,7 +108,9 @@
         """Stores the transport and sets the socket options."""
         # Transports of uvloop do not subclass asyncio.Transport.
         self._transport = tcp = cast(asyncio.Transport, transport)
-        set_tcp_options(tcp.get_extra_info("socket"))
+        set_tcp_options(
+            tcp.get_extra_info("socket"), SLOW_READER_ACK_TIMEOUT_MS
+        )
         tcp.set_write_buffer_limits(high=MAX_WRITE_BUFFER_BYTES)
         self._last_active_at = self._context.clock()
         self._context.connections.add(self)
--- a/packages/router/chervilwall_router/edge/relaying/copying.py
+++ b/packages/router/chervilwall_router/edge/relaying/copying.py
@@ -6,7 +6,11 @@
 from collections.abc import Callable
 from typing import cast
 
-from chervilwall_router.edge._dial import set_reset_on_close, set_tcp_options
+from chervilwall_router.edge._dial import (
+    SLOW_READER_ACK_TIMEOUT_MS,
+    set_reset_on_close,
+    set_tcp_options,
+)
 
 # Size of one read. uvloop reads up to 256 kB at once otherwise, all of which
 # would have to be buffered for a slow reader.
@@ -17,12 +21,6 @@
 # closed. The peer discards what a caller sends for up to 2 s after its last
 # response, so that a close does not reset the connection.
 LINGER_S = 2.5
-# Limit on unacknowledged bytes between peers. It is longer than the 2.5 s of
-# other connections, as the kernel counts a full window as unacknowledged: a
-# receiver leaves bytes unread that a caller sends ahead of a long response, and
-# a sender those of a response that its caller reads slowly. At 0.3 MB/s it
-# reads none for over 2.5 s, until a third of the kernel's buffer is sent.
-PEER_ACK_TIMEOUT_MS = 10_000
 # Bytes are taken out at once, so all connections share one buffer.
 _READ_BUFFER = memoryview(bytearray(READ_BYTES))
 
@@ -40,9 +38,14 @@
         sock.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
         )
+        # A receiver leaves bytes unread that a caller sends ahead of a long
+        # response, and a sender those of a response that its caller reads
+        # slowly.
         option = getattr(socket, "TCP_USER_TIMEOUT", None)
         if option is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, option, PEER_ACK_TIMEOUT_MS)
+            sock.setsockopt(
+                socket.IPPROTO_TCP, option, SLOW_READER_ACK_TIMEOUT_MS
+            )
 
 
 class RelaySide(asyncio.BufferedProtocol):
@@ -145,7 +148,7 @@
         """
         super().connection_made(transport)
         sock = transport.get_extra_info("socket")
-        set_tcp_options(sock)
+        set_tcp_options(sock, SLOW_READER_ACK_TIMEOUT_MS)
         set_reset_on_close(sock, True)
 
 
