Search on at once after a takeover that was refused

What callers see: a request whose target is gone for good, and whose second target refuses it, waited for another second before a third one was asked. Cause: after a search for another target, an attempt pauses for a second; since a silent target keeps its request, a refusal ended up there too. Change: a failed takeover is followed by another search while the retries of the route and of the budget allow one. Result: test_a_refused_takeover_is_followed_by_another_search failed before and passes, as do test_edge_flow and test_edge_silent_targets.

--- a/packages/router/chervilwall_router/edge/attempts.py
+++ b/packages/router/chervilwall_router/edge/attempts.py
@@ -303,6 +303,29 @@
             has_event = getattr(relay, "events", 0) != event_count
             return not (work.done() or has_event or is_paused())
 
+        while True:
+            grant = await self._search(work, is_silent)
+            if grant is None:
+                return False
+            if await self._try_takeover(grant, work, relay, is_silent):
+                return True
+            # A target that refused says nothing about the next one, and the
+            # silent one may never go on.
+
+    async def _search(
+        self, work: "asyncio.Future[None]", is_silent: Callable[[], bool]
+    ) -> PlacedRequest | None:
+        """Asks for another target.
+
+        Args:
+            work (asyncio.Future): Done when the exchange with the current
+                target ends.
+            is_silent (Callable): Returns whether that is still silent.
+
+        Returns:
+            The grant, for which a retry was spent, or None if there is none or
+            it is not needed any more.
+        """
         asking = asyncio.ensure_future(self._replacements.acquire_replacement())
         grant: PlacedRequest | None = None
         try:
@@ -319,9 +342,7 @@
             if grant is None:
                 asking.cancel()
                 asking.add_done_callback(_release_grant)
-        if grant is None:
-            return False
-        return await self._try_takeover(grant, work, relay, is_silent)
+        return grant
 
     async def _try_takeover(
         self,
--- a/packages/router/tests/test_edge_flow.py
+++ b/packages/router/tests/test_edge_flow.py
@@ -250,6 +250,28 @@
             await runner._find_replacement(work, relay, lambda: False)
         )
 
+    async def test_a_refused_takeover_is_followed_by_another_search(self):
+        # The silent target may be gone: no time is spent on it meanwhile.
+        replacements = mock.Mock()
+        replacements.may_replace.return_value = True
+        grants = [mock.MagicMock(), mock.MagicMock()]
+        replacements.acquire_replacement = mock.AsyncMock(side_effect=grants)
+        runner = AttemptRunner(
+            SimpleNamespace(clock=time.monotonic),
+            SimpleNamespace(deadline_at=time.monotonic() + 5.0, route=ROUTE),
+            replacements,
+        )
+        runner._grant = mock.MagicMock()
+        takeovers = mock.AsyncMock(side_effect=(False, True))
+        runner._try_takeover = takeovers
+        work = asyncio.get_running_loop().create_future()
+        relay = mock.Mock(events=0, sent_bytes=0)
+        self.assertTrue(
+            await runner._find_replacement(work, relay, lambda: False)
+        )
+        tried = [call.args[0] for call in takeovers.await_args_list]
+        self.assertEqual(tried, grants)
+
     async def test_a_target_that_is_not_read_is_not_silent(self):
         now = time.monotonic()
         replacements = mock.Mock()
