--- a/review/lib-3/harness.py
+++ b/review/lib-3/harness.py
@@ -20,6 +20,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 for _path in (
+    pathlib.Path(__file__).resolve().parent,
     ROOT / "target" / "deps",
     ROOT / "packages" / "core",
     ROOT / "packages" / "router",
@@ -29,6 +30,7 @@
     sys.path.insert(1, str(_path))
 
 # These imports need the paths above.
+from silent_proxy import SilentProxy  # noqa: E402
 from chervilwall_standins.loopback import unique_loopback_address  # noqa: E402
 from chervilwall_standins.users.store import FakeStore  # noqa: E402
 
@@ -180,8 +182,12 @@
 class Fleet(contextlib.AsyncExitStack):
     """A store and routers; ends all processes that it started."""
 
-    def __init__(self, routers: int, config: dict) -> None:
+    def __init__(
+        self, routers: int, config: dict, *, has_proxies: bool = False
+    ) -> None:
         super().__init__()
+        self._has_proxies = has_proxies
+        self.proxies: list[SilentProxy] = []
         self._count, self._config = routers, config
         self.store = FakeStore(page_size=500)
         self.routers: list[Router] = []
@@ -194,6 +200,11 @@
         for number in range(self._count):
             zone = f"zone-{'abc'[number % 3]}"
             address = self.store.address
+            if self._has_proxies:
+                proxy = SilentProxy(address)
+                await self.enter_async_context(proxy)
+                self.proxies.append(proxy)
+                address = proxy.address
             router = Router(f"edge-{number}", zone, address, folder)
             self.callback(router.kill)
             self.routers.append(router)
