--- a/review/lib-3/harness.py
+++ b/review/lib-3/harness.py
@@ -275,8 +275,16 @@
 
 def run_case(case) -> None:
     """Runs the coroutine function of a case and exits with its verdict."""
+
+    async def run() -> int:
+        # The time limit of run.sh ends a case with its processes.
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        return await case()
+
     try:
-        sys.exit(asyncio.run(case()))
-    except NotRunError as exc:
+        sys.exit(asyncio.run(run()))
+    except (NotRunError, asyncio.CancelledError) as exc:
         print(f"not run: {exc}")
         sys.exit(NOT_RUN)
