--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,10 +1,7 @@
-"""A request that crashes its engine is sent to engines again and again.
-
-Its engines start again under their ids and addresses, as the pages allow.
-"""
+"""A sound engine falls silent, and the other one, which is full, says so late."""
 
 import asyncio
-import collections
+import contextlib
 import os
 import pathlib
 import sys
@@ -13,148 +10,210 @@
 sys.path.insert(0, str(FOLDER.parent / "lib-3"))
 
 import harness  # noqa: E402
-from chervilwall_standins.users.target import FakeTarget  # noqa: E402
-
-DEADLY = b"deadly"
-# Seconds for which a crashed engine is away, and from its start to its first
-# entry in the store (the site files' lag_ms).
-AWAY_S = float(os.environ.get("AWAY_S", "2.0"))
-LAG_S = float(os.environ.get("LAG_S", "0.8"))
-KEEPS_ID = os.environ.get("KEEPS_ID", "1") != "0"
-# The request comes again this long after it was answered.
-AGAIN_S = 4.0
-RUN_S = 60.0
-ENGINES = 3
-ROUTERS = 3
-READS_PER_S = 30
-# "Reaches engines in more than three retries, sent later than stability_ms
-# after it has crashed the third."
-MAX_RETRIES = 3
-
-
-class Engine(FakeTarget):
-    """An engine that writes its entry at each heartbeat."""
-
-    def __init__(self, number: int, fleet: harness.Fleet) -> None:
-        super().__init__(f"i-{number:08x}", "app")
-        self.slots = 6
-        self.response_delay_s = 0.03
-        self.crashing_body = DEADLY if harness.TROUBLE else b""
-        self.restart_delay_s = AWAY_S
-        self.keeps_id = KEEPS_ID
-        self.on_restart = self._restarted
-        self._fleet = fleet
-        self._sequence = 0
-        self._beats: asyncio.Task[None] | None = None
-
-    async def beat(self, first_after_s: float) -> None:
-        await asyncio.sleep(first_after_s)
-        while True:
-            self._sequence += 1
-            spec = self.spec(sequence=self._sequence)
-            await self._fleet.store.put("servers", self.id, spec)
-            await asyncio.sleep(harness.HEARTBEAT_S)
-
-    def begin_beats(self, first_after_s: float) -> None:
-        loop = asyncio.get_running_loop()
-        self._beats = loop.create_task(self.beat(first_after_s))
 
-    def crash(self) -> None:
-        if self._beats is not None:
-            self._beats.cancel()
-        loop = asyncio.get_running_loop()
-        last, name = self._sequence, self.id
-        loop.create_task(self._expire(name, last))
-        super().crash()
+EVENTS = 30
+EVENT_INTERVAL_S = 0.1
+CONSUMERS = 100
+RUN_S = 48.0
+# Seconds after the begin at which an engine falls silent; the two take turns.
+SILENCES = (12.0, 18.0, 24.0, 30.0, 36.0, 42.0)
+SILENCE_S = 1.4
+# The other one is full from a little before on, and rejects what is new after
+# this time.
+FULL_BEFORE_S = 0.1
+REJECT_AFTER_S = float(os.environ.get("REJECT_AFTER_S", "0.4"))
+ALLOWED = 3
+
+
+class Schedule:
+    """Which engine is silent or full."""
+
+    def __init__(self) -> None:
+        self.began_at: float | None = None
+
+    def now(self) -> float:
+        if self.began_at is None:
+            return 0.0
+        return asyncio.get_running_loop().time() - self.began_at
+
+    def silent_s(self, number: int) -> float:
+        """Returns for how long an engine stays silent."""
+        now = self.now()
+        if not harness.TROUBLE:
+            return 0.0
+        ends = [
+            at + SILENCE_S
+            for turn, at in enumerate(SILENCES)
+            if at <= now and turn % 2 == number
+        ]
+        return max(0.0, max(ends, default=0.0) - now)
+
+    def is_full(self, number: int) -> bool:
+        now = self.now()
+        return any(
+            at - FULL_BEFORE_S <= now < at + SILENCE_S and turn % 2 != number
+            for turn, at in enumerate(SILENCES)
+        )
 
-    async def _expire(self, name: str, last: int) -> None:
-        """Removes the entry after three intervals of silence."""
-        await asyncio.sleep(3 * harness.HEARTBEAT_S)
-        if self._sequence == last or self.id != name:
-            await self._fleet.store.delete("servers", name)
 
-    async def _restarted(self, _: FakeTarget, old_id: str) -> None:
-        self.begin_beats(LAG_S)
+class Engine:
+    """A model engine that sends streams of events."""
+
+    def __init__(
+        self, number: int, schedule: Schedule, record: harness.Recorder
+    ) -> None:
+        self.id = f"i-{number:08x}"
+        self._number = number
+        self._schedule, self._record = schedule, record
+        self.address = ""
+
+    async def __aenter__(self) -> "Engine":
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self._server.close()
+
+    def entry(self) -> dict:
+        return {
+            "backend": "llm",
+            "address": self.address,
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 64,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": 1000,
+        }
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+                lines = (x.partition(":") for x in head.split("\r\n")[1:] if x)
+                headers = {n.lower(): v.strip() for n, _, v in lines}
+                length = int(headers.get("content-length", 0))
+                await reader.readexactly(length)
+                await self._answer(headers, writer)
+        writer.close()
+
+    async def _answer(
+        self, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> None:
+        request_id = headers["attempt-id"]
+        identity = f"Attempt-Id: {request_id}\r\nInstance-Id: {self.id}\r\n"
+        if self._schedule.is_full(self._number):
+            await asyncio.sleep(REJECT_AFTER_S)
+            self._record.line("rejected", engine=self.id, id=request_id)
+            writer.write(
+                f"HTTP/1.1 503 -\r\n{identity}Not-Executed: 1\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
+            )
+            await writer.drain()
+            return
+        self._record.line("run", engine=self.id, id=request_id)
+        writer.write(
+            f"HTTP/1.1 200 -\r\n{identity}Response-Signature: 3e.{self.id}\r\n"
+            "Content-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n".encode()
+        )
+        first = int(headers.get("last-event-id", 0)) + 1
+        for number in range(first, EVENTS + 1):
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            silent_s = self._schedule.silent_s(self._number)
+            if silent_s:
+                await asyncio.sleep(silent_s)
+                self._record.line("goes_on", engine=self.id, id=request_id)
+            data = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+            writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+
+async def read_stream(reader: asyncio.StreamReader) -> tuple[int, float]:
+    """Reads an answer; returns its status and Retry-After."""
+    raw = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+    status = int(raw.split()[1])
+    lines = (x.partition(":") for x in raw.split("\r\n")[1:] if x)
+    headers = {n.lower(): v.strip() for n, _, v in lines}
+    if "transfer-encoding" in headers:
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            await reader.readexactly(size + 2)
+        await reader.readexactly(2)
+    else:
+        await reader.readexactly(int(headers["content-length"]))
+    return status, float(headers.get("retry-after", 0))
 
 
 async def case() -> int:
-    record = harness.Recorder(FOLDER)
+    record, schedule = harness.Recorder(FOLDER), Schedule()
+    lost: list[str] = []
+    whole = 0
     routes = [
-        harness.make_route("read", "app"),
         harness.make_route(
-            "book", "app", kind="non_idempotent", max_attempts=1
-        ),
+            "chat",
+            "llm",
+            kind="streaming",
+            resumable=True,
+            timeout_ms=15000,
+            target_latency_ms=400,
+        )
     ]
-    config = harness.make_config(1, ["app"], routes)
-    statuses: collections.Counter[int] = collections.Counter()
-    lost = []
-    async with harness.Fleet(ROUTERS, config) as fleet:
-        engines = [Engine(n, fleet) for n in range(ENGINES)]
-        for engine in engines:
+    config = harness.make_config(1, ["llm"], routes)
+    config["limits"]["tokens_per_s"] = 300_000
+    async with harness.Fleet(1, config) as fleet:
+        for number in range(2):
+            engine = Engine(number, schedule, record)
             await fleet.enter_async_context(engine)
-            await fleet.store.put("servers", engine.id, engine.spec())
-            engine.begin_beats(harness.HEARTBEAT_S)
+            await fleet.store.put("servers", engine.id, engine.entry())
         await fleet.start_routers()
-        addresses = [router.callers for router in fleet.routers]
-
-        async def others() -> None:
-            """Other consumers: reads, and a booking every tenth time."""
-            number = 0
-            tasks: set[asyncio.Task[None]] = set()
-            while True:
-                number += 1
-                task = asyncio.ensure_future(other(number))
-                tasks.add(task)
-                task.add_done_callback(tasks.discard)
-                await asyncio.sleep(1 / READS_PER_S)
-
-        async def other(number: int) -> None:
-            is_booking = number % 10 == 0
-            answer = await harness.call(
-                addresses[number % ROUTERS],
-                "/book/x" if is_booking else f"/read/{number}",
-                f"o{number}",
-                body=b"other %d" % number,
-            )
-            statuses[answer.status] += 1
-            if answer.status != 200:
-                lost.append(f"o{number}")
-                record.line("other", id=f"o{number}", status=answer.status)
-
-        background = asyncio.ensure_future(others())
-        await asyncio.sleep(2.0)
-        started_at = record.now()
-        number = 0
-        while record.now() - started_at < RUN_S:
-            number += 1
-            address = addresses[number % ROUTERS]
-            record.line("sent", id=f"d{number}", router=number % ROUTERS)
-            answer = await harness.call(
-                address, "/book/deadly", f"d{number}", body=DEADLY
-            )
-            record.line("answered", id=f"d{number}", status=answer.status)
-            await asyncio.sleep(AGAIN_S)
-        background.cancel()
+        host, _, port = fleet.routers[0].callers.rpartition(":")
         loop = asyncio.get_running_loop()
-        offset = record.now() - loop.time()
-        runs = sorted(
-            (at + offset, engine.id, request)
-            for engine in engines
-            for at, request in engine.crashes
-        )
-        for at, engine_id, request in runs:
-            record.line("run", at=f"{at:.3f}", engine=engine_id, id=request)
-        if os.environ.get("LOGS"):
-            for router in fleet.routers:
-                pathlib.Path(os.environ["LOGS"], router.log.name).write_bytes(
-                    router.log.read_bytes()
-                )
-    bound = runs[2][0] + harness.STABILITY_S if len(runs) > 2 else None
-    late = [run for run in runs if bound is not None and run[0] > bound]
-    record.line("others", statuses=dict(statuses))
-    record.line("verdict", runs=len(runs), after_the_third=len(late))
-    print(f"runs={len(runs)} late={len(late)} others={dict(statuses)}")
-    return harness.BROKEN if len(late) > MAX_RETRIES else harness.HELD
+        schedule.began_at = loop.time()
+        ends_at = loop.time() + RUN_S
+
+        async def consume(consumer: int) -> None:
+            """Sends one stream after the other on a kept channel."""
+            nonlocal whole
+            await asyncio.sleep(
+                consumer * EVENTS * EVENT_INTERVAL_S / CONSUMERS
+            )
+            count = 0
+            while loop.time() < ends_at:
+                reader, writer = await asyncio.open_connection(host, int(port))
+                try:
+                    while loop.time() < ends_at:
+                        count += 1
+                        request_id = f"c{consumer}-{count}"
+                        writer.write(
+                            f"POST /chat/x HTTP/1.1\r\nHost: {harness.HOST}\r\n"
+                            f"Attempt-Id: {request_id}\r\n"
+                            "Timeout-Remaining: 15000\r\n"
+                            f"Authorization: Token {harness.KEY}\r\n"
+                            "Model: m\r\nToken-Usage: 800,150\r\nPrompt-Prefix:"
+                            f" 5c1e07a2:600,{consumer:04x}{count:04x}:200\r\n"
+                            "Content-Length: 2\r\n\r\n{}".encode()
+                        )
+                        status, pause_s = await read_stream(reader)
+                        whole += status == 200
+                        record.line("answered", id=request_id, status=status)
+                        await asyncio.sleep(pause_s)
+                except (asyncio.IncompleteReadError, ConnectionError):
+                    lost.append(request_id)
+                    record.line("ended_without_whole_answer", id=request_id)
+                finally:
+                    writer.close()
+
+        await asyncio.gather(*(consume(n) for n in range(CONSUMERS)))
+    record.line("verdict", whole=whole, lost=len(lost))
+    print(f"whole={whole} lost={len(lost)}")
+    return harness.BROKEN if len(lost) > ALLOWED else harness.HELD
 
 
 harness.run_case(case)
